Workspace of packages, tools and the interfaces to outside systems

Cause: the project starts empty; every part needs one formatter, linter, type checker and package layout before code is written. Ruled out: one package with extras (roles would import what they do not use, against the memory limit); a lock file with URLs. Before: nothing.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+# `make demo` and `make test` each do all the set-up a fresh machine needs.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := $(wildcard packages/*)
+
+.PHONY: setup demo test format lint types check
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: requirements/runtime.txt requirements/develop.txt $(wildcard packages/*/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip --quiet --disable-pip-version-check install -r requirements/develop.txt
+	$(BIN)/python -m pip --quiet --disable-pip-version-check install --no-deps --no-build-isolation $(addprefix -e ,$(PACKAGES))
+	touch $@
+
+demo: setup
+	$(BIN)/python -m testbed.demo
+
+test: setup
+	$(BIN)/python -m testbed.run_features
+
+format: setup
+	$(BIN)/ruff check --fix --quiet .
+	$(BIN)/ruff format .
+
+check: setup
+	$(BIN)/ruff check --quiet .
+	$(BIN)/ruff format --check .
+
+lint: setup
+	$(BIN)/flake8 .
+
+types: setup
+	$(BIN)/mypy packages testbed features
--- /dev/null
+++ b/packages/kingcuptrestle/src/kingcuptrestle/__init__.py
@@ -0,0 +1,1 @@
+"""The two binaries: kingcuptrestled and kingcuptrestle."""
--- /dev/null
+++ b/packages/trestle-control/src/trestle_control/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log, control state and role policy."""
--- /dev/null
+++ b/packages/trestle-core/src/trestle_core/__init__.py
@@ -0,0 +1,1 @@
+"""Settings, named sets, verdicts, error codes, logs, metrics and life cycle."""
--- /dev/null
+++ b/packages/trestle-endpoint/src/trestle_endpoint/__init__.py
@@ -0,0 +1,1 @@
+"""Permits, order gate, answers and the engine and service adapters."""
--- /dev/null
+++ b/packages/trestle-entry/src/trestle_entry/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' HTTP, admission, routing, retries and answer streams."""
--- /dev/null
+++ b/packages/trestle-links/src/trestle_links/__init__.py
@@ -0,0 +1,1 @@
+"""Authenticated msgpack streams between the processes."""
--- /dev/null
+++ b/testbed/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes, fault proxy and process harness for tests, demo and bench."""
