--- /dev/null
+++ b/packages/trestle-core/src/trestle_core/lifecycle.py
@@ -0,0 +1,64 @@
+"""The application object: start, drain and stop hooks of one process.
+
+Hooks run in the order in which they were added at start, and in the reverse
+order at stop. Drain hooks run at the same time: readiness goes off first and
+started work finishes before the stop hooks run.
+"""
+
+from collections.abc import Callable
+from signal import SIGINT, SIGTERM
+
+from gevent import joinall, signal_handler, spawn
+from gevent.event import Event
+
+from trestle_core.logs import part_logger
+
+Hook = Callable[[], None]
+
+_log = part_logger('process')
+
+
+class Application:
+    """Owns the parts of one process and cleans them up."""
+
+    def __init__(self, name: str, drain_seconds: float) -> None:
+        """Prepare an application; `drain_seconds` bounds the drain."""
+        self.name = name
+        self.drain_seconds = drain_seconds
+        self.start_hooks: list[Hook] = []
+        self.drain_hooks: list[Hook] = []
+        self.stop_hooks: list[Hook] = []
+        self.stop_asked = Event()
+
+    def add(
+        self,
+        *,
+        start: Hook | None = None,
+        drain: Hook | None = None,
+        stop: Hook | None = None,
+    ) -> None:
+        """Add the hooks of one part."""
+        if start:
+            self.start_hooks.append(start)
+        if drain:
+            self.drain_hooks.append(drain)
+        if stop:
+            self.stop_hooks.append(stop)
+
+    def run(self) -> None:
+        """Start every part, wait for SIGTERM or SIGINT, drain and stop."""
+        signal_handler(SIGTERM, self.stop_asked.set)
+        signal_handler(SIGINT, self.stop_asked.set)
+        for hook in self.start_hooks:
+            hook()
+        _log.info('{} started.', self.name)
+        self.stop_asked.wait()
+        self._drain()
+        for hook in reversed(self.stop_hooks):
+            hook()
+        _log.info('{} stopped.', self.name)
+
+    def _drain(self) -> None:
+        _log.info('{} drains.', self.name)
+        tasks = [spawn(hook) for hook in self.drain_hooks]
+        joinall(tasks, timeout=self.drain_seconds)
