--- a/packages/trestle-links/src/trestle_links/watch_messages.py
+++ b/packages/trestle-links/src/trestle_links/watch_messages.py
@@ -35,7 +35,7 @@
     version: int
     digest: str
     content: bytes
-    index: int
+    log_index: int
 
 
 class EndpointInfo(NamedTuple):
@@ -61,7 +61,7 @@
 
     endpoints: list[EndpointInfo]
     whole: bool
-    index: int
+    log_index: int
 
 
 @message(83)
@@ -98,10 +98,10 @@
 
 @message(86)
 class Stamp(NamedTuple):
-    """The state up to `index` was in force `age_ms` before the ask arrived."""
+    """The state up to `log_index` was in force `age_ms` before the ask arrived."""
 
     number: int
-    index: int
+    log_index: int
     age_ms: int
     set_version: int
 
