Node side of the state stream: view, stamps and calls with failover

Cause: entry and endpoint processes both need the named set, endpoints and a freshness that no delay or foreign clock can make younger. Ruled out: one log index for the whole view (a host that lags could hand an older endpoint list between two stamps); one link for stream and calls (moving the stream would cut calls in flight). Before: nothing. Conclusion: ContentDelta gains log_index, so that lists never go back.

--- /dev/null
+++ b/packages/trestle-links/src/trestle_links/control_client.py
@@ -0,0 +1,248 @@
+"""A node's side of the state stream, shared by entry and endpoint processes.
+
+One greenlet keeps a `Watch` stream to one control host. It asks for a
+freshness stamp at a fixed pace and moves to the next host when the stamps
+stop or grow old.
+
+A stamp says how old the host's state was when the ask arrived. The node
+subtracts that age from the time at which it asked, on its own clock, so
+neither the delay of the answer nor another host's clock makes it fresher.
+A stamp counts only when the node holds the set that it names.
+"""
+
+from collections.abc import Callable
+from itertools import count, cycle
+from math import inf
+from time import monotonic
+from typing import Any, Final, NamedTuple, Self, TypeVar
+
+from gevent import Greenlet, spawn
+from gevent.event import Event
+
+from trestle_core.errors import TrestleError
+from trestle_core.logs import part_logger
+from trestle_core.metrics import Metrics
+from trestle_core.settings import CommonSettings
+from trestle_links.codec import Message
+from trestle_links.connection import CallTimeoutError, Channel
+from trestle_links.control_calls import ControlCaller
+from trestle_links.fleet_messages import Order
+from trestle_links.link import Identity, Link
+from trestle_links.node_view import NodeView
+from trestle_links.watch_messages import (
+    ContentDelta,
+    EndpointsDelta,
+    OrderDelta,
+    SetDelta,
+    Stamp,
+    StampAsk,
+    Watch,
+)
+
+# Share of `stale_after` without a fresh stamp after which the node moves on.
+_MOVE_SHARE: Final = 0.3
+_RETRY_SECONDS: Final = 0.2
+_MS_PER_SECOND: Final = 1000
+
+Reply = TypeVar('Reply')
+Hook = Callable[[], None]
+OrderHook = Callable[[Order], None]
+
+_log = part_logger('watch')
+
+
+class Watcher(NamedTuple):
+    """Who watches, and how often it asks."""
+
+    host: str
+    role: str
+    targets: list[str]
+    stamp_seconds: float
+    stale_seconds: float
+
+
+class ControlClient:
+    """The node's view of the control state, and its way to send commands."""
+
+    def __init__(
+        self, watcher: Watcher, addresses: list[str], me: Identity
+    ) -> None:
+        """Connect to nothing yet."""
+        self.watcher = watcher
+        self.addresses = addresses
+        self.me = me
+        self.caller = ControlCaller(addresses, me)
+        self.view = NodeView()
+        self.figures: dict[str, float] = {}
+        self.on_set: list[Hook] = []
+        self.on_endpoints: list[Hook] = []
+        self.on_order: list[OrderHook] = []
+        self.on_contents: list[Hook] = []
+        self.fresh_at = -inf
+        self.asked: dict[int, float] = {}
+        self.stopped = Event()
+        self.takers: dict[type[Any], Callable[[Any], None]] = {
+            Stamp: self._take_stamp,
+            SetDelta: self.offer_set,
+            EndpointsDelta: self._take_endpoints,
+            ContentDelta: self._take_contents,
+            OrderDelta: self._take_order,
+        }
+        self.task: Greenlet[..., None] | None = None
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: CommonSettings,
+        me: Identity,
+        role: str,
+        targets: list[str],
+        metrics: Metrics,
+    ) -> Self:
+        """Make a client; empty `targets` means endpoints of every target."""
+        metrics.set_gauge('set_version', 0)
+        watcher = Watcher(
+            settings.host,
+            role,
+            targets,
+            settings.stamp_every_ms / _MS_PER_SECOND,
+            settings.stale_after_ms / _MS_PER_SECOND,
+        )
+        return cls(watcher, settings.control, me)
+
+    def start(self) -> None:
+        """Start following a control host."""
+        self.task = spawn(self._run)
+
+    def stop(self) -> None:
+        """Stop following and close the links."""
+        self.stopped.set()
+        if self.task:
+            self.task.kill()
+        self.caller.close()
+
+    def is_fresh(self) -> bool:
+        """Tell whether the node holds a set and a stamp that confirms it."""
+        return (
+            self.view.named_set is not None
+            and self.freshness_seconds() < self.watcher.stale_seconds
+        )
+
+    def freshness_seconds(self) -> float:
+        """Return the age of the view; infinity before the first stamp."""
+        return monotonic() - self.fresh_at
+
+    def submit(
+        self,
+        command: Message,
+        reply_type: type[Reply],
+        timeout_seconds: float,
+    ) -> Reply:
+        """Send a command to any control host and return its reply.
+
+        Raises `TrestleError`; its verdict says whether the command may
+        have been applied. Every command is safe to submit again.
+        """
+        return self.caller.call(command, reply_type, timeout_seconds)
+
+    def offer_set(self, delta: SetDelta) -> None:
+        """Take a set that a peer has in force, if it is newer."""
+        if self.view.take_set(delta):
+            self.me.metrics.set_gauge('set_version', delta.version)
+            _log.info('Named set version {} is in force.', delta.version)
+            _run_hooks(self.on_set)
+
+    def _run(self) -> None:
+        for address in cycle(self.addresses):
+            link = Link.to_address(address, self.me)
+            try:
+                self._follow(link)
+            except TrestleError as error:
+                self.me.metrics.count('watch_losses', error.code.code)
+                _log.warning('State stream of {} lost: {}.', address, error)
+            except Exception:
+                # A failing hook must not end the stream for good.
+                _log.exception('State stream of {} failed.', address)
+            finally:
+                link.close()
+            if self.stopped.wait(_RETRY_SECONDS):
+                return
+
+    def _follow(self, link: Link) -> None:
+        watcher = self.watcher
+        self.asked.clear()
+        channel = link.open(
+            Watch(
+                watcher.host,
+                watcher.role,
+                watcher.targets,
+                self.view.set_version,
+            )
+        )
+        opened_at = monotonic()
+        for number in count():
+            self.asked[number] = monotonic()
+            channel.send(StampAsk(number, self.view.set_version, self.figures))
+            if not self._take_until(channel, monotonic() + self._pause()):
+                return
+            if self._should_move(opened_at):
+                self.me.metrics.count('watch_losses', 'no-fresh-stamp')
+                _log.warning('{} gives no fresh stamp.', channel.peer)
+                return
+
+    def _pause(self) -> float:
+        # A node without a fresh stamp asks faster, so that it soon serves.
+        if self.is_fresh():
+            return self.watcher.stamp_seconds
+        return min(_RETRY_SECONDS, self.watcher.stamp_seconds)
+
+    def _take_until(self, channel: Channel, until: float) -> bool:
+        while True:
+            left_seconds = until - monotonic()
+            if left_seconds <= 0:
+                return True
+            try:
+                body = channel.receive(left_seconds)
+            except CallTimeoutError:
+                return True
+            if body is None:
+                return False
+            self._take(body)
+
+    def _take(self, body: Message) -> None:
+        taker = self.takers.get(type(body))
+        if taker:
+            taker(body)
+
+    def _take_endpoints(self, delta: EndpointsDelta) -> None:
+        if self.view.take_endpoints(delta):
+            _run_hooks(self.on_endpoints)
+
+    def _take_contents(self, delta: ContentDelta) -> None:
+        if self.view.take_contents(delta):
+            _run_hooks(self.on_contents)
+
+    def _take_order(self, delta: OrderDelta) -> None:
+        for hook in self.on_order:
+            hook(delta.order)
+
+    def _take_stamp(self, stamp: Stamp) -> None:
+        asked_at = self.asked.pop(stamp.number, None)
+        if asked_at is None:
+            return
+        self.view.reach(stamp.log_index)
+        if stamp.set_version > self.view.set_version:
+            # The set was not usable here: the node must not count as fresh.
+            return
+        fresh_at = asked_at - stamp.age_ms / _MS_PER_SECOND
+        self.fresh_at = max(self.fresh_at, fresh_at)
+
+    def _should_move(self, opened_at: float) -> bool:
+        limit_seconds = self.watcher.stale_seconds * _MOVE_SHARE
+        oldest = monotonic() - limit_seconds
+        return self.fresh_at < oldest and opened_at < oldest
+
+
+def _run_hooks(hooks: list[Hook]) -> None:
+    for hook in hooks:
+        hook()
--- a/packages/trestle-links/src/trestle_links/watch_messages.py
+++ b/packages/trestle-links/src/trestle_links/watch_messages.py
@@ -82,6 +82,7 @@
     quarantined: list[str]
     cleared: list[str]
     whole: bool
+    log_index: int
 
 
 @message(85)
