--- /dev/null
+++ b/packages/trestle-entry/src/trestle_entry/claimed_calls.py
@@ -0,0 +1,210 @@
+"""Service calls that run at most once, by claims and permits.
+
+The main flow is `run_claimed`: open an attempt of the key, obtain a permit,
+commit the claim, dispatch. Whoever finds a claim of another send follows it.
+
+Invariants, which testbed/claim_model.py explores exhaustively:
+
+* nothing is dispatched before its claim is committed;
+* `not-run` is answered only after a refusal was committed, or after a claim
+  was won by none and the attempt is barred;
+* a claim is released only after the incarnation that issued its permit has
+  revoked it unused; another incarnation proves nothing;
+* where the control state cannot be reached the answer is `may-have-run`.
+"""
+
+from time import monotonic
+from typing import Final, TypeVar
+
+from trestle_core.digests import content_digest
+from trestle_core.errorcodes import (
+    DEADLINE_UNREACHABLE,
+    KEY_CONFLICT,
+    OVERLOADED,
+)
+from trestle_core.errors import TrestleError
+from trestle_core.texts import KEY_CONFLICT as KEY_CONFLICT_TEXT
+from trestle_entry.claim_following import (
+    ClaimedCall,
+    ClaimedResult,
+    follow_claim,
+    submit_command,
+)
+from trestle_entry.entry_context import EntryContext
+from trestle_entry.idempotent_calls import (
+    dispatch_call,
+    service_ask,
+)
+from trestle_entry.permit_asks import Place, return_permit
+from trestle_entry.places import (
+    PlaceNeed,
+    obtain_place,
+)
+from trestle_links.claim_messages import (
+    AttemptOpened,
+    Claim,
+    ClaimReply,
+    CommitClaim,
+    OpenAttempt,
+    Outcome,
+    RefuseAttempt,
+)
+
+_MS_PER_SECOND: Final = 1000
+_FOLLOW_SECONDS: Final = 0.05
+_MAX_FOLLOW_SECONDS: Final = 0.4
+_REVOKE_SECONDS: Final = 1.0
+# Time kept for the commits that follow the obtaining of a place.
+_COMMIT_RESERVE_SECONDS: Final = 0.5
+
+
+Reply = TypeVar('Reply')
+
+
+def run_claimed(context: EntryContext, call: ClaimedCall) -> ClaimedResult:
+    """Run a call at most once, or return what its key has recorded.
+
+    Raises `TrestleError` with a verdict on the key.
+    """
+    while True:
+        opened = _open_attempt(context, call)
+        if opened.conflict:
+            raise TrestleError(KEY_CONFLICT, KEY_CONFLICT_TEXT)
+        claim = opened.claim
+        if claim is None:
+            claim = _claim_and_run(context, call, opened.attempt)
+        result = follow_claim(context, call, claim)
+        if result:
+            return result
+        context.metrics.count('retries', 'claim-released')
+
+
+def refuse_key(
+    context: EntryContext,
+    call: ClaimedCall,
+    error: TrestleError,
+) -> ClaimedResult:
+    """Refuse a call before its attempt: `not-run` must hold for the key.
+
+    Raises `error` once the refusal is committed. Returns the outcome when an
+    earlier send of the key has claimed it.
+    """
+    opened = _open_attempt(context, call)
+    if opened.conflict:
+        raise TrestleError(KEY_CONFLICT, KEY_CONFLICT_TEXT)
+    claim = opened.claim or _refuse(context, call, opened.attempt, error)
+    result = follow_claim(context, call, claim)
+    if result:
+        return result
+    raise TrestleError(OVERLOADED)
+
+
+def _open_attempt(context: EntryContext, call: ClaimedCall) -> AttemptOpened:
+    command = OpenAttempt(
+        call.claim_key,
+        content_digest(call.job.request.body),
+        call.job.request.request_id,
+    )
+    opened = submit_command(context, call, command, AttemptOpened)
+    call.record.note('attempt', number=opened.attempt)
+    return opened
+
+
+def _claim_and_run(
+    context: EntryContext,
+    call: ClaimedCall,
+    attempt: int,
+) -> Claim:
+    """Claim the key and dispatch; return the claim that stands.
+
+    Raises the refusal when none stands and `not-run` is committed.
+    """
+    try:
+        place = _obtain(context, call)
+    except TrestleError as error:
+        return _refuse(context, call, attempt, error)
+    reply = _commit_claim(context, call, attempt, place)
+    if not reply.accepted:
+        return_permit(context, place)
+        return _standing(reply)
+    claim = reply.claim
+    assert claim is not None
+    return _dispatch_claimed(context, call, claim, place)
+
+
+def _obtain(context: EntryContext, call: ClaimedCall) -> Place:
+    latest = call.job.finish_by - _COMMIT_RESERVE_SECONDS
+    if monotonic() > latest:
+        raise TrestleError(DEADLINE_UNREACHABLE)
+    need = PlaceNeed(service_ask(call.job), latest)
+    return obtain_place(context, need, call.record)
+
+
+def _commit_claim(
+    context: EntryContext,
+    call: ClaimedCall,
+    attempt: int,
+    place: Place,
+) -> ClaimReply:
+    command = CommitClaim(
+        call.claim_key,
+        attempt,
+        place.grant.permit,
+        place.endpoint.address,
+        call.job.request.request_id,
+    )
+    return submit_command(context, call, command, ClaimReply)
+
+
+def _standing(reply: ClaimReply) -> Claim:
+    if reply.claim:
+        return reply.claim
+    # No claim stands: an answered refusal has barred this attempt.
+    raise TrestleError(OVERLOADED)
+
+
+def _dispatch_claimed(
+    context: EntryContext,
+    call: ClaimedCall,
+    claim: Claim,
+    place: Place,
+) -> Claim:
+    """Dispatch unless this process was paused for too long.
+
+    Returns the claim with its outcome, or without one when the dispatch
+    failed and the claim has to be followed.
+    """
+    grace = context.settings.dispatch_grace_ms / _MS_PER_SECOND
+    age = monotonic() - call.job.request.arrived
+    if age > grace or monotonic() > call.job.finish_by:
+        call.record.note('too-late', age_ms=int(age * _MS_PER_SECOND))
+        return claim
+    call.record.note('dispatch', endpoint=place.endpoint.host)
+    call.record.dispatches += 1
+    try:
+        answer = dispatch_call(context, call.job, place, claimed=True)
+    except TrestleError as error:
+        call.record.note('failed', code=error.code.code)
+        return claim
+    # The endpoint process committed the outcome before it answered.
+    outcome = Outcome(answer.verdict, answer.status, answer.body)
+    return claim._replace(outcome=outcome)
+
+
+def _refuse(
+    context: EntryContext,
+    call: ClaimedCall,
+    attempt: int,
+    error: TrestleError,
+) -> Claim:
+    """Commit `not-run` and raise the refusal, or return a standing claim."""
+    command = RefuseAttempt(
+        call.claim_key,
+        attempt,
+        error.code.code,
+        call.job.request.request_id,
+    )
+    reply = submit_command(context, call, command, ClaimReply)
+    if reply.claim:
+        return reply.claim
+    raise error
--- /dev/null
+++ b/packages/trestle-entry/src/trestle_entry/completions.py
@@ -0,0 +1,199 @@
+"""A model request from admission to the last token.
+
+The main flow is `run_completion`: obtain a place, dispatch, pass tokens on.
+When an engine crashes or its process is lost, the answer is continued on
+another engine from the tokens that the caller already has, within the
+deadline and the route's retry budget. A caller sees each token once.
+
+Model requests have no effect that may not be repeated, so a retry needs no
+proof that the first dispatch did not run.
+"""
+
+from collections.abc import Iterator
+from time import monotonic
+from typing import Final, NamedTuple
+
+from trestle_core.errorcodes import RETRY_BUDGET
+from trestle_core.errors import TrestleError
+from trestle_core.namedset import EnginePool, ModelRoute
+from trestle_core.verdict import Verdict
+from trestle_entry.answer_stream import AnswerFinish, AnswerStream
+from trestle_entry.caller_requests import ModelRequest
+from trestle_entry.entry_context import EntryContext, named_set_of
+from trestle_entry.permit_asks import Place
+from trestle_entry.places import PlaceNeed, obtain_place
+from trestle_entry.request_records import RequestRecord
+from trestle_links.answer_messages import DispatchCompletion
+from trestle_links.permit_messages import PermitAsk
+
+_MS_PER_SECOND: Final = 1000
+
+# Failures of one endpoint that another endpoint may not have.
+_RETRIABLE: Final = frozenset(
+    (
+        'link-down',
+        'engine-crashed',
+        'engine-refused',
+        'answer-incomplete',
+        'permit-unusable',
+        'draining',
+        'withdrawn',
+        'stale-node',
+        'overloaded',
+        'call-timeout',
+        'internal',
+    )
+)
+
+
+class CompletionJob(NamedTuple):
+    """A model request with its route and limits; times are monotonic."""
+
+    request: ModelRequest
+    route: ModelRoute
+    pool: EnginePool
+    first_token_by: float
+    finish_by: float
+
+
+class Completion:
+    """A running completion; `finish` is set once the answer is whole."""
+
+    def __init__(self, job: CompletionJob, record: RequestRecord) -> None:
+        """Start with no tokens delivered."""
+        self.job = job
+        self.record = record
+        self.delivered = 0
+        self.failed_hosts: frozenset[str] = frozenset()
+        self.finish: AnswerFinish | None = None
+
+    def place_need(self, context: EntryContext) -> PlaceNeed:
+        """Return what the rest of the answer needs from an endpoint."""
+        job = self.job
+        latest = job.finish_by if self.delivered else job.first_token_by
+        ask = PermitAsk(
+            request_id=job.request.request_id,
+            caller=job.request.caller,
+            route=job.request.route,
+            target=job.route.pool,
+            priority=job.route.priority,
+            prompt_tokens=job.request.prompt_tokens,
+            output_tokens=job.request.max_tokens - self.delivered,
+            pieces=job.request.pieces,
+            left_ms=0,
+            set_version=0,
+            suspect=job.request.content in context.control.view.suspects,
+        )
+        return PlaceNeed(ask, latest, self.failed_hosts)
+
+    def dispatch_for(self, place: Place) -> DispatchCompletion:
+        """Return the message that starts the rest of the answer."""
+        job = self.job
+        left = job.finish_by - monotonic()
+        return DispatchCompletion(
+            permit=place.grant.permit,
+            request_id=job.request.request_id,
+            caller=job.request.caller,
+            model=job.pool.model,
+            prompt=job.request.prompt,
+            max_tokens=job.request.max_tokens,
+            priority=job.route.priority,
+            left_ms=max(1, int(left * _MS_PER_SECOND)),
+            resume_from=self.delivered,
+            adapter=job.route.adapter,
+            content_digest=job.request.content,
+        )
+
+
+def completion_job(
+    context: EntryContext,
+    request: ModelRequest,
+    route: ModelRoute,
+) -> CompletionJob:
+    """Fix the limits of a request from the set in force."""
+    return CompletionJob(
+        request=request,
+        route=route,
+        pool=named_set_of(context).pools[route.pool],
+        first_token_by=request.arrived + route.first_token_ms / _MS_PER_SECOND,
+        finish_by=request.arrived + route.deadline_ms / _MS_PER_SECOND,
+    )
+
+
+def run_completion(
+    context: EntryContext,
+    completion: Completion,
+) -> Iterator[list[str]]:
+    """Yield batches of tokens until the answer is whole.
+
+    Raises `TrestleError`. Closing the iterator cancels the work.
+    """
+    budget = context.budgets.of(completion.job.request.route)
+    budget.deposit(completion.job.route.retry_percent)
+    while completion.finish is None:
+        need = completion.place_need(context)
+        place = obtain_place(context, need, completion.record)
+        try:
+            yield from _run_attempt(context, completion, place)
+        except TrestleError as error:
+            _prepare_retry(context, completion, place, error)
+
+
+def _run_attempt(
+    context: EntryContext,
+    completion: Completion,
+    place: Place,
+) -> Iterator[list[str]]:
+    host = place.endpoint.host
+    record = completion.record
+    record.note('dispatch', endpoint=host, from_token=completion.delivered)
+    record.dispatches += 1
+    context.metrics.count('endpoint_calls')
+    link = context.links.link_to(place.endpoint.address)
+    stream = AnswerStream(
+        context,
+        link,
+        completion.dispatch_for(place),
+        completion.job.finish_by,
+    )
+    estimate = context.estimates.of(host)
+    estimate.inflight += 1
+    try:
+        for tokens in stream.batches():
+            _count_tokens(completion, len(tokens))
+            yield tokens
+    finally:
+        estimate.inflight -= 1
+        context.rooms.of(completion.job.route.pool).place_freed()
+    context.estimates.served(host, completion.job.request.pieces)
+    completion.finish = stream.finish
+    record.note('finish', endpoint=host)
+
+
+def _count_tokens(completion: Completion, amount: int) -> None:
+    record = completion.record
+    if record.first_token is None:
+        record.first_token = monotonic()
+        record.verdict = Verdict.RAN
+    completion.delivered += amount
+    record.tokens = completion.delivered
+
+
+def _prepare_retry(
+    context: EntryContext,
+    completion: Completion,
+    place: Place,
+    error: TrestleError,
+) -> None:
+    """Return when another endpoint may be tried; raise otherwise."""
+    host = place.endpoint.host
+    completion.record.note('failed', endpoint=host, code=error.code.code)
+    context.estimates.refused(host)
+    completion.failed_hosts |= {host}
+    if error.code.code not in _RETRIABLE:
+        raise error
+    budget = context.budgets.of(completion.job.request.route)
+    if not budget.spend():
+        context.metrics.count('refusals_of_retry', RETRY_BUDGET.code)
+        raise error
+    context.metrics.count('retries', error.code.code)
--- /dev/null
+++ b/packages/trestle-entry/src/trestle_entry/estimates.py
@@ -0,0 +1,77 @@
+"""What an entry believes about the load of each endpoint.
+
+The belief only chooses whom to ask for a permit: the answer to the ask is
+what decides. It rests on the last answer of the endpoint and on this entry's
+own dispatches since, and fades with age.
+"""
+
+from collections import OrderedDict
+from time import monotonic
+from typing import Final
+
+_FADE_SECONDS: Final = 2.0
+_REFUSED_MS: Final = 2000.0
+_DISPATCH_MS: Final = 20.0
+_PIECES_KEPT: Final = 20_000
+
+
+class EndpointEstimate:
+    """The believed wait at one endpoint, in milliseconds."""
+
+    def __init__(self) -> None:
+        """Believe that an unknown endpoint is idle."""
+        self.wait_ms = 0.0
+        self.known_at = monotonic()
+        self.inflight = 0
+
+    def wait(self) -> float:
+        """Return the wait in milliseconds, faded by the age of the belief."""
+        age = monotonic() - self.known_at
+        fade = max(0.0, 1 - age / _FADE_SECONDS)
+        return self.wait_ms * fade + self.inflight * _DISPATCH_MS
+
+    def learn(self, wait_ms: float) -> None:
+        """Take the figure of a fresh answer."""
+        self.wait_ms = wait_ms
+        self.known_at = monotonic()
+
+
+class Estimates:
+    """Beliefs by endpoint host, and who served which prompt piece."""
+
+    def __init__(self) -> None:
+        """Know nothing."""
+        self.by_host: dict[str, EndpointEstimate] = {}
+        self.piece_hosts: OrderedDict[str, str] = OrderedDict()
+
+    def of(self, host: str) -> EndpointEstimate:
+        """Return the belief about a host, made on first use."""
+        estimate = self.by_host.get(host)
+        if estimate is None:
+            estimate = EndpointEstimate()
+            self.by_host[host] = estimate
+        return estimate
+
+    def refused(self, host: str) -> None:
+        """Take note of a refusal or of no answer."""
+        self.of(host).learn(_REFUSED_MS)
+
+    def served(self, host: str, pieces: list[str]) -> None:
+        """Take note of the host that now holds the pieces of a prompt."""
+        for piece in pieces:
+            self.piece_hosts[piece] = host
+            self.piece_hosts.move_to_end(piece)
+        while len(self.piece_hosts) > _PIECES_KEPT:
+            self.piece_hosts.popitem(last=False)
+
+    def holder(self, pieces: list[str]) -> str | None:
+        """Return the host that served the longest known prefix."""
+        for piece in reversed(pieces):
+            host = self.piece_hosts.get(piece)
+            if host is not None:
+                return host
+        return None
+
+    def forget(self, host: str) -> None:
+        """Drop the belief about a host that left."""
+        self.by_host.pop(host, None)
--- /dev/null
+++ b/packages/trestle-entry/src/trestle_entry/places.py
@@ -0,0 +1,143 @@
+"""Obtaining a place: one granted permit at one endpoint.
+
+An entry asks the endpoints that its policy chose, takes the grant with the
+lower predicted time to the first token and returns the other one at once. A
+request that no endpoint takes waits in the target's waiting room and asks
+again, until its deadline cannot be met any more.
+
+Invariant: every permit granted to this entry is dispatched, returned, or
+left to expire at its endpoint; none is used twice.
+"""
+
+from random import uniform
+from time import monotonic
+from typing import Final, NamedTuple
+
+from trestle_core.errorcodes import (
+    DEADLINE_UNREACHABLE,
+    NO_ENDPOINT,
+)
+from trestle_core.errors import TrestleError
+from trestle_core.texts import DEADLINE_UNREACHABLE as DEADLINE_TEXT
+from trestle_core.texts import NO_ENDPOINT as NO_ENDPOINT_TEXT
+from trestle_entry.choosing import Need
+from trestle_entry.entry_context import EntryContext
+from trestle_entry.permit_asks import Place, best_grant
+from trestle_entry.request_records import RequestRecord
+from trestle_entry.subset import endpoint_subset
+from trestle_links.connection import LinkDownError
+from trestle_links.permit_messages import (
+    PermitAsk,
+)
+from trestle_links.watch_messages import EndpointInfo
+
+_BACKOFF_SECONDS: Final = 0.01
+_MAX_BACKOFF_SECONDS: Final = 0.2
+_SECOND_GRANT_SECONDS: Final = 0.02
+_RETURN_SECONDS: Final = 1.0
+_MS_PER_SECOND: Final = 1000
+_PREFILL_TOKENS_PER_SECOND: Final = 8000.0
+_OUTPUT_TOKENS_PER_SECOND: Final = 400.0
+
+
+class PlaceNeed(NamedTuple):
+    """What a request needs; `latest` is monotonic seconds of its deadline.
+
+    `avoid` holds hosts that failed this request before.
+    """
+
+    ask: PermitAsk
+    latest: float
+    avoid: frozenset[str] = frozenset()
+
+
+def obtain_place(
+    context: EntryContext,
+    need: PlaceNeed,
+    record: RequestRecord,
+) -> Place:
+    """Return a place, waiting for one until the deadline.
+
+    Raises `TrestleError`; nothing has run then.
+    """
+    room = context.rooms.of(need.ask.target)
+    start = room.shares.charge(need.ask.caller, _cost_seconds(need.ask))
+    effective = need.latest + room.shares.excess(start)
+    backoff = _BACKOFF_SECONDS
+    while True:
+        place, refusal = _ask_in_turn(context, need, effective, record)
+        if place:
+            room.granted(start)
+            return place
+        _check_deadline(need, refusal)
+        room.pause(min(backoff, need.latest - monotonic()))
+        backoff = min(_MAX_BACKOFF_SECONDS, backoff * uniform(1, 2))
+
+
+def _ask_in_turn(
+    context: EntryContext,
+    need: PlaceNeed,
+    effective: float,
+    record: RequestRecord,
+) -> tuple[Place | None, TrestleError]:
+    room = context.rooms.of(need.ask.target)
+    room.enter(effective, need.latest)
+    try:
+        return _ask_once(context, need, record)
+    finally:
+        room.leave()
+
+
+def _ask_once(
+    context: EntryContext,
+    need: PlaceNeed,
+    record: RequestRecord,
+) -> tuple[Place | None, TrestleError]:
+    candidates = _candidates(context, need)
+    chosen = context.choose(candidates, Need(need.ask.target, need.ask.pieces))
+    if not chosen:
+        text = NO_ENDPOINT_TEXT.format(target=need.ask.target)
+        return None, TrestleError(NO_ENDPOINT, text)
+    left_ms = int((need.latest - monotonic()) * _MS_PER_SECOND)
+    ask = need.ask._replace(
+        left_ms=max(0, left_ms),
+        set_version=context.control.view.set_version,
+    )
+    return best_grant(context, ask, chosen, record)
+
+
+def _candidates(context: EntryContext, need: PlaceNeed) -> list[EndpointInfo]:
+    endpoints = context.control.view.endpoints_of(need.ask.target)
+    fitting = [info for info in endpoints if _fits(info, need)]
+    subset = endpoint_subset(
+        fitting,
+        context.settings.host,
+        context.settings.zone,
+        context.settings.subset_size,
+    )
+    # A host that failed this request is asked again only if none is left.
+    return [info for info in subset if info.host not in need.avoid] or subset
+
+
+def _fits(info: EndpointInfo, need: PlaceNeed) -> bool:
+    phase = need.ask.phase
+    return phase == 'mixed' or info.engine_role in {'mixed', phase}
+
+
+def _check_deadline(need: PlaceNeed, refusal: TrestleError) -> None:
+    if refusal.code.code in _FINAL_REFUSALS:
+        raise refusal
+    if monotonic() + _BACKOFF_SECONDS < need.latest:
+        return
+    if refusal.code == NO_ENDPOINT or isinstance(refusal, LinkDownError):
+        raise TrestleError(NO_ENDPOINT, refusal.message)
+    text = DEADLINE_TEXT.format(deadline_ms=need.ask.left_ms)
+    raise TrestleError(DEADLINE_UNREACHABLE, text)
+
+
+_FINAL_REFUSALS: Final = frozenset(('quarantined', 'bad-request'))
+
+
+def _cost_seconds(ask: PermitAsk) -> float:
+    prefill = ask.prompt_tokens / _PREFILL_TOKENS_PER_SECOND
+    return prefill + ask.output_tokens / _OUTPUT_TOKENS_PER_SECOND
