--- a/features/steps/testbed_steps.py
+++ b/features/steps/testbed_steps.py
@@ -321,3 +321,53 @@
     context.pending.join(LIMIT_SECONDS)
     assert isinstance(context.pending.exception, OSError)
     assert not read_record(context, 'engine')
+
+
+@given('a fake host list with host "{host}" and a lag of {lag} seconds')
+def step_host_list(context: Context, host: str, lag: str) -> None:
+    context.hosts = context.processes.start_fake(
+        'hosts', 'fake_hosts', '--host', host, '--lag', lag
+    )
+
+
+def shown_state(context: Context) -> str:
+    """Return the state of the only host in the list."""
+    _, answer = http_call(context.hosts.address, 'GET', '/hosts')
+    return str(answer['hosts'][0]['state'])
+
+
+@when('the host "{host}" is put on "{state}"')
+def step_leaving(context: Context, host: str, state: str) -> None:
+    path = f'/hosts/{host}'
+    http_call(context.hosts.address, 'POST', path, {'state': state})
+    context.state = shown_state(context)
+
+
+@then('the list shows it "{first}" at first and "{later}" later')
+def step_shown(context: Context, first: str, later: str) -> None:
+    assert context.state == first
+
+    def changed() -> bool:
+        return shown_state(context) == later
+
+    poll_until(changed, LIMIT_SECONDS, 'the change in the list')
+
+
+@given('a fake weight store that answers {rate} reads in {window} seconds')
+def step_weights(context: Context, rate: str, window: str) -> None:
+    context.weights = context.processes.start_fake(
+        'weights', 'fake_weights', '--rate', rate, '--window', window
+    )
+
+
+@when('{count:d} reads are sent at once')
+def step_reads(context: Context, count: int) -> None:
+    path = '/weights/reader/1'
+    context.reads = [
+        http_call(context.weights.address, 'GET', path)[0] for _ in range(count)
+    ]
+
+
+@then('the last one is refused with 429')
+def step_limited(context: Context) -> None:
+    assert context.reads == [200, 200, 429], context.reads
--- a/features/testbed.feature
+++ b/features/testbed.feature
@@ -57,3 +57,13 @@
     When the link is put on "drop" and a completion is sent
     Then the engine has no request
     And on "pass" the completion fails
+
+  Scenario: The host list tells a withdrawal late
+    Given a fake host list with host "plovdiv-a-1" and a lag of 2 seconds
+    When the host "plovdiv-a-1" is put on "leaving"
+    Then the list shows it "live" at first and "leaving" later
+
+  Scenario: The weight store limits the rate
+    Given a fake weight store that answers 2 reads in 30 seconds
+    When 3 reads are sent at once
+    Then the last one is refused with 429
--- a/testbed/fake_engine.py
+++ b/testbed/fake_engine.py
@@ -277,7 +277,8 @@
         token = token_source(source.prompt)
         numbers = range(job.resume_from, self.last_token(job))
         text = ''.join(token(number) for number in numbers)
-        choice = {'index': 0, 'text': text, 'finish_reason': 'length'}
+        reason = None if self.answer_fault == 'cut' else 'length'
+        choice = {'index': 0, 'text': text, 'finish_reason': reason}
         return accept(id=source.request_id, choices=[choice])
 
     def stream(self, sequence: RunningSequence) -> Iterator[bytes]:
