Advertised peer address; no delay on callers' sockets

Cause: pywsgi leaves Nagle's algorithm on, which stalls short events; a peer behind a proxy or a translated address has to tell another address than the one it bound. Ruled out: larger events (they delay the first token). After: set on each connection. Conclusion: batching is the answer stream's job.

--- a/packages/trestle-core/src/trestle_core/settings.py
+++ b/packages/trestle-core/src/trestle_core/settings.py
@@ -40,6 +40,13 @@
     address_file: Annotated[
         str, Meta(description='file to write the bound peer address to')
     ] = ''
+    advertise: Annotated[
+        str,
+        Meta(
+            description='peer address told to others, ip:port or @file; '
+            'empty for the bound one',
+        ),
+    ] = ''
     http_listen: Annotated[
         AddressText, Meta(description='where HTTP callers and probes connect')
     ] = '127.0.0.1:0'
--- a/packages/trestle-entry/src/trestle_entry/http_server.py
+++ b/packages/trestle-entry/src/trestle_entry/http_server.py
@@ -12,6 +12,7 @@
 from gevent import Timeout
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
+from gevent.socket import IPPROTO_TCP, TCP_NODELAY
 
 from trestle_core.addresses import Address, resolve_address
 from trestle_core.errorcodes import (
@@ -60,6 +61,11 @@
 class SocketHandler(WSGIHandler):
     """Hands the caller's socket to the application."""
 
+    def handle(self) -> None:
+        """Send each event at once: batching is done by the answer stream."""
+        self.socket.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+        super().handle()
+
     def get_environ(self) -> dict[str, Any]:
         """Return the WSGI environment with the socket in it."""
         environ: dict[str, Any] = super().get_environ()
