Control state: tables, commands on claims, sets, endpoints, orders, crashes

Cause: every member must hold the same state after the same log index. Ruled out: retention by each member's clock or settings (members would drop different keys); a set of released attempts for each key (a release raises the refusal mark to the attempt that claimed, which bars a commit delivered again with one integer); dropping a key with its attempt numbers (a floor of attempt numbers keeps them unique). Conclusion: AdvanceClock carries time through the log, measured on the leader's monotonic clock and applied by compare-and-set.

--- /dev/null
+++ b/packages/trestle-control/src/trestle_control/apply.py
@@ -0,0 +1,120 @@
+"""The state machine of the log: a command's type picks its function.
+
+Applying is deterministic and never raises: a command that fails changes
+what it changed on every member alike and is answered with `internal`.
+"""
+
+from collections.abc import Callable
+from typing import Any, Final
+
+from trestle_control.audit import Story
+from trestle_control.claim_commands import (
+    commit_claim,
+    drop_expired,
+    open_attempt,
+    record_outcome,
+    refuse_attempt,
+    release_claim,
+)
+from trestle_control.crash_commands import (
+    clear_suspect,
+    release_content,
+    report_crash,
+)
+from trestle_control.endpoint_commands import (
+    ACCEPTED,
+    admit_endpoint,
+    restore_endpoint,
+    withdraw_endpoint,
+)
+from trestle_control.order_commands import issue_order, report_order
+from trestle_control.set_commands import publish_set
+from trestle_control.state import ControlState
+from trestle_core.errorcodes import BAD_REQUEST, INTERNAL
+from trestle_core.logs import part_logger
+from trestle_links.claim_messages import (
+    AdvanceClock,
+    CommitClaim,
+    OpenAttempt,
+    RecordOutcome,
+    RefuseAttempt,
+    ReleaseClaim,
+)
+from trestle_links.codec import Message
+from trestle_links.fleet_messages import (
+    AdmitEndpoint,
+    ClearSuspect,
+    CommandReply,
+    IssueOrder,
+    PublishSet,
+    ReleaseContent,
+    ReportCrash,
+    ReportOrder,
+    RestoreEndpoint,
+    WithdrawEndpoint,
+)
+
+ApplyFunction = Callable[[ControlState, Any, Story], Message]
+
+_log = part_logger('state')
+
+
+def advance_clock(
+    state: ControlState, command: AdvanceClock, _story: Story
+) -> CommandReply:
+    """Advance the clock once from the time that the leader saw."""
+    if command.from_ms == state.clock_ms:
+        state.clock_ms += command.elapsed_ms
+        state.unix_ms = command.unix_ms
+        drop_expired(state, command.outcome_retention_ms)
+    return ACCEPTED
+
+
+COMMANDS: Final[dict[type[Any], ApplyFunction]] = {
+    OpenAttempt: open_attempt,
+    CommitClaim: commit_claim,
+    RefuseAttempt: refuse_attempt,
+    ReleaseClaim: release_claim,
+    RecordOutcome: record_outcome,
+    PublishSet: publish_set,
+    AdmitEndpoint: admit_endpoint,
+    WithdrawEndpoint: withdraw_endpoint,
+    RestoreEndpoint: restore_endpoint,
+    IssueOrder: issue_order,
+    ReportOrder: report_order,
+    ReportCrash: report_crash,
+    ClearSuspect: clear_suspect,
+    ReleaseContent: release_content,
+    AdvanceClock: advance_clock,
+}
+
+
+class ControlMachine:
+    """The control state behind the log."""
+
+    def __init__(self) -> None:
+        """Start with empty tables."""
+        self.state = ControlState()
+
+    def apply(self, index: int, command: Message) -> Message:
+        """Apply the command at a log index and return its reply."""
+        function = COMMANDS.get(type(command))
+        if function is None:
+            return _failed(BAD_REQUEST.code, 'unknown command')
+        try:
+            return function(self.state, command, Story(self.state, index))
+        except Exception:
+            _log.exception('Command {} at {} failed.', command, index)
+            return _failed(INTERNAL.code, INTERNAL.summary)
+
+    def snapshot(self) -> bytes:
+        """Encode every table."""
+        return self.state.pack()
+
+    def restore(self, packed: bytes) -> None:
+        """Replace every table; raises `ValueError` on foreign bytes."""
+        self.state.unpack(packed)
+
+
+def _failed(code: str, text: str) -> CommandReply:
+    return CommandReply(accepted=False, code=code, text=text)
--- /dev/null
+++ b/packages/trestle-control/src/trestle_control/crash_commands.py
@@ -0,0 +1,110 @@
+"""Commands on contents that ran on engines which crashed.
+
+Every content that ran during a crash becomes a suspect. Endpoint processes
+run at most one suspect at a time, so a second crash names one content, which
+is then quarantined. A suspect whose answer finishes is cleared.
+
+Invariant: a quarantine ends only by an operator's release.
+"""
+
+from typing import Final
+
+from trestle_control.audit import Story
+from trestle_control.state import ContentRecord, ControlState
+from trestle_core.errorcodes import NOT_FOUND
+from trestle_links.fleet_messages import (
+    ClearSuspect,
+    CommandReply,
+    CrashReply,
+    ReleaseContent,
+    ReportCrash,
+)
+
+QUARANTINE_CRASHES: Final = 2
+_SUSPECTS_LIMIT: Final = 5000
+_REQUEST_IDS_KEPT: Final = 10
+
+
+def report_crash(
+    state: ControlState, command: ReportCrash, story: Story
+) -> CrashReply:
+    """Count a crash for each content; a crash id counts once."""
+    suspects: list[str] = []
+    quarantined: list[str] = []
+    for content in command.contents:
+        record = _with_crash(state, content, command)
+        if record.quarantined:
+            quarantined.append(content)
+        else:
+            suspects.append(content)
+    _drop_old_suspects(state)
+    story.record(
+        [command.endpoint, *command.contents, *command.request_ids],
+        'engine crash',
+        f'crash {command.crash_id} on {command.endpoint}',
+        f'suspects {suspects}, quarantined {quarantined}',
+    )
+    return CrashReply(suspects, quarantined)
+
+
+def clear_suspect(
+    state: ControlState, command: ClearSuspect, story: Story
+) -> CommandReply:
+    """Clear a suspect that finished; a quarantine stays."""
+    record = state.contents.get(command.content)
+    if record and not record.quarantined:
+        state.contents.pop(command.content)
+        story.record(
+            [command.content, command.request_id],
+            'suspect cleared',
+            'its answer finished',
+        )
+    return CommandReply(accepted=True, code='', text='')
+
+
+def release_content(
+    state: ControlState, command: ReleaseContent, story: Story
+) -> CommandReply:
+    """End a quarantine; a resend finds none and is accepted."""
+    record = state.contents.pop(command.content, None)
+    if record:
+        story.record(
+            [command.content],
+            'released',
+            command.cause,
+            f'operator {command.operator}',
+        )
+        return CommandReply(accepted=True, code='', text='')
+    known = command.content in state.audit
+    code = '' if known else NOT_FOUND.code
+    return CommandReply(known, code, 'the content is not quarantined')
+
+
+def _with_crash(
+    state: ControlState, content: str, command: ReportCrash
+) -> ContentRecord:
+    record = state.contents.get(content)
+    if record is None:
+        record = ContentRecord(content, [], [], [], quarantined=False)
+    if command.crash_id not in record.crash_ids:
+        crash_ids = [*record.crash_ids, command.crash_id]
+        request_ids = [*record.request_ids, *command.request_ids]
+        record = record._replace(
+            crash_ids=crash_ids,
+            endpoints=[*record.endpoints, command.endpoint],
+            request_ids=request_ids[-_REQUEST_IDS_KEPT:],
+            quarantined=len(crash_ids) >= QUARANTINE_CRASHES,
+        )
+        state.contents[content] = record
+    return record
+
+
+def _drop_old_suspects(state: ControlState) -> None:
+    surplus = len(state.contents) - _SUSPECTS_LIMIT
+    suspects = [
+        content
+        for content, record in state.contents.items()
+        if not record.quarantined
+    ]
+    for content in suspects[: max(surplus, 0)]:
+        state.contents.pop(content)
--- /dev/null
+++ b/packages/trestle-control/src/trestle_control/state.py
@@ -0,0 +1,145 @@
+"""Tables of the control state.
+
+The tables change only in apply functions, in log order, so every member
+holds the same tables after the same log index. Nothing here reads a clock, a
+random number or a setting: `clock_ms` advances by commands of the log.
+
+Invariant: equal tables give equal snapshot bytes. Every table keeps its
+order of insertion, which the log determines.
+"""
+
+from typing import NamedTuple
+
+from msgpack import packb, unpackb
+from msgspec import convert
+
+from trestle_links.claim_messages import Claim, ClaimKey
+from trestle_links.fleet_messages import Order
+from trestle_links.watch_messages import EndpointInfo
+
+
+class Register(NamedTuple):
+    """The write-once register of one idempotency key.
+
+    Attempts up to `refused` can never claim. `touched_ms` is the state's
+    clock at the last command on the key.
+    """
+
+    body_digest: str
+    opened: int
+    refused: int
+    claim: Claim | None
+    request_ids: list[str]
+    touched_ms: int
+
+
+class SetRecord(NamedTuple):
+    """An accepted version of the named set, without its content."""
+
+    version: int
+    digest: str
+    operator: str
+    published_ms: int
+    log_index: int
+
+
+class Withdrawal(NamedTuple):
+    """Why a host takes no new work, and the incarnation that was serving."""
+
+    host: str
+    incarnation: str
+    cause: str
+    operator: str
+
+
+class ContentRecord(NamedTuple):
+    """Crashes of engines that ran one content."""
+
+    content: str
+    crash_ids: list[str]
+    endpoints: list[str]
+    request_ids: list[str]
+    quarantined: bool
+
+
+class AuditRecord(NamedTuple):
+    """A decision, its cause and the figures it rested on."""
+
+    log_index: int
+    unix_ms: int
+    kind: str
+    cause: str
+    detail: str
+
+
+class Tables(NamedTuple):
+    """A snapshot of every table."""
+
+    clock_ms: int
+    unix_ms: int
+    attempt_floor: int
+    registers: list[tuple[ClaimKey, Register]]
+    versions: dict[int, SetRecord]
+    set_content: bytes
+    endpoints: dict[str, EndpointInfo]
+    withdrawals: dict[str, Withdrawal]
+    past_incarnations: dict[str, list[str]]
+    orders: dict[str, Order]
+    wanted_roles: dict[str, str]
+    contents: dict[str, ContentRecord]
+    audit: dict[str, list[AuditRecord]]
+
+
+class ControlState:
+    """Every table of the control state."""
+
+    def __init__(self) -> None:
+        """Start empty, as before log index 1."""
+        self.clock_ms = 0
+        # Wall clock of a leader; shown to operators and never compared.
+        self.unix_ms = 0
+        # Highest attempt of a register that was dropped.
+        self.attempt_floor = 0
+        # Ordered by `touched_ms`, so that expiry reads only the front.
+        self.registers: dict[ClaimKey, Register] = {}
+        self.versions: dict[int, SetRecord] = {}
+        self.set_content = b''
+        self.endpoints: dict[str, EndpointInfo] = {}
+        self.withdrawals: dict[str, Withdrawal] = {}
+        self.past_incarnations: dict[str, list[str]] = {}
+        self.orders: dict[str, Order] = {}
+        # Role that the last finished order gave to an engine.
+        self.wanted_roles: dict[str, str] = {}
+        self.contents: dict[str, ContentRecord] = {}
+        self.audit: dict[str, list[AuditRecord]] = {}
+
+    @property
+    def current_set(self) -> SetRecord | None:
+        """The version in force, or None before the first publication."""
+        return next(reversed(self.versions.values()), None)
+
+    @property
+    def set_version(self) -> int:
+        """The version in force; 0 before the first publication."""
+        current = self.current_set
+        return current.version if current else 0
+
+    def pack(self) -> bytes:
+        """Encode every table."""
+        columns = [getattr(self, name) for name in Tables._fields]
+        tables = Tables(*columns)._replace(
+            registers=list(self.registers.items())
+        )
+        packed: bytes = packb(tables, use_bin_type=True)
+        return packed
+
+    def unpack(self, packed: bytes) -> None:
+        """Replace every table.
+
+        Raises `ValueError` when the bytes are not a snapshot.
+        """
+        raw = unpackb(packed, raw=False, strict_map_key=False)
+        tables = convert(raw, Tables)
+        for name in Tables._fields:
+            setattr(self, name, getattr(tables, name))
+        self.registers = dict(tables.registers)
--- a/packages/trestle-core/src/trestle_core/errorcodes.py
+++ b/packages/trestle-core/src/trestle_core/errorcodes.py
@@ -131,3 +131,6 @@
 STALE_ORDER: Final = _refusal(
     'stale-order', 409, 'A newer fencing number was seen.'
 )
+ORDER_OUTSTANDING: Final = _refusal(
+    'order-outstanding', 409, 'The engine has not finished its last order.'
+)
--- a/packages/trestle-core/src/trestle_core/namedset_check.py
+++ b/packages/trestle-core/src/trestle_core/namedset_check.py
@@ -61,8 +61,10 @@
             merged[section][name] = body
 
 
-def check_set(raw: dict[str, Any]) -> CheckedSet:
+def check_set(raw: Any) -> CheckedSet:
     """Check types, references, cycles and limits of a decoded set."""
+    if not isinstance(raw, dict):
+        return CheckedSet(None, [Finding('$', 'expected an object')], [])
     type_errors = [
         finding
         for section in _SECTIONS
--- a/packages/trestle-core/src/trestle_core/texts.py
+++ b/packages/trestle-core/src/trestle_core/texts.py
@@ -31,3 +31,8 @@
     'The operation was sent and its outcome is not known; it is not repeated.'
 )
 ANSWER_INCOMPLETE: Final = 'The answer ended before it was complete.'
+UNKNOWN_QUERY: Final = 'No query is named {name}.'
+NO_CONTROL_HOSTS: Final = (
+    'No control host is given: use --control or KINGCUPTRESTLE_CONTROL.'
+)
+UNUSABLE_KEY: Final = 'The shared key cannot be used: {reason}.'
--- a/packages/trestle-links/src/trestle_links/claim_messages.py
+++ b/packages/trestle-links/src/trestle_links/claim_messages.py
@@ -103,3 +103,18 @@
     claim_key: ClaimKey
     permit: Permit
     outcome: Outcome
+
+
+@message(57)
+class AdvanceClock(NamedTuple):
+    """Advance the clock of the state; applied only at `from_ms`.
+
+    The leader measures `elapsed_ms` on its own monotonic clock, so the
+    state's clock compares no two hosts. `unix_ms` is for reports only.
+    Outcomes older than `outcome_retention_ms` are dropped.
+    """
+
+    from_ms: int
+    elapsed_ms: int
+    unix_ms: int
+    outcome_retention_ms: int
--- a/packages/trestle-links/src/trestle_links/watch_messages.py
+++ b/packages/trestle-links/src/trestle_links/watch_messages.py
@@ -127,3 +127,20 @@
     """Ask a peer for the named set it has in force; `SetDelta` answers."""
 
     set_version: int
+
+
+class NodeReport(NamedTuple):
+    """The last ask of a node; `age_ms` is the time since it came."""
+
+    host: str
+    role: str
+    set_version: int
+    figures: dict[str, float]
+    age_ms: int
+
+
+@message(90)
+class NodeReports(NamedTuple):
+    """The nodes that watch the sending control host, for the other hosts."""
+
+    nodes: list[NodeReport]
