--- /dev/null
+++ b/packages/trestle-control/src/trestle_control/control_app.py
@@ -0,0 +1,108 @@
+"""The control process: replica, state, servers and the leader's tasks."""
+
+from typing import Final
+
+from trestle_control.apply import ControlMachine
+from trestle_control.command_server import CommandServer
+from trestle_control.host_list import HostListReader
+from trestle_control.leader_clock import LeaderClock
+from trestle_control.node_table import NodeRelay, NodeTable
+from trestle_control.queries import QueryContext
+from trestle_control.replica import Replica
+from trestle_control.status_pages import StatusPages
+from trestle_control.watch_server import WatchServer
+from trestle_core.addresses import write_address_file
+from trestle_core.errors import TrestleError
+from trestle_core.lifecycle import Application
+from trestle_core.metrics import Metrics
+from trestle_core.settings import ControlSettings
+from trestle_links.handshake import read_key
+from trestle_links.link import Identity
+from trestle_links.link_server import Handlers, LinkServer
+
+_MS_PER_SECOND: Final = 1000
+
+
+def build_control(settings: ControlSettings) -> Application:
+    """Join the parts of a control process.
+
+    Raises `TrestleError` when the data folder cannot be used, `OSError` or
+    `ValueError` when the key cannot be read.
+    """
+    metrics = Metrics.empty()
+    me = Identity(settings.host, read_key(settings.key_file), metrics)
+    machine = ControlMachine()
+    replica = Replica.from_config(settings, machine, me)
+    app = Application(
+        f'control {settings.host}', settings.drain_ms / _MS_PER_SECOND
+    )
+
+    def stop_on_failure(_error: TrestleError) -> None:
+        # A member whose disk failed must not go on answering.
+        app.stop_asked.set()
+
+    replica.on_failed.append(stop_on_failure)
+    nodes = NodeTable()
+    relay = NodeRelay.from_config(settings, nodes, me)
+    watches = WatchServer(machine, replica, nodes, metrics)
+    context = QueryContext(machine.state, nodes, replica.status)
+    commands = CommandServer(
+        replica, context, settings.answer_limit_bytes, metrics
+    )
+    _add_servers(
+        app,
+        settings,
+        me,
+        {
+            **replica.handlers(),
+            **relay.handlers(),
+            **watches.handlers(),
+            **commands.handlers(),
+        },
+    )
+    app.add(start=replica.start, stop=replica.stop)
+    _add_pages(app, settings, metrics, replica)
+    app.add(start=relay.start, stop=relay.stop)
+    clock = LeaderClock(machine, replica, settings.answer_retention_ms)
+    app.add(start=clock.start, stop=clock.stop)
+    if settings.host_list_url:
+        hosts = HostListReader.from_config(settings, machine, replica, metrics)
+        app.add(start=hosts.start, stop=hosts.stop)
+    return app
+
+
+def _add_servers(
+    app: Application,
+    settings: ControlSettings,
+    me: Identity,
+    handlers: Handlers,
+) -> None:
+    server = LinkServer(settings.listen, me, handlers)
+
+    def start() -> None:
+        server.start()
+        write_address_file(settings.address_file, server.address)
+
+    app.add(start=start, stop=server.stop)
+
+
+def _add_pages(
+    app: Application,
+    settings: ControlSettings,
+    metrics: Metrics,
+    replica: Replica,
+) -> None:
+    stale_seconds = settings.stale_after_ms / _MS_PER_SECOND
+
+    def is_ready() -> bool:
+        if app.stop_asked.is_set():
+            return False
+        return replica.freshness_age_seconds() < stale_seconds
+
+    pages = StatusPages(settings.http_listen, metrics, is_ready)
+
+    def start() -> None:
+        pages.start()
+        write_address_file(settings.http_address_file, pages.address)
+
+    app.add(start=start, stop=pages.stop)
--- /dev/null
+++ b/packages/trestle-control/src/trestle_control/queries.py
@@ -0,0 +1,137 @@
+"""Queries: read-only views of the control state as JSON-ready values.
+
+The command server runs them behind a read barrier, so that an answer is at
+least as new as the question. `nodes` are reports and lag by about a second.
+"""
+
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple
+
+from msgspec import to_builtins
+from msgspec.json import decode
+
+from trestle_control.node_table import NodeTable
+from trestle_control.state import ControlState
+from trestle_links.watch_messages import NodeReport
+
+
+class QueryContext(NamedTuple):
+    """What queries read besides the tables."""
+
+    state: ControlState
+    nodes: NodeTable
+    replica_status: Callable[[], Any]
+
+
+Query = Callable[[QueryContext, str], Any]
+
+
+def status_query(context: QueryContext, _name: str) -> Any:
+    """Return the group, the version in force and counts of the tables."""
+    state = context.state
+    reports = context.nodes.reports()
+    return {
+        'replica': _plain(context.replica_status()),
+        'set_version': state.set_version,
+        'nodes': len(reports),
+        'nodes_in_force': _in_force(reports, state.set_version),
+        'endpoints': len(state.endpoints),
+        'serving': sum(one.serving for one in state.endpoints.values()),
+        'withdrawn': [_plain(one) for one in state.withdrawals.values()],
+        'claims': len(state.registers),
+        'orders_outstanding': [
+            _plain(order)
+            for order in state.orders.values()
+            if order.state.value == 'issued'
+        ],
+        'quarantined': [
+            record.content
+            for record in state.contents.values()
+            if record.quarantined
+        ],
+        'suspects': sum(
+            not record.quarantined for record in state.contents.values()
+        ),
+    }
+
+
+def set_query(context: QueryContext, _name: str) -> Any:
+    """Return the set in force with its version and digest."""
+    current = context.state.current_set
+    if current is None:
+        return {'version': 0, 'digest': '', 'operator': '', 'content': {}}
+    return {
+        'version': current.version,
+        'digest': current.digest,
+        'operator': current.operator,
+        'content': decode(context.state.set_content),
+    }
+
+
+def endpoints_query(context: QueryContext, name: str) -> Any:
+    """Return the endpoints; `name` limits them to one host or target."""
+    return [
+        _plain(endpoint)
+        for endpoint in context.state.endpoints.values()
+        if not name or name in {endpoint.host, endpoint.target}
+    ]
+
+
+def order_query(context: QueryContext, name: str) -> Any:
+    """Return the last order of an endpoint, or null."""
+    return _plain(context.state.orders.get(name))
+
+
+def nodes_query(context: QueryContext, _name: str) -> Any:
+    """Return the last report of every node."""
+    return [_plain(report) for report in context.nodes.reports()]
+
+
+def explain_query(context: QueryContext, name: str) -> Any:
+    """Return the records under a name and the claims of a request id."""
+    state = context.state
+    records = [_plain(record) for record in state.audit.get(name, [])]
+    claims = [
+        {
+            'service': claim_key.service,
+            'caller': claim_key.caller,
+            'key': claim_key.key,
+            'opened': register.opened,
+            'refused': register.refused,
+            'claim': _without_body(_plain(register.claim)),
+        }
+        for claim_key, register in state.registers.items()
+        if name == claim_key.key or name in register.request_ids
+    ]
+    return {'name': name, 'records': records, 'claims': claims}
+
+
+QUERIES: Final[dict[str, Query]] = {
+    'status': status_query,
+    'set': set_query,
+    'endpoints': endpoints_query,
+    'order': order_query,
+    'nodes': nodes_query,
+    'explain': explain_query,
+}
+
+
+def _in_force(reports: list[NodeReport], version: int) -> int:
+    return sum(report.set_version >= version for report in reports)
+
+
+def _plain(value: Any) -> Any:
+    """Turn named tuples into objects with their field names."""
+    if isinstance(value, tuple) and hasattr(value, '_asdict'):
+        fields = value._asdict()
+        return {name: _plain(entry) for name, entry in fields.items()}
+    if isinstance(value, list):
+        return [_plain(entry) for entry in value]
+    return to_builtins(value)
+
+
+def _without_body(claim: Any) -> Any:
+    outcome = claim['outcome'] if claim else None
+    if outcome:
+        outcome['body_bytes'] = len(outcome.pop('body'))
+    return claim
--- /dev/null
+++ b/packages/trestle-control/src/trestle_control/watch_deltas.py
@@ -0,0 +1,169 @@
+"""Deltas for the state streams: what a command changed, and whole lists."""
+
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple
+
+from trestle_control.state import ControlState
+from trestle_links.codec import Message
+from trestle_links.fleet_messages import (
+    AdmitEndpoint,
+    ClearSuspect,
+    IssueOrder,
+    OrderState,
+    PublishSet,
+    ReleaseContent,
+    ReportCrash,
+    ReportOrder,
+    RestoreEndpoint,
+    WithdrawEndpoint,
+)
+from trestle_links.watch_messages import (
+    ContentDelta,
+    EndpointsDelta,
+    OrderDelta,
+    SetDelta,
+    Watch,
+)
+
+
+class Change(NamedTuple):
+    """An applied command and where it stands in the log."""
+
+    log_index: int
+    command: Any
+
+
+def set_delta(state: ControlState) -> SetDelta | None:
+    """Return the set in force, or None before the first publication."""
+    current = state.current_set
+    if current is None:
+        return None
+    return SetDelta(
+        current.version, current.digest, state.set_content, current.log_index
+    )
+
+
+def opening_deltas(
+    state: ControlState, log_index: int, watch: Watch
+) -> list[Message]:
+    """Return what a new stream starts with: whole lists."""
+    deltas: list[Message] = []
+    published = set_delta(state)
+    if published and published.version > watch.set_version:
+        deltas.append(published)
+    endpoints = EndpointsDelta(
+        list(state.endpoints.values()), whole=True, log_index=log_index
+    )
+    deltas.append(_filter_endpoints(endpoints, watch.targets))
+    deltas.append(_whole_contents(state, log_index))
+    order = state.orders.get(watch.host)
+    if order and order.state is OrderState.ISSUED and is_endpoint(watch):
+        deltas.append(OrderDelta(order))
+    return deltas
+
+
+def deltas_of(state: ControlState, change: Change) -> list[Message]:
+    """Return what one command changed, for every node."""
+    changed = _CHANGED.get(type(change.command))
+    return changed(state, change) if changed else []
+
+
+def delta_for(watch: Watch, delta: Message) -> Message | None:
+    """Return the part of a delta that concerns a node, or None."""
+    if isinstance(delta, EndpointsDelta):
+        filtered = _filter_endpoints(delta, watch.targets)
+        return filtered if filtered.endpoints else None
+    if isinstance(delta, OrderDelta):
+        own = is_endpoint(watch) and delta.order.endpoint == watch.host
+        return delta if own else None
+    return delta
+
+
+def is_endpoint(watch: Watch) -> bool:
+    """Tell whether an endpoint process watches."""
+    return watch.role == 'endpoint'
+
+
+def _filter_endpoints(
+    delta: EndpointsDelta, targets: list[str]
+) -> EndpointsDelta:
+    if not targets:
+        return delta
+    wanted = [entry for entry in delta.endpoints if entry.target in targets]
+    return delta._replace(endpoints=wanted)
+
+
+def _whole_contents(state: ControlState, log_index: int) -> ContentDelta:
+    suspects: list[str] = []
+    quarantined: list[str] = []
+    for record in state.contents.values():
+        listed = quarantined if record.quarantined else suspects
+        listed.append(record.content)
+    return ContentDelta(
+        suspects, quarantined, [], whole=True, log_index=log_index
+    )
+
+
+def _published(state: ControlState, change: Change) -> list[Message]:
+    published = set_delta(state)
+    if published and published.log_index == change.log_index:
+        return [published]
+    return []
+
+
+def _endpoint_changed(state: ControlState, change: Change) -> list[Message]:
+    command = change.command
+    is_report = isinstance(command, ReportOrder)
+    host = command.endpoint if is_report else command.host
+    endpoint = state.endpoints.get(host)
+    if endpoint is None:
+        return []
+    return [EndpointsDelta([endpoint], whole=False, log_index=change.log_index)]
+
+
+def _order_issued(state: ControlState, change: Change) -> list[Message]:
+    order = state.orders.get(change.command.endpoint)
+    if order and order.fencing == change.log_index:
+        return [OrderDelta(order)]
+    return []
+
+
+def _contents_changed(state: ControlState, change: Change) -> list[Message]:
+    command = change.command
+    is_crash = isinstance(command, ReportCrash)
+    contents = command.contents if is_crash else [command.content]
+    suspects: list[str] = []
+    quarantined: list[str] = []
+    cleared: list[str] = []
+    for content in contents:
+        record = state.contents.get(content)
+        if record is None:
+            cleared.append(content)
+        elif record.quarantined:
+            quarantined.append(content)
+        else:
+            suspects.append(content)
+    return [
+        ContentDelta(
+            suspects,
+            quarantined,
+            cleared,
+            whole=False,
+            log_index=change.log_index,
+        )
+    ]
+
+
+_CHANGED: Final[
+    dict[type[Any], Callable[[ControlState, Change], list[Message]]]
+] = {
+    PublishSet: _published,
+    AdmitEndpoint: _endpoint_changed,
+    WithdrawEndpoint: _endpoint_changed,
+    RestoreEndpoint: _endpoint_changed,
+    ReportOrder: _endpoint_changed,
+    IssueOrder: _order_issued,
+    ReportCrash: _contents_changed,
+    ClearSuspect: _contents_changed,
+    ReleaseContent: _contents_changed,
+}
