Replicated log: storage, elections, replication, members, reads

Cause: the control state needs one log that survives the loss of a host, a cut leader and a torn write. Ruled out: one sync for each command (bounded by the disk's syncs per second); leader leases on the clock for reads (a paused leader would answer from its past; a heartbeat round that starts after the read cannot); adding the new identity as a voter before the old one is removed (quorum of four with one dead). Before: nothing.

--- /dev/null
+++ b/packages/trestle-control/src/trestle_control/durable_files.py
@@ -0,0 +1,66 @@
+"""Files that survive a crash, written whole or not at all.
+
+A file written here is readable under its name only after its content and its
+folder entry are synced. A failed sync is never tried again on the same file:
+the kernel may have dropped the pages and would report success.
+"""
+
+from collections.abc import Callable
+from os import O_DIRECTORY, O_RDONLY, close, fsync, replace
+from os import open as open_file
+from pathlib import Path
+from struct import Struct
+from typing import Final, TypeVar
+
+from gevent import get_hub
+from xxhash import xxh3_64_intdigest
+
+from trestle_control.control_errors import DamagedLogError, StorageFailedError
+
+Returned = TypeVar('Returned')
+
+_CHECKSUM: Final = Struct('>Q')
+
+
+def run_blocking(work: Callable[[], Returned]) -> Returned:
+    """Run a disk operation in a thread, so that other greenlets go on.
+
+    Raises `StorageFailedError`.
+    """
+    try:
+        returned: Returned = get_hub().threadpool.apply(work)
+    except OSError as error:
+        raise StorageFailedError(str(error)) from error
+    return returned
+
+
+def write_checked_file(path: Path, content: bytes) -> None:
+    """Replace a file by content with a checksum; blocks until it is synced."""
+    draft = path.with_suffix('.draft')
+    with draft.open('wb') as file:
+        file.write(_CHECKSUM.pack(xxh3_64_intdigest(content)) + content)
+        file.flush()
+        fsync(file.fileno())
+    replace(draft, path)
+    sync_folder(path.parent)
+
+
+def read_checked_file(path: Path) -> bytes:
+    """Return the content of a file that `write_checked_file` wrote.
+
+    Raises `DamagedLogError`.
+    """
+    packed = path.read_bytes()
+    content = packed[_CHECKSUM.size :]
+    if packed[: _CHECKSUM.size] != _CHECKSUM.pack(xxh3_64_intdigest(content)):
+        raise DamagedLogError(f'{path.name} does not fit its checksum')
+    return content
+
+
+def sync_folder(folder: Path) -> None:
+    """Sync the entries of a folder."""
+    descriptor = open_file(folder, O_RDONLY | O_DIRECTORY)
+    try:
+        fsync(descriptor)
+    finally:
+        close(descriptor)
--- /dev/null
+++ b/packages/trestle-control/src/trestle_control/log_recovery.py
@@ -0,0 +1,107 @@
+"""Reading the segments at start.
+
+Rules:
+- A segment is closed only after all of it is synced. An unreadable record in
+  any segment but the last is damage, and the member refuses to start.
+- In the last segment, an unreadable record is damage if a readable record
+  behind it was written after the unreadable one was synced. Otherwise it is
+  a write that a crash tore and nobody has acknowledged: the file is cut there.
+- Indexes have no gaps.
+
+Damage to the very last synced batch cannot be told from a torn write; the
+leader notices it by the index that this member acknowledged before.
+"""
+
+from os import fsync, ftruncate
+from pathlib import Path
+from typing import NamedTuple
+
+from trestle_control.control_errors import DamagedLogError
+from trestle_control.log_records import LogEntry, find_records, read_records
+from trestle_core.logs import part_logger
+
+_log = part_logger('log')
+
+
+class Segment(NamedTuple):
+    """One file of the log."""
+
+    first_index: int
+    path: Path
+
+
+def segment_path(folder: Path, first_index: int) -> Path:
+    """Return the path of the segment that starts at an index."""
+    return folder / f'log-{first_index:020d}.segment'
+
+
+def list_segments(folder: Path) -> list[Segment]:
+    """Return the segments in order."""
+    paths = sorted(folder.glob('log-*.segment'))
+    return [Segment(int(path.stem.partition('-')[2]), path) for path in paths]
+
+
+def recover_entries(segments: list[Segment]) -> list[LogEntry]:
+    """Read all entries and cut a torn tail.
+
+    Raises `DamagedLogError`.
+    """
+    entries: list[LogEntry] = []
+    for segment in segments:
+        is_last = segment is segments[-1]
+        if entries and segment.first_index != entries[-1].log_index + 1:
+            raise DamagedLogError(f'{segment.path.name} does not follow')
+        entries.extend(_read_segment(segment, is_last=is_last))
+    return entries
+
+
+def cut_segment(path: Path, size: int) -> None:
+    """Cut a segment to a size and sync it."""
+    with path.open('r+b') as file:
+        ftruncate(file.fileno(), size)
+        fsync(file.fileno())
+
+
+def offset_of(path: Path, index: int) -> int:
+    """Return the offset at which the record of an index starts."""
+    offset = 0
+    for record in read_records(path.read_bytes()):
+        if record.entry.log_index >= index:
+            return offset
+        offset = record.end
+    return offset
+
+
+def _read_segment(segment: Segment, *, is_last: bool) -> list[LogEntry]:
+    content = segment.path.read_bytes()
+    entries: list[LogEntry] = []
+    end = 0
+    expected = segment.first_index
+    for record in read_records(content):
+        if record.entry.log_index != expected:
+            raise DamagedLogError(f'{segment.path.name}: gap at {expected}')
+        entries.append(record.entry)
+        end = record.end
+        expected += 1
+    if end < len(content):
+        _check_torn(segment, content, end, expected, is_last=is_last)
+        cut_segment(segment.path, end)
+    return entries
+
+
+def _check_torn(
+    segment: Segment,
+    content: bytes,
+    end: int,
+    bad_index: int,
+    *,
+    is_last: bool,
+) -> None:
+    place = f'{segment.path.name} at byte {end}, index {bad_index}'
+    synced = any(
+        record.synced_index >= bad_index
+        for record in find_records(content, end)
+    )
+    if synced or not is_last:
+        raise DamagedLogError(f'Damaged record in {place}.')
+    _log.warning('Torn tail cut: {}, {} bytes.', place, len(content) - end)
--- /dev/null
+++ b/packages/trestle-control/src/trestle_control/peer_calls.py
@@ -0,0 +1,123 @@
+"""Requests between members: headers, identity checks and the peer table."""
+
+from typing import TypeVar
+
+from trestle_control.membership import MemberIdentity, quorum_size
+from trestle_control.peers import Peer
+from trestle_control.replica_messages import PeerAnswer, PeerHeader
+from trestle_control.replica_state import ReplicaState
+from trestle_core.addresses import Address, resolve_address
+from trestle_core.errorcodes import WRONG_MEMBER
+from trestle_core.errors import TrestleError
+from trestle_links.codec import Message
+from trestle_links.connection import CallTimeoutError
+from trestle_links.link import Link
+
+Reply = TypeVar('Reply')
+
+
+def refresh_peers(state: ReplicaState) -> None:
+    """Make the peer table fit the last member set."""
+    others = {
+        member.incarnation: member
+        for member in state.members.members
+        if member.incarnation != state.incarnation
+    }
+    for incarnation in set(state.peers) - set(others):
+        state.peers.pop(incarnation).link.close()
+    for incarnation, member in others.items():
+        peer = state.peers.get(incarnation)
+        if peer is None:
+            peer = Peer(member, link_to(state, member.identity))
+            peer.start_term(state.log.last_index)
+            state.peers[incarnation] = peer
+        peer.member = member
+
+
+def link_to(state: ReplicaState, identity: MemberIdentity) -> Link:
+    """Make a link of its own to a member, read anew at each connect."""
+
+    def resolve() -> Address:
+        address = state.address_of(identity)
+        if address is None:
+            raise ValueError(f'{identity.host} has no address')
+        return resolve_address(address)
+
+    return Link(resolve, state.me)
+
+
+def header_for(state: ReplicaState, peer: Peer, term: int) -> PeerHeader:
+    """Return the header of a request to a peer."""
+    return PeerHeader(
+        group=state.members.group,
+        term=term,
+        sender=state.identity,
+        to_incarnation=peer.member.incarnation,
+        acked_index=peer.match_index,
+    )
+
+
+def call_peer(
+    state: ReplicaState,
+    peer: Peer,
+    body: Message,
+    reply_type: type[Reply],
+) -> Reply:
+    """Call a peer within an election timeout.
+
+    Raises what `Link.call` raises. The connection is dropped after a
+    timeout: it may be half open, and a new one shows whether it is.
+    """
+    try:
+        return peer.link.call(body, reply_type, state.election_seconds)
+    except CallTimeoutError:
+        peer.link.close()
+        raise
+
+
+def check_header(state: ReplicaState, header: PeerHeader) -> None:
+    """Refuse a request that is meant for another identity or group.
+
+    Raises `TrestleError`.
+    """
+    group = state.members.group
+    if header.to_incarnation != state.incarnation:
+        state.me.metrics.count('replica_refusals', 'other-incarnation')
+        raise TrestleError(WRONG_MEMBER, 'This is another incarnation.')
+    if group and header.group != group:
+        state.me.metrics.count('replica_refusals', 'other-group')
+        raise TrestleError(WRONG_MEMBER, 'This member is of another group.')
+
+
+def answer_from(state: ReplicaState) -> PeerAnswer:
+    """Return the answer part of a reply."""
+    return PeerAnswer(state.members.group, state.term, state.incarnation)
+
+
+def quorum_acked_at(state: ReplicaState, now: float) -> float:
+    """Return when the last round began that a quorum has answered.
+
+    The voters followed this member at some time after it.
+    """
+    times = [
+        peer.acked_at for peer in state.peers.values() if peer.member.voter
+    ]
+    if state.may_vote:
+        times.append(now)
+    return _quorum_value(state, times)
+
+
+def quorum_match_index(state: ReplicaState) -> int:
+    """Return the highest index that is durable at a quorum."""
+    indexes = [
+        peer.match_index for peer in state.peers.values() if peer.member.voter
+    ]
+    if state.may_vote:
+        indexes.append(state.log.synced_index)
+    return int(_quorum_value(state, indexes))
+
+
+def _quorum_value(
+    state: ReplicaState, values: list[int] | list[float]
+) -> float:
+    return sorted(values, reverse=True)[quorum_size(state.members) - 1]
--- /dev/null
+++ b/packages/trestle-control/src/trestle_control/replica_forward.py
@@ -0,0 +1,89 @@
+"""Commands and reads that a member sends on to the leader."""
+
+from time import monotonic
+from typing import Final, TypeVar
+
+from gevent import sleep
+
+from trestle_control.control_errors import (
+    CommitUnknownError,
+    NotLeaderError,
+)
+from trestle_control.replica_apply import propose
+from trestle_control.replica_messages import ForwardCommand, ForwardReply
+from trestle_control.replica_state import ReplicaState
+from trestle_core.errorcodes import NOT_LEADER
+from trestle_core.errors import TrestleError
+from trestle_core.verdict import Verdict
+from trestle_links.codec import Message, decode_message, encode_message
+from trestle_links.connection import CallTimeoutError, Channel
+
+Reply = TypeVar('Reply')
+
+_MS_PER_SECOND: Final = 1000
+
+
+def submit(
+    state: ReplicaState, command: Message, timeout_seconds: float
+) -> Message:
+    """Propose a command at the leader, wherever that is.
+
+    Another leader is tried only when the last one proved that the command
+    did not run. Raises `NotLeaderError` or `CommitUnknownError`.
+    """
+    deadline = monotonic() + timeout_seconds
+    while state.running:
+        left_seconds = deadline - monotonic()
+        if left_seconds <= 0:
+            break
+        try:
+            return _submit_once(state, command, left_seconds)
+        except TrestleError as error:
+            if error.verdict is not Verdict.NOT_RUN:
+                raise CommitUnknownError(error.message) from error
+        state.me.metrics.count('replica_submit_retries', NOT_LEADER.code)
+        sleep(min(state.heartbeat_seconds / 2, left_seconds))
+    raise NotLeaderError(state.leader_address)
+
+
+def call_leader(
+    state: ReplicaState,
+    body: Message,
+    reply_type: type[Reply],
+    timeout_seconds: float,
+) -> Reply:
+    """Call the member that this one follows.
+
+    Raises `NotLeaderError` when it follows none, or what `Link.call` raises.
+    """
+    address = state.leader_address
+    if address is None or state.is_leader:
+        raise NotLeaderError(address)
+    try:
+        return state.forward_links.link_to(address).call(
+            body, reply_type, timeout_seconds
+        )
+    except CallTimeoutError:
+        state.forward_links.forget(address)
+        raise
+
+
+def forward_handler(
+    state: ReplicaState, ask: ForwardCommand, _: Channel
+) -> ForwardReply:
+    """Propose a command that another member sent on."""
+    command = decode_message(ask.packed)
+    reply = propose(state, command, ask.timeout_ms / _MS_PER_SECOND)
+    return ForwardReply(encode_message(reply))
+
+
+def _submit_once(
+    state: ReplicaState, command: Message, timeout_seconds: float
+) -> Message:
+    if state.is_leader:
+        return propose(state, command, timeout_seconds)
+    ask = ForwardCommand(
+        encode_message(command), int(timeout_seconds * _MS_PER_SECOND)
+    )
+    reply = call_leader(state, ask, ForwardReply, timeout_seconds)
+    return decode_message(reply.packed)
--- /dev/null
+++ b/packages/trestle-control/src/trestle_control/replica_peers.py
@@ -0,0 +1,150 @@
+"""Replication to one peer, written straight down.
+
+The greenlet has one request in flight. What is proposed meanwhile goes out
+with the next one (batching). A peer whose log differs is walked back by whole
+terms; one that lacks what the snapshot replaced gets the snapshot.
+"""
+
+from collections.abc import Callable
+from time import monotonic
+from typing import Final
+
+from gevent import sleep
+
+from trestle_control.log_records import pack_entry
+from trestle_control.peer_calls import call_peer, header_for
+from trestle_control.peers import Peer
+from trestle_control.replica_log import term_at
+from trestle_control.replica_messages import (
+    AppendAsk,
+    AppendReply,
+    PeerAnswer,
+    SnapshotPart,
+    SnapshotReply,
+)
+from trestle_control.replica_state import ReplicaState
+from trestle_control.snapshots import Snapshot, pack_snapshot
+from trestle_core.errors import TrestleError
+from trestle_core.logs import part_logger
+
+_BATCH_BYTES: Final = 1024 * 1024
+_PART_BYTES: Final = 512 * 1024
+
+_log = part_logger('replica')
+
+
+def replicate_to(
+    state: ReplicaState,
+    peer: Peer,
+    term: int,
+    on_progress: Callable[[ReplicaState], None],
+) -> None:
+    """Send entries and heartbeats to a peer while this member leads."""
+    while _still_leads(state, peer, term):
+        matched, next_index = peer.match_index, peer.next_index
+        try:
+            _send_next(state, peer, term)
+        except TrestleError as error:
+            _log.debug('{} is away: {}.', peer.member.host, error.message)
+            state.me.metrics.count('replica_send_failures', error.code.code)
+            sleep(state.heartbeat_seconds)
+            continue
+        if peer.match_index > matched and state.leads(term):
+            on_progress(state)
+        if peer.next_index in {next_index, state.log.last_index + 1}:
+            peer.wake.wait(state.heartbeat_seconds)
+        peer.wake.clear()
+
+
+def _still_leads(state: ReplicaState, peer: Peer, term: int) -> bool:
+    listed = state.peers.get(peer.member.incarnation) is peer
+    return listed and state.leads(term)
+
+
+def _send_next(state: ReplicaState, peer: Peer, term: int) -> None:
+    previous_term = term_at(state, peer.next_index - 1)
+    if previous_term is None or peer.next_index < state.log.first_index:
+        _send_snapshot(state, peer, term)
+        return
+    entries = state.log.entries_from(peer.next_index, _BATCH_BYTES)
+    ask = AppendAsk(
+        header_for(state, peer, term),
+        peer.next_index - 1,
+        previous_term,
+        [pack_entry(entry) for entry in entries],
+        state.commit_index,
+    )
+    sent_at = monotonic()
+    reply = call_peer(state, peer, ask, AppendReply)
+    if _is_followed(state, peer, reply.answer, term, sent_at):
+        _take_reply(state, peer, reply)
+
+
+def _is_followed(
+    state: ReplicaState,
+    peer: Peer,
+    answer: PeerAnswer,
+    term: int,
+    sent_at: float,
+) -> bool:
+    if answer.term > term:
+        state.adopt_term(answer.term)
+    if answer.term != term or not state.leads(term):
+        return False
+    peer.acked_at = sent_at
+    state.acks.notify()
+    return True
+
+
+def _take_reply(state: ReplicaState, peer: Peer, reply: AppendReply) -> None:
+    if reply.accepted:
+        peer.match_index = max(peer.match_index, reply.match_index)
+        peer.next_index = peer.match_index + 1
+        return
+    # Skip the whole term of the conflict, but nothing that is known to match.
+    index = min(reply.match_index, peer.next_index - 2)
+    while index > peer.match_index and _term_above(state, index, reply):
+        index -= 1
+    peer.next_index = max(peer.match_index, index) + 1
+
+
+def _term_above(state: ReplicaState, index: int, reply: AppendReply) -> bool:
+    term = term_at(state, index)
+    return term is not None and term > reply.conflict_term
+
+
+def _send_snapshot(state: ReplicaState, peer: Peer, term: int) -> None:
+    snapshot = state.snapshot
+    if snapshot is None:
+        raise AssertionError('the log starts late without a snapshot')
+    _log.info('Sends snapshot {} to {}.', snapshot.log_index, peer.member.host)
+    state.me.metrics.count('replica_snapshots_sent')
+    packed = pack_snapshot(snapshot)
+    offset = 0
+    while offset < len(packed) and state.leads(term):
+        received = _send_part(state, peer, snapshot, packed, offset)
+        if received is None:
+            return
+        offset = received
+    peer.match_index = max(peer.match_index, snapshot.log_index)
+    peer.next_index = peer.match_index + 1
+
+
+def _send_part(
+    state: ReplicaState,
+    peer: Peer,
+    snapshot: Snapshot,
+    packed: bytes,
+    offset: int,
+) -> int | None:
+    term = state.term
+    content = packed[offset : offset + _PART_BYTES]
+    end = offset + len(content) == len(packed)
+    part = SnapshotPart(
+        header_for(state, peer, term), snapshot.log_index, offset, content, end
+    )
+    sent_at = monotonic()
+    reply = call_peer(state, peer, part, SnapshotReply)
+    if not _is_followed(state, peer, reply.answer, term, sent_at):
+        return None
+    return reply.received
--- /dev/null
+++ b/packages/trestle-control/src/trestle_control/replica_snapshots.py
@@ -0,0 +1,92 @@
+"""Taking snapshots of the state, and replacing it by the leader's."""
+
+from typing import Final
+
+from trestle_control.control_errors import CommitUnknownError
+from trestle_control.durable_files import run_blocking
+from trestle_control.membership import MemberSet
+from trestle_control.replica_log import reset_log, term_at
+from trestle_control.replica_state import ReplicaState
+from trestle_control.snapshots import Snapshot, store_snapshot
+from trestle_core.logs import part_logger
+from trestle_links.codec import decode_message, encode_message
+
+# Kept for followers that are a little behind: entries cost less than the
+# whole state.
+_KEPT_ENTRIES: Final = 512
+
+_log = part_logger('replica')
+
+
+def needs_snapshot(state: ReplicaState) -> bool:
+    """Tell whether enough was applied since the last snapshot."""
+    applied = state.applied_index - state.snapshot_index
+    return applied >= state.settings.snapshot_entries
+
+
+def take_snapshot(state: ReplicaState) -> None:
+    """Write the applied state and drop the log's head before it.
+
+    Raises `StorageFailedError`.
+    """
+    index = state.applied_index
+    snapshot = Snapshot(
+        index,
+        term_at(state, index) or 0,
+        encode_message(_members_at(state, index)),
+        state.machine.snapshot(),
+    )
+    run_blocking(lambda: store_snapshot(state.folder, snapshot))
+    state.snapshot = snapshot
+    _log.info('Snapshot {} of {} bytes.', index, len(snapshot.state))
+    state.me.metrics.count('replica_snapshots_taken')
+    state.log.drop_before(index - _KEPT_ENTRIES)
+
+
+def install_snapshot(state: ReplicaState, snapshot: Snapshot) -> None:
+    """Replace the state and the log by the leader's snapshot.
+
+    Raises `StorageFailedError`.
+    """
+    with state.apply_lock, state.log_lock:
+        if snapshot.log_index <= state.commit_index:
+            return
+        run_blocking(lambda: store_snapshot(state.folder, snapshot))
+        keeps_log = term_at(state, snapshot.log_index) == snapshot.term
+        state.snapshot = snapshot
+        if not keeps_log:
+            reset_log(state, snapshot.log_index + 1)
+        _answer_covered(state, snapshot.log_index)
+        restore_snapshot(state, snapshot)
+        state.commit_index = max(state.commit_index, snapshot.log_index)
+    _log.info('Installed snapshot {}.', snapshot.log_index)
+    state.me.metrics.count('replica_snapshots_installed')
+    state.commits.notify()
+    state.applies.notify()
+    for hook in state.on_restored:
+        hook()
+
+
+def restore_snapshot(state: ReplicaState, snapshot: Snapshot) -> None:
+    """Put a snapshot into the state machine and the member sets."""
+    state.machine.restore(snapshot.state)
+    state.applied_index = snapshot.log_index
+    state.commit_index = max(state.commit_index, snapshot.log_index)
+    members = decode_message(snapshot.members)
+    assert isinstance(members, MemberSet)
+    later = [
+        noted for noted in state.member_sets if noted[0] > snapshot.log_index
+    ]
+    state.member_sets = [(snapshot.log_index, members), *later]
+
+
+def _answer_covered(state: ReplicaState, index: int) -> None:
+    covered = [proposed for proposed in state.waiters if proposed <= index]
+    for proposed in covered:
+        error = CommitUnknownError('A snapshot covers the proposed index.')
+        state.waiters.pop(proposed).reply.set_exception(error)
+
+
+def _members_at(state: ReplicaState, index: int) -> MemberSet:
+    noted = [entry for entry in state.member_sets if entry[0] <= index]
+    return noted[-1][1]
--- /dev/null
+++ b/packages/trestle-control/src/trestle_control/replica_status.py
@@ -0,0 +1,64 @@
+"""The status of the group as one member sees it."""
+
+from trestle_control.membership import Member, quorum_size
+from trestle_control.replica_state import ReplicaState
+from trestle_control.status_messages import (
+    MemberStatus,
+    ReplicaStatus,
+    StatusAsk,
+)
+from trestle_links.connection import Channel
+
+
+def status_handler(
+    state: ReplicaState, _ask: StatusAsk, _channel: Channel
+) -> ReplicaStatus:
+    """Tell another process the status of this member."""
+    return status_of(state)
+
+
+def status_of(state: ReplicaState) -> ReplicaStatus:
+    """Return this member's view of the group."""
+    members = [_member_status(state, entry) for entry in state.members.members]
+    return ReplicaStatus(
+        host=state.settings.host,
+        incarnation=state.incarnation,
+        group=state.members.group,
+        term=state.term,
+        role=state.role.value,
+        leader=state.leader.host if state.leader else '',
+        leader_address=state.leader_address or '',
+        commit_index=state.commit_index,
+        applied_index=state.applied_index,
+        last_index=state.log.last_index,
+        snapshot_index=state.snapshot_index,
+        members=members,
+        second_loss_safe=_is_second_loss_safe(state, members),
+    )
+
+
+def _member_status(state: ReplicaState, member: Member) -> MemberStatus:
+    if member.incarnation == state.incarnation:
+        match_index, reachable = state.log.synced_index, True
+    else:
+        peer = state.peers.get(member.incarnation)
+        silent = peer is None or peer.silent_seconds() > state.election_seconds
+        match_index = peer.match_index if peer else 0
+        reachable = state.is_leader and not silent
+    return MemberStatus(*member, match_index, reachable)
+
+
+def _is_second_loss_safe(
+    state: ReplicaState, members: list[MemberStatus]
+) -> bool:
+    settled = state.commit_index >= state.members_index
+    if not state.is_leader or not settled:
+        return False
+    if any(not member.voter for member in members):
+        return False
+    holding = [
+        member
+        for member in members
+        if member.reachable and member.match_index >= state.commit_index
+    ]
+    return len(holding) - 1 >= quorum_size(state.members)
--- /dev/null
+++ b/packages/trestle-control/src/trestle_control/vote_file.py
@@ -0,0 +1,70 @@
+"""The member's identity, term and vote on disk.
+
+A member that forgot a vote could vote twice in one term, and two leaders
+could commit different commands at one index. So a term or a vote is synced
+before any message carries it, and an identity is synced before it is told to
+anyone. An empty data folder gets a new incarnation: whatever the host voted
+under the old one is no longer known here, and the group must not count it.
+"""
+
+from pathlib import Path
+from typing import Final, NamedTuple, Self
+from uuid import uuid4
+
+from gevent.lock import RLock
+from msgpack import packb, unpackb
+from msgspec import convert
+
+from trestle_control.durable_files import (
+    read_checked_file,
+    run_blocking,
+    write_checked_file,
+)
+
+_FILE_NAME: Final = 'vote'
+
+
+class VoteRecord(NamedTuple):
+    """What a member must never forget.
+
+    `voted_for` is the incarnation that got the vote of `term`, or empty.
+    """
+
+    host: str
+    incarnation: str
+    term: int
+    voted_for: str
+
+
+class VoteFile:
+    """The synced vote record of this member."""
+
+    def __init__(self, path: Path, record: VoteRecord) -> None:
+        """Keep a record that is already on disk."""
+        self.path = path
+        self.record = record
+        self.lock = RLock()
+
+    @classmethod
+    def open(cls, folder: Path, host: str) -> Self:
+        """Read the file, or write one with a new incarnation.
+
+        Raises `DamagedLogError` and `OSError`.
+        """
+        path = folder / _FILE_NAME
+        if path.exists():
+            record = convert(unpackb(read_checked_file(path)), VoteRecord)
+            return cls(path, record)
+        record = VoteRecord(host, uuid4().hex, 0, '')
+        write_checked_file(path, packb(record))
+        return cls(path, record)
+
+    def store(self, term: int, voted_for: str) -> None:
+        """Sync a term and a vote; the record changes only after that.
+
+        Raises `StorageFailedError`.
+        """
+        record = self.record._replace(term=term, voted_for=voted_for)
+        packed: bytes = packb(record)
+        run_blocking(lambda: write_checked_file(self.path, packed))
+        self.record = record
--- a/packages/trestle-core/src/trestle_core/errorcodes.py
+++ b/packages/trestle-core/src/trestle_core/errorcodes.py
@@ -124,6 +124,15 @@
 STORAGE_FAILED: Final = _in_doubt(
     'storage-failed', 500, 'The disk refused a write or a sync.'
 )
+OLD_DATA_FOLDER: Final = _refusal(
+    'old-data-folder', 500, 'The data folder lacks what it acknowledged.'
+)
+WRONG_MEMBER: Final = _refusal(
+    'wrong-member', 409, 'The message is for another member identity.'
+)
+DATA_FOLDER_IN_USE: Final = _refusal(
+    'data-folder-in-use', 500, 'Another process uses the data folder.'
+)
 BAD_FRAME: Final = _refusal('bad-frame', 400, 'A frame could not be read.')
 BAD_HANDSHAKE: Final = _refusal(
     'bad-handshake', 401, 'The peer does not hold the shared key.'
--- /dev/null
+++ b/testbed/log_member.py
@@ -0,0 +1,150 @@
+"""A member of the replicated log with a dictionary as its state machine.
+
+`python -m testbed.log_member SETTINGS` runs one member as a process of its
+own; features and measurements use it to look at the log alone, without the
+commands of the control state.
+"""
+
+from pathlib import Path
+from sys import argv
+from sys import exit as exit_process
+from typing import Any, Final, NamedTuple
+
+from msgpack import packb, unpackb
+
+from trestle_control.replica import Replica
+from trestle_core.addresses import write_address_file
+from trestle_core.errors import TrestleError
+from trestle_core.lifecycle import Application
+from trestle_core.logs import configure_logs, part_logger
+from trestle_core.metrics import Metrics
+from trestle_core.settings import ControlSettings
+from trestle_core.settings_load import load_settings
+from trestle_links.codec import Message, message
+from trestle_links.connection import Channel
+from trestle_links.link import Identity
+from trestle_links.link_server import LinkServer
+
+_REFUSED_STATUS: Final = 3
+_MS_PER_SECOND: Final = 1000
+
+_log = part_logger('member')
+
+
+@message(200)
+class PutValue(NamedTuple):
+    """Set a key; `timeout_ms` bounds the wait for the commit."""
+
+    key: str
+    value: str
+    timeout_ms: int
+
+
+@message(201)
+class PutReply(NamedTuple):
+    """The index of the command and the value that it replaced."""
+
+    log_index: int
+    replaced: str
+
+
+@message(202)
+class ReadValue(NamedTuple):
+    """Read a key; linearizable unless `local`."""
+
+    key: str
+    local: bool
+    timeout_ms: int
+
+
+@message(203)
+class ValueReply(NamedTuple):
+    """The value, the applied index and the age of the state."""
+
+    value: str
+    applied_index: int
+    age_ms: int
+
+
+class Dictionary:
+    """The state machine: keys and values."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.contents: dict[str, str] = {}
+
+    def apply(self, index: int, command: Message) -> Message:
+        """Set a key."""
+        assert isinstance(command, PutValue)
+        replaced = self.contents.get(command.key, '')
+        self.contents[command.key] = command.value
+        return PutReply(index, replaced)
+
+    def snapshot(self) -> bytes:
+        """Return all keys and values."""
+        packed: bytes = packb(self.contents)
+        return packed
+
+    def restore(self, packed: bytes) -> None:
+        """Replace all keys and values."""
+        self.contents = unpackb(packed)
+
+
+def main() -> None:
+    """Run a member until SIGTERM; a refused start exits with status 3."""
+    settings = load_settings(argv[1])
+    assert isinstance(settings, ControlSettings)
+    configure_logs(settings.log_style, settings.log_level)
+    try:
+        run_member(settings)
+    except TrestleError as error:
+        _log.error('{}: {}', error.code.code, error.message)
+        exit_process(_REFUSED_STATUS)
+
+
+def run_member(settings: ControlSettings) -> None:
+    """Run a member until it is stopped or its storage fails."""
+    key = Path(settings.key_file).read_bytes()
+    me = Identity(settings.host, key, Metrics.empty())
+    machine = Dictionary()
+    replica = Replica.from_config(settings, machine, me)
+    handlers = {**replica.handlers(), **_handlers(replica, machine)}
+    server = LinkServer(settings.listen, me, handlers)
+    application = Application(settings.host, 1)
+    failures: list[TrestleError] = []
+
+    def end(error: TrestleError) -> None:
+        failures.append(error)
+        application.stop_asked.set()
+
+    def listen() -> None:
+        server.start()
+        write_address_file(settings.address_file, server.address)
+
+    replica.on_failed.append(end)
+    application.add(start=listen, stop=server.stop)
+    application.add(start=replica.start, stop=replica.stop)
+    application.run()
+    if failures:
+        raise failures[0]
+
+
+def _handlers(replica: Replica, machine: Dictionary) -> dict[type[Any], Any]:
+    def put_value(command: PutValue, _: Channel) -> Message:
+        return replica.submit(command, command.timeout_ms / _MS_PER_SECOND)
+
+    def read_value(ask: ReadValue, _: Channel) -> Message:
+        if not ask.local:
+            replica.read_barrier(ask.timeout_ms / _MS_PER_SECOND)
+        age_seconds = min(replica.freshness_age_seconds(), _MS_PER_SECOND)
+        return ValueReply(
+            machine.contents.get(ask.key, ''),
+            replica.applied_index,
+            int(age_seconds * _MS_PER_SECOND),
+        )
+
+    return {PutValue: put_value, ReadValue: read_value}
+
+
+if __name__ == '__main__':
+    main()
