--- a/packages/kingcuptrestle/src/kingcuptrestle/fleet_cli.py
+++ b/packages/kingcuptrestle/src/kingcuptrestle/fleet_cli.py
@@ -21,6 +21,14 @@
 )
 
 _MS_PER_SECOND: Final = 1000
+_MEMBER_COLUMNS: Final = (
+    'host',
+    'voter',
+    'reachable',
+    'match_index',
+    'incarnation',
+    'address',
+)
 
 
 def show_status(options: 'Status') -> int:
@@ -45,10 +53,12 @@
     if options.json:
         print_json(replica)
         return DONE
-    members = replica.get('members', [])
-    columns = list(members[0]) if members else ['host']
-    print_table(columns, [list(member.values()) for member in members])
-    safe = 'yes' if replica.get('second_loss_safe') else 'no'
+    rows = [
+        [member[column] for column in _MEMBER_COLUMNS]
+        for member in replica['members']
+    ]
+    print_table(_MEMBER_COLUMNS, rows)
+    safe = 'yes' if replica['second_loss_safe'] else 'no'
     print_line(f'losing one more host is safe: {safe}')
     return DONE
 
--- a/packages/trestle-control/src/trestle_control/endpoint_commands.py
+++ b/packages/trestle-control/src/trestle_control/endpoint_commands.py
@@ -64,23 +64,23 @@
 def withdraw_endpoint(
     state: ControlState, command: WithdrawEndpoint, story: Story
 ) -> CommandReply:
-    """Take a host out of service; it may be unknown as yet."""
+    """Take a host out of service; refused for a host never admitted."""
     host = command.host
     endpoint = state.endpoints.get(host)
+    if endpoint is None:
+        return CommandReply(
+            accepted=False, code=NOT_FOUND.code, text=f'no endpoint {host}'
+        )
     standing = state.withdrawals.get(host)
     if standing and command.operator in {standing.operator, PLATFORM}:
         # A resend, or a listing that must not hide an operator's withdrawal.
         return ACCEPTED
     state.withdrawals[host] = Withdrawal(
-        host,
-        endpoint.incarnation if endpoint else '',
-        command.cause,
-        command.operator,
+        host, endpoint.incarnation, command.cause, command.operator
+    )
+    state.endpoints[host] = endpoint._replace(
+        serving=False, cause=command.cause
     )
-    if endpoint:
-        state.endpoints[host] = endpoint._replace(
-            serving=False, cause=command.cause
-        )
     story.record(
         [host], 'withdrawn', command.cause, f'operator {command.operator}'
     )
@@ -94,10 +94,12 @@
     host = command.host
     endpoint = state.endpoints.get(host)
     withdrawal = state.withdrawals.get(host)
+    if endpoint is None:
+        return CommandReply(
+            accepted=False, code=NOT_FOUND.code, text=f'no endpoint {host}'
+        )
     if withdrawal is None:
-        known = endpoint is not None
-        code = '' if known else NOT_FOUND.code
-        return CommandReply(known, code, f'host {host} is not withdrawn')
+        return ACCEPTED
     by_platform = command.operator == PLATFORM
     if by_platform and withdrawal.operator != PLATFORM:
         return CommandReply(
@@ -106,10 +108,7 @@
             text=f'withdrawn by {withdrawal.operator}',
         )
     state.withdrawals.pop(host)
-    if endpoint:
-        state.endpoints[host] = endpoint._replace(
-            serving=True, cause=command.cause
-        )
+    state.endpoints[host] = endpoint._replace(serving=True, cause=command.cause)
     story.record(
         [host], 'restored', command.cause, f'operator {command.operator}'
     )
--- a/packages/trestle-control/src/trestle_control/status_pages.py
+++ b/packages/trestle-control/src/trestle_control/status_pages.py
@@ -1,19 +1,32 @@
 """Probes and metrics of a control process over HTTP."""
 
 from collections.abc import Callable, Iterable
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
 from gevent.pywsgi import WSGIServer
 
 from trestle_core.addresses import Address, resolve_address
+from trestle_core.digests import canonical_json
+from trestle_core.errorcodes import NOT_FOUND
 from trestle_core.metrics import Metrics
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
-Page = Callable[[], tuple[str, str]]
 
 _OK: Final = '200 OK'
 _UNAVAILABLE: Final = '503 Service Unavailable'
-_NOT_FOUND: Final = ('404 Not Found', 'not found\n')
+_JSON: Final = 'application/json'
+_TEXT: Final = 'text/plain; charset=utf-8'
+
+
+class Reply(NamedTuple):
+    """A status line, a media type and a body."""
+
+    status: str
+    media_type: str
+    body: bytes
+
+
+Page = Callable[[], Reply]
 
 
 class StatusPages:
@@ -26,9 +39,9 @@
         self.metrics = metrics
         self.is_ready = is_ready
         self.pages: dict[str, Page] = {
-            '/healthz': lambda: (_OK, 'ok\n'),
+            '/healthz': lambda: _json_reply(_OK, {'status': 'ok'}),
             '/ready': self._ready,
-            '/metrics': lambda: (_OK, self.metrics.render()),
+            '/metrics': self._metrics,
         }
         address = resolve_address(listen)
         self.server = WSGIServer(
@@ -49,15 +62,25 @@
         """Stop accepting."""
         self.server.stop(timeout=1)
 
-    def _ready(self) -> tuple[str, str]:
-        if self.is_ready():
-            return _OK, 'ready\n'
-        return _UNAVAILABLE, 'not ready\n'
+    def _ready(self) -> Reply:
+        ready = self.is_ready()
+        return _json_reply(_OK if ready else _UNAVAILABLE, {'ready': ready})
+
+    def _metrics(self) -> Reply:
+        return Reply(_OK, _TEXT, self.metrics.render().encode())
 
     def _answer(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
-        page = self.pages.get(environ['PATH_INFO'])
-        status, text = page() if page else _NOT_FOUND
-        start_response(status, [('Content-Type', 'text/plain; charset=utf-8')])
-        return [text.encode()]
+        page = self.pages.get(environ['PATH_INFO'], _not_found)
+        reply = page()
+        start_response(reply.status, [('Content-Type', reply.media_type)])
+        return [reply.body]
+
+
+def _not_found() -> Reply:
+    return _json_reply('404 Not Found', {'code': NOT_FOUND.code})
+
+
+def _json_reply(status: str, content: Any) -> Reply:
+    return Reply(status, _JSON, canonical_json(content))
--- a/packages/trestle-links/src/trestle_links/control_client.py
+++ b/packages/trestle-links/src/trestle_links/control_client.py
@@ -80,6 +80,7 @@
         self.on_contents: list[Hook] = []
         self.fresh_at = -inf
         self.asked: dict[int, float] = {}
+        self.lost = False
         self.stopped = Event()
         self.takers: dict[type[Any], Callable[[Any], None]] = {
             Stamp: self._take_stamp,
@@ -159,7 +160,7 @@
                 self._follow(link)
             except TrestleError as error:
                 self.me.metrics.count('watch_losses', error.code.code)
-                _log.warning('State stream of {} lost: {}.', address, error)
+                self._log_loss(address, error)
             except Exception:
                 # A failing hook must not end the stream for good.
                 _log.exception('State stream of {} failed.', address)
@@ -168,6 +169,12 @@
             if self.stopped.wait(_RETRY_SECONDS):
                 return
 
+    def _log_loss(self, address: str, error: TrestleError) -> None:
+        # While no host answers, one line is enough.
+        level = 'DEBUG' if self.lost else 'WARNING'
+        self.lost = True
+        _log.log(level, 'State stream of {} lost: {}.', address, error)
+
     def _follow(self, link: Link) -> None:
         watcher = self.watcher
         self.asked.clear()
@@ -183,19 +190,13 @@
         for number in count():
             self.asked[number] = monotonic()
             channel.send(StampAsk(number, self.view.set_version, self.figures))
-            if not self._take_until(channel, monotonic() + self._pause()):
+            if not self._take_until(channel, monotonic() + _ask_pause(self)):
                 return
             if self._should_move(opened_at):
                 self.me.metrics.count('watch_losses', 'no-fresh-stamp')
                 _log.warning('{} gives no fresh stamp.', channel.peer)
                 return
 
-    def _pause(self) -> float:
-        # A node without a fresh stamp asks faster, so that it soon serves.
-        if self.is_fresh():
-            return self.watcher.stamp_seconds
-        return min(_RETRY_SECONDS, self.watcher.stamp_seconds)
-
     def _take_until(self, channel: Channel, until: float) -> bool:
         while True:
             left_seconds = until - monotonic()
@@ -230,6 +231,7 @@
         asked_at = self.asked.pop(stamp.number, None)
         if asked_at is None:
             return
+        self.lost = False
         self.view.reach(stamp.log_index)
         if stamp.set_version > self.view.set_version:
             # The set was not usable here: the node must not count as fresh.
@@ -243,6 +245,14 @@
         return self.fresh_at < oldest and opened_at < oldest
 
 
+def _ask_pause(client: ControlClient) -> float:
+    # A node without a fresh stamp asks faster, so that it soon serves.
+    stamp_seconds = client.watcher.stamp_seconds
+    if client.is_fresh():
+        return stamp_seconds
+    return min(_RETRY_SECONDS, stamp_seconds)
+
+
 def _run_hooks(hooks: list[Hook]) -> None:
     for hook in hooks:
         hook()
