Features of the replicated log: replicate, restart, hand over

Cause: the log needs its own cases, apart from the control state's commands. Conclusion: log_member and log_group run the log alone as processes behind the fault proxy; the cases under failure use them too.

--- /dev/null
+++ b/features/steps/replicated_log_steps.py
@@ -0,0 +1,109 @@
+"""Steps on a group of log members as processes."""
+
+from time import monotonic
+
+from behave import given, then, when
+from behave.runner import Context
+from gevent import spawn
+
+from testbed.log_group import HOSTS, LIMIT_SECONDS, LogGroup
+from testbed.processes import poll_until
+
+ELECTION_SECONDS = 0.6
+
+
+def start_group(context: Context, **settings: object) -> LogGroup:
+    """Start a group of three and wait for its leader."""
+    group = LogGroup(context.processes, **settings)
+    context.group = group
+    context.add_cleanup(group.close)
+    context.written = {}
+    group.start_all()
+    context.leader = group.leader()
+    for host in HOSTS:
+        wait_until_follows(group, host)
+    return group
+
+
+def wait_until_follows(group: LogGroup, host: str) -> None:
+    """Wait until a member knows a leader."""
+
+    def follows() -> bool:
+        status = group.status(host)
+        return bool(status and status.leader)
+
+    poll_until(follows, LIMIT_SECONDS, f'{host} follows a leader')
+
+
+def write(context: Context, host: str, count: int) -> None:
+    """Send commands through a member and note those acknowledged."""
+    for _ in range(count):
+        key = f'lot-{len(context.written)}'
+        context.group.put(host, key, f'by {host}')
+        context.written[key] = f'by {host}'
+
+
+def check_reads(context: Context, host: str) -> None:
+    """Check that a member reads every acknowledged value."""
+    wait_until_follows(context.group, host)
+    for key, expected in context.written.items():
+        reply = context.group.read(host, key)
+        assert reply.value == expected, (host, key, reply)
+
+
+@given('a group of three members')
+def step_start(context: Context) -> None:
+    start_group(context)
+
+
+@when('{count:d} commands are sent through each member')
+def step_write(context: Context, count: int) -> None:
+    for host in HOSTS:
+        write(context, host, count)
+
+
+@when('all members are killed at once and started again')
+def step_restart(context: Context) -> None:
+    for host in HOSTS:
+        context.group.process(host).kill()
+    context.group.start_all()
+    context.leader = context.group.leader()
+
+
+@when('the leader is stopped while commands are sent')
+def step_stop_leader(context: Context) -> None:
+    group = context.group
+    follower = next(host for host in HOSTS if host != context.leader)
+    context.gaps = []
+
+    def send() -> None:
+        for number in range(300):
+            started_at = monotonic()
+            group.put(follower, f'lot-{number}', 'x')
+            context.gaps.append(monotonic() - started_at)
+            context.written[f'lot-{number}'] = 'x'
+
+    sender = spawn(send)
+    poll_until(lambda: len(context.gaps) > 50, LIMIT_SECONDS, 'commands')
+    process = group.process(context.leader)
+    process.terminate()
+    assert process.wait() == 0
+    sender.get(timeout=LIMIT_SECONDS)
+
+
+@then('no command was refused for longer than an election')
+def step_gaps(context: Context) -> None:
+    assert max(context.gaps) < ELECTION_SECONDS, max(context.gaps)
+
+
+@then('every member reads all of them')
+def step_read(context: Context) -> None:
+    for host in HOSTS:
+        check_reads(context, host)
+
+
+@then('every member that runs reads all of them')
+def step_read_running(context: Context) -> None:
+    for host in HOSTS:
+        if context.group.process(host).running():
+            check_reads(context, host)
--- a/testbed/log_group.py
+++ b/testbed/log_group.py
@@ -1,113 +1,84 @@
-"""A group of `testbed.log_member` processes in a temporary folder."""
+"""A group of `testbed.log_member` processes behind the fault proxy."""
 
-from collections.abc import Callable
+from itertools import permutations
 from json import dumps
 from pathlib import Path
-from signal import SIGKILL, SIGTERM
-from subprocess import Popen
+from secrets import token_bytes
 from sys import executable
-from time import monotonic
-from typing import Any, Final, TypeVar
-
-from gevent import sleep
+from typing import Any, Final
 
+from testbed.calls import http_call
 from testbed.log_member import PutReply, PutValue, ReadValue, ValueReply
+from testbed.processes import Process, Processes, poll_until
 from trestle_control.status_messages import ReplicaStatus, StatusAsk
 from trestle_core.errors import TrestleError
 from trestle_core.metrics import Metrics
 from trestle_links.link import Identity, Link
 
 HOSTS: Final = ('plovdiv-a', 'plovdiv-b', 'asenovgrad')
+LIMIT_SECONDS: Final = 30.0
 CALL_SECONDS: Final = 5.0
-_POLL_SECONDS: Final = 0.02
-_EXIT_SECONDS: Final = 20
+_KEY_BYTES: Final = 32
 _MS_PER_SECOND: Final = 1000
-
-Value = TypeVar('Value')
-
-
-def poll(what: str, get: Callable[[], Value], seconds: float = 30) -> Value:
-    """Return the first true value; raises `AssertionError` at the limit."""
-    deadline = monotonic() + seconds
-    while monotonic() < deadline:
-        value = get()
-        if value:
-            return value
-        sleep(_POLL_SECONDS)
-    raise AssertionError(f'not within {seconds} s: {what}')
+_PROXY: Final = 'proxy'
 
 
 class LogGroup:
-    """Processes, settings and links of one group."""
-
-    def __init__(self, folder: Path, **overrides: Any) -> None:
-        """Write the settings of three members; `overrides` change them."""
-        self.folder = folder
-        self.processes: dict[str, Popen[bytes]] = {}
-        self.peer_addresses = {
-            host: f'@{folder}/{host}.address' for host in HOSTS
-        }
+    """Processes, settings and links of one group of three."""
+
+    def __init__(self, processes: Processes, **overrides: Any) -> None:
+        """Prepare a group; `overrides` are settings of every member."""
+        self.processes = processes
+        self.folder = processes.folder
         self.overrides = overrides
-        (folder / 'key').write_bytes(b'0' * 32)
-        me = Identity('test', b'0' * 32, Metrics.empty())
+        key = token_bytes(_KEY_BYTES)
+        (self.folder / 'key').write_bytes(key)
+        me = Identity('test', key, Metrics.empty())
         self.links = {
-            host: Link.to_address(f'@{folder}/{host}.address', me)
+            host: Link.to_address(f'@{self.address_file(host)}', me)
             for host in HOSTS
         }
+        routes = [
+            f'--link={source}>{target}=0:@{self.address_file(target)}'
+            for source, target in permutations(HOSTS, 2)
+        ]
+        self.proxy = processes.start_fake(_PROXY, 'fault_proxy', *routes)
+
+    def address_file(self, host: str) -> Path:
+        """Return the file with a member's peer address."""
+        return self.folder / f'{host}.address'
 
     def data_folder(self, host: str) -> Path:
         """Return the data folder of a member."""
         return self.folder / f'{host}.data'
 
-    def start(self, host: str, **overrides: Any) -> None:
+    def start(self, host: str) -> Process:
         """Start a member; returns before it is ready."""
-        settings = {
-            'role': 'control',
-            'host': host,
-            'zone': host,
-            'key_file': f'{self.folder}/key',
-            'control': list(self.peer_addresses.values()),
-            'address_file': f'{self.folder}/{host}.address',
-            'data_folder': str(self.data_folder(host)),
-            'bootstrap': True,
-            'log_level': 'DEBUG',
-            'members': [
-                {'host': other, 'address': address}
-                for other, address in self.peer_addresses.items()
-            ],
-            **self.overrides,
-            **overrides,
-        }
         path = self.folder / f'{host}.json'
-        path.write_text(dumps(settings))
-        (self.folder / f'{host}.address').unlink(missing_ok=True)
-        with (self.folder / f'{host}.log').open('ab') as log:
-            self.processes[host] = Popen(
-                [executable, '-m', 'testbed.log_member', str(path)],
-                stderr=log,
-            )
+        path.write_text(dumps(self._settings_of(host)), encoding='utf-8')
+        command = [executable, '-m', 'testbed.log_member', str(path)]
+        address_file = self.address_file(host)
+        return self.processes.start(host, command, address_file)
 
     def start_all(self) -> None:
         """Start every member."""
         for host in HOSTS:
             self.start(host)
 
-    def kill(self, host: str) -> None:
-        """Kill a member at once."""
-        self.end(host, SIGKILL)
+    def process(self, host: str) -> Process:
+        """Return the last process of a member."""
+        return self.processes.started[host]
 
-    def end(self, host: str, signal_number: int = SIGTERM) -> int:
-        """Signal a member and return its exit status."""
-        process = self.processes.pop(host)
-        process.send_signal(signal_number)
-        return process.wait(_EXIT_SECONDS)
+    def set_fault(self, source: str, target: str, mode: str) -> None:
+        """Put a fault on the connections that one member makes to another."""
+        body = {'link': f'{source}>{target}', 'mode': mode}
+        http_call(self.proxy.addresses['control'], 'POST', '/faults', body)
 
-    def stop(self) -> None:
-        """End every process that still runs."""
-        for host in list(self.processes):
-            self.kill(host)
-        for link in self.links.values():
-            link.close()
+    def isolate(self, host: str, mode: str = 'drop') -> None:
+        """Put a fault on every link between a member and the others."""
+        for source, target in permutations(HOSTS, 2):
+            if host in {source, target}:
+                self.set_fault(source, target, mode)
 
     def status(self, host: str) -> ReplicaStatus | None:
         """Return the status of a member, or None when it does not answer."""
@@ -119,14 +90,14 @@
     def leader(self, among: tuple[str, ...] = HOSTS) -> str:
         """Wait until one of the hosts leads and has committed."""
 
-        def get() -> str:
+        def find() -> str:
             for host in among:
                 status = self.status(host)
                 if status and status.role == 'leader' and status.commit_index:
                     return host
             return ''
 
-        return poll('a leader', get)
+        return poll_until(find, LIMIT_SECONDS, 'a leader')
 
     def put(
         self, host: str, key: str, value: str, seconds: float = CALL_SECONDS
@@ -143,6 +114,34 @@
         local: bool = False,
         seconds: float = CALL_SECONDS,
     ) -> ValueReply:
-        """Read a key through a member."""
+        """Read a key through a member; linearizable unless `local`."""
         ask = ReadValue(key, local, int(seconds * _MS_PER_SECOND))
         return self.links[host].call(ask, ValueReply, seconds + 1)
+
+    def close(self) -> None:
+        """Close the links; the processes belong to the caller."""
+        for link in self.links.values():
+            link.close()
+
+    def _settings_of(self, host: str) -> dict[str, Any]:
+        return {
+            'role': 'control',
+            'host': host,
+            'zone': host,
+            'key_file': str(self.folder / 'key'),
+            'control': [f'@{self.address_file(one)}' for one in HOSTS],
+            'address_file': str(self.address_file(host)),
+            'data_folder': str(self.data_folder(host)),
+            'bootstrap': True,
+            'log_level': 'DEBUG',
+            'members': [
+                {'host': one, 'address': self._route(host, one)}
+                for one in HOSTS
+            ],
+            **self.overrides,
+        }
+
+    def _route(self, source: str, target: str) -> str:
+        if source == target:
+            return f'@{self.address_file(target)}'
+        return self.proxy.addresses[f'{source}>{target}']
