Endpoint process: permits, completions, calls and adapters

The process beside each engine or service grants permits, runs what they name once, and delivers the answers. Engines and services stand behind tuples of plain functions. HTTP goes over connections used for one request each: geventhttpclient's pooled client sends an idempotent method again by itself and cannot tell whether a byte left, so only its parser is used.

--- /dev/null
+++ b/packages/trestle-endpoint/src/trestle_endpoint/admission.py
@@ -0,0 +1,52 @@
+"""Admission of this incarnation by the control state."""
+
+from collections.abc import Callable
+from typing import Final
+
+from gevent import sleep
+
+from trestle_core.errors import TrestleError
+from trestle_core.logs import part_logger
+from trestle_endpoint.admission_state import AdmissionState
+from trestle_endpoint.contents import Submit
+from trestle_links.fleet_messages import AdmitEndpoint, AdmitReply
+
+_SUBMIT_SECONDS: Final = 3.0
+_RETRY_SECONDS: Final = 0.3
+
+AdmitHook = Callable[[AdmitReply], None]
+
+_log = part_logger('admission')
+
+
+def admit_until_done(
+    submit: Submit,
+    request: AdmitEndpoint,
+    state: AdmissionState,
+    on_admitted: AdmitHook,
+) -> None:
+    """Ask for admission until the control state admits this incarnation.
+
+    A refusal is asked again, for an operator may end a withdrawal. A process
+    that drains asks no more.
+    """
+    refused = ''
+    while not state.draining:
+        reply = _ask(submit, request)
+        if reply and reply.admitted:
+            _log.info('Incarnation {} is admitted.', request.incarnation)
+            state.admitted.set()
+            on_admitted(reply)
+            return
+        if reply and reply.code != refused:
+            refused = reply.code
+            _log.warning('Admission refused: {}.', refused)
+        sleep(_RETRY_SECONDS)
+
+
+def _ask(submit: Submit, request: AdmitEndpoint) -> AdmitReply | None:
+    try:
+        return submit(request, AdmitReply, _SUBMIT_SECONDS)
+    except TrestleError as error:
+        _log.warning('No answer to the admission: {}.', error)
+        return None
--- /dev/null
+++ b/packages/trestle-endpoint/src/trestle_endpoint/calls.py
@@ -0,0 +1,177 @@
+"""Dispatch of service calls: once for a permit, and the outcome committed.
+
+The order is: use the permit, call the service, note the outcome, commit it,
+answer, forget. The service's answer is awaited longer than the caller's
+deadline: a booking whose answer is late is then recorded as `ran`, and a
+resend gets that answer instead of a doubt that stays for ever.
+
+Invariants: a used permit of a claimed call is kept until the control state
+has replied to its outcome; a dispatch that arrives again waits for the first
+one and starts nothing.
+"""
+
+from time import monotonic
+from typing import Final, NamedTuple
+
+from gevent import spawn
+
+from trestle_core.errorcodes import (
+    NO_ENDPOINT,
+    OUTCOME_UNKNOWN,
+    ErrorCode,
+)
+from trestle_core.errors import TrestleError
+from trestle_core.logs import part_logger
+from trestle_core.metrics import Metrics
+from trestle_core.verdict import Verdict
+from trestle_endpoint.contents import Submit, submit_until_done
+from trestle_endpoint.permits import PermitTable, Work
+from trestle_endpoint.places import Places
+from trestle_endpoint.service_adapter import ServiceAdapter, ServiceCall
+from trestle_endpoint.wait_estimate import WaitEstimate
+from trestle_links.answer_messages import CallAnswer, DispatchCall
+from trestle_links.claim_messages import (
+    ClaimKey,
+    ClaimReply,
+    Outcome,
+    RecordOutcome,
+    ReleaseClaim,
+)
+from trestle_links.connection import Channel
+
+_LATE_ANSWER_SECONDS: Final = 60.0
+_MS_PER_SECOND: Final = 1000
+_IN_DOUBT: Final = Outcome(Verdict.MAY_HAVE_RUN, 0, b'')
+
+_log = part_logger('calls')
+
+
+class CallParts(NamedTuple):
+    """What a service call needs."""
+
+    service: ServiceAdapter
+    submit: Submit
+    places: Places
+    estimate: WaitEstimate
+    metrics: Metrics
+
+
+class Calls:
+    """The service calls of this process."""
+
+    def __init__(self, parts: CallParts, permits: PermitTable) -> None:
+        """Start with no calls."""
+        self.parts = parts
+        self.permits = permits
+        # Calls whose outcome is not committed; a drain waits for them.
+        self.open_calls = 0
+
+    def dispatch(self, body: DispatchCall, _channel: Channel) -> CallAnswer:
+        """Run a call under its permit and return its outcome.
+
+        Raises `TrestleError` when this dispatch started nothing.
+        """
+        deadline = monotonic() + body.left_ms / _MS_PER_SECOND
+        work = self.permits.find_used(body.permit, body.request_id)
+        if work:
+            self.parts.metrics.count('calls', 'repeated-dispatch')
+        else:
+            work = self._use_permit(body)
+            spawn(self._run, work, body, deadline)
+        # The entry hears an outcome after its commit, or at the deadline.
+        work.settled.wait(max(0, deadline - monotonic()))
+        return _answer_from(body, work)
+
+    def _use_permit(self, body: DispatchCall) -> Work:
+        try:
+            return self.permits.use(body.permit, body.request_id)
+        except TrestleError:
+            if body.claimed and not self.permits.is_mine(body.permit):
+                # The incarnation that issued it may have run the call.
+                raise TrestleError(
+                    OUTCOME_UNKNOWN, verdict=Verdict.MAY_HAVE_RUN
+                ) from None
+            raise
+
+    def _run(self, work: Work, body: DispatchCall, deadline: float) -> None:
+        self.open_calls += 1
+        try:
+            outcome = self._outcome(work, body, deadline)
+            self.parts.metrics.count('calls', outcome.verdict.value)
+            work.outcome = outcome
+            if body.claimed:
+                self._commit(body, outcome)
+            self.permits.forget(work)
+        finally:
+            self.open_calls -= 1
+
+    def _outcome(
+        self, work: Work, body: DispatchCall, deadline: float
+    ) -> Outcome:
+        places = self.parts.places
+        try:
+            places.enter(work, max(0, deadline - monotonic()))
+        except TrestleError:
+            return Outcome(Verdict.NOT_RUN, 0, b'')
+        began = monotonic()
+        try:
+            return self.parts.service.run(_service_call(body))
+        finally:
+            places.leave(work)
+            self._learn(work, monotonic() - began)
+
+    def _learn(self, work: Work, seconds: float) -> None:
+        self.parts.estimate.learn_first_token(0, seconds)
+        self.parts.estimate.learn_run(work.demand, seconds)
+        self.parts.metrics.observe_seconds('service_call', seconds)
+
+    def _commit(self, body: DispatchCall, outcome: Outcome) -> None:
+        claim_key = ClaimKey(body.service, body.caller, body.key)
+        command: RecordOutcome | ReleaseClaim
+        if outcome.verdict is Verdict.NOT_RUN:
+            # The key is free again; the entry commits the refusal, if any.
+            command = ReleaseClaim(claim_key, body.permit)
+        else:
+            command = RecordOutcome(claim_key, body.permit, outcome)
+        reply = submit_until_done(self.parts.submit, command, ClaimReply)
+        if not reply.accepted:
+            self.parts.metrics.count('outcomes_not_accepted')
+            _log.warning('The outcome of {} was set before.', body.request_id)
+
+
+def _service_call(body: DispatchCall) -> ServiceCall:
+    timeout_seconds = body.left_ms / _MS_PER_SECOND
+    if body.claimed:
+        timeout_seconds = max(timeout_seconds, _LATE_ANSWER_SECONDS)
+    return ServiceCall(
+        operation=body.operation,
+        key=body.key,
+        caller=body.caller,
+        request_id=body.request_id,
+        body=body.body,
+        timeout_seconds=timeout_seconds,
+    )
+
+
+def _answer_from(body: DispatchCall, work: Work) -> CallAnswer:
+    known = work.outcome or _IN_DOUBT
+    if known.verdict is Verdict.NOT_RUN and not work.settled.is_set():
+        # `not-run` is answered only when its release is committed.
+        known = _IN_DOUBT
+    code = _code_of(known)
+    return CallAnswer(
+        permit=body.permit,
+        request_id=body.request_id,
+        verdict=known.verdict,
+        status=known.status,
+        body=known.body,
+        code=code.code if code else '',
+    )
+
+
+def _code_of(outcome: Outcome) -> ErrorCode | None:
+    if outcome.verdict is Verdict.RAN:
+        return None
+    if outcome.verdict is Verdict.MAY_HAVE_RUN:
+        return OUTCOME_UNKNOWN
+    return NO_ENDPOINT
--- /dev/null
+++ b/packages/trestle-endpoint/src/trestle_endpoint/completions.py
@@ -0,0 +1,216 @@
+"""Dispatch of completions and the delivery of their answers.
+
+A runner greenlet takes the permit to the engine and fills the answer; the
+handler greenlet of the channel takes the acknowledgements. When the link
+breaks, the answer waits a short grace for `AnswerResume`; when the entry
+closes the channel, its caller is gone and the engine's request is cancelled.
+"""
+
+from time import monotonic
+from typing import Final, NamedTuple
+
+from gevent import Greenlet, Timeout, spawn
+
+from trestle_core.errorcodes import (
+    ANSWER_INCOMPLETE,
+    DEADLINE_PASSED,
+    INTERNAL,
+    QUARANTINED,
+)
+from trestle_core.errors import TrestleError
+from trestle_core.logs import part_logger
+from trestle_core.texts import DEADLINE_PASSED as DEADLINE_TEXT
+from trestle_core.texts import QUARANTINED as QUARANTINED_TEXT
+from trestle_core.verdict import Verdict
+from trestle_endpoint.answer_buffer import Answer
+from trestle_endpoint.contents import Contents
+from trestle_endpoint.engine_run import EngineParts, EngineRun
+from trestle_endpoint.permits import PermitTable, Work
+from trestle_links.answer_messages import (
+    AnswerAck,
+    AnswerFailed,
+    AnswerResume,
+    DispatchCompletion,
+)
+from trestle_links.codec import Message
+from trestle_links.connection import (
+    CallTimeoutError,
+    Channel,
+    LinkDownError,
+)
+from trestle_links.permit_messages import Permit
+
+RESUME_SECONDS: Final = 5.0
+_MS_PER_SECOND: Final = 1000
+
+_log = part_logger('answers')
+
+
+class Delivery(NamedTuple):
+    """An answer and the greenlet that fills it."""
+
+    answer: Answer
+    runner: Greenlet[..., None]
+
+
+class Completions:
+    """The answers of this process, by the serial of their permit."""
+
+    def __init__(
+        self,
+        parts: EngineParts,
+        permits: PermitTable,
+        contents: Contents,
+        buffer_bytes: int,
+    ) -> None:
+        """Start with no answers."""
+        self.parts = parts
+        self.permits = permits
+        self.contents = contents
+        self.buffer_bytes = buffer_bytes
+        self.deliveries: dict[int, Delivery] = {}
+
+    def dispatch(self, body: DispatchCompletion, channel: Channel) -> None:
+        """Start a completion and deliver its answer on the channel.
+
+        Raises `TrestleError` when it was not started.
+        """
+        if self.contents.is_quarantined(body.content_digest):
+            self.permits.give_back(body.permit)
+            raise TrestleError(QUARANTINED, QUARANTINED_TEXT)
+        work = self.permits.use(body.permit, body.request_id)
+        work.content = body.content_digest
+        answer = Answer(
+            body.permit, body.request_id, body.resume_from, self.buffer_bytes
+        )
+        runner = spawn(self._run, work, answer, body)
+        delivery = Delivery(answer, runner)
+        self.deliveries[body.permit.serial] = delivery
+        answer.attach(channel, body.resume_from)
+        self._follow(delivery, channel)
+
+    def resume(self, body: AnswerResume, channel: Channel) -> None:
+        """Continue an answer on another channel.
+
+        Raises `TrestleError` when the answer is not kept.
+        """
+        delivery = self._delivery_of(body.permit, body.request_id)
+        if delivery is None:
+            self.parts.metrics.count('answer_resumes', 'unknown')
+            raise TrestleError(
+                ANSWER_INCOMPLETE,
+                'The answer is not kept.',
+                Verdict.MAY_HAVE_RUN,
+            )
+        delivery.answer.attach(channel, body.next_token)
+        self.parts.metrics.count('answer_resumes', 'resumed')
+        self._follow(delivery, channel)
+
+    def _delivery_of(self, permit: Permit, request_id: str) -> Delivery | None:
+        delivery = self.deliveries.get(permit.serial)
+        if delivery is None or delivery.answer.permit != permit:
+            return None
+        return delivery if delivery.answer.request_id == request_id else None
+
+    def _follow(self, delivery: Delivery, channel: Channel) -> None:
+        answer = delivery.answer
+        try:
+            self._take_acks(answer, channel)
+        except LinkDownError:
+            answer.detach(channel)
+            if answer.attached.wait(RESUME_SECONDS):
+                # Another channel carries the answer on.
+                return
+            self.parts.metrics.count('answers_abandoned', 'link-down')
+        if answer.channel is None or answer.channel is channel:
+            self._abandon(delivery)
+
+    def _take_acks(self, answer: Answer, channel: Channel) -> None:
+        while not answer.is_delivered():
+            try:
+                body = channel.receive(RESUME_SECONDS)
+            except CallTimeoutError:
+                if _is_overdue(answer):
+                    return
+                continue
+            if body is None:
+                return
+            self._take_ack(answer, body)
+
+    def _take_ack(self, answer: Answer, body: Message) -> None:
+        if (
+            isinstance(body, AnswerAck)
+            and body.permit == answer.permit
+            and body.request_id == answer.request_id
+        ):
+            answer.acknowledge(body.next_token)
+            return
+        self.parts.metrics.count('acks_dropped', 'crossed-id')
+
+    def _abandon(self, delivery: Delivery) -> None:
+        self.deliveries.pop(delivery.answer.permit.serial, None)
+        if delivery.answer.ending is None:
+            self.parts.metrics.count('answers_abandoned', 'entry-closed')
+            delivery.runner.kill(block=False)
+
+    def _run(
+        self, work: Work, answer: Answer, body: DispatchCompletion
+    ) -> None:
+        run = EngineRun(self.parts, work, answer, body)
+        left_seconds = body.left_ms / _MS_PER_SECOND
+        try:
+            self._run_until(monotonic() + left_seconds, run)
+        except TrestleError as error:
+            self._fail(run, error)
+        except Exception:
+            _log.exception('Completion {} failed.', body.request_id)
+            self._fail(run, TrestleError(INTERNAL, verdict=_doubt(run)))
+        finally:
+            # A killed runner ends here too; its permit stays unusable.
+            self.permits.forget(work)
+
+    def _run_until(self, deadline: float, run: EngineRun) -> None:
+        work = run.work
+        places = self.parts.places
+        places.enter(work, deadline - monotonic())
+        entered = monotonic()
+        try:
+            with Timeout(deadline - entered):
+                self._run_checked(run)
+        except Timeout as error:
+            raise TrestleError(
+                DEADLINE_PASSED, DEADLINE_TEXT, _doubt(run)
+            ) from error
+        finally:
+            self.parts.estimate.learn_run(work.demand, monotonic() - entered)
+            places.leave(work)
+
+    def _run_checked(self, run: EngineRun) -> None:
+        # The quarantine may have come while the work waited.
+        if self.contents.is_quarantined(run.work.content):
+            raise TrestleError(QUARANTINED, QUARANTINED_TEXT)
+        run.run()
+        self.contents.note_finished(run.work.content, run.dispatch.request_id)
+
+    def _fail(self, run: EngineRun, error: TrestleError) -> None:
+        self.parts.metrics.count('answers_failed', error.code.code)
+        body = run.dispatch
+        failed = AnswerFailed(
+            permit=body.permit,
+            request_id=body.request_id,
+            total=run.next_token,
+            code=error.code.code,
+            text=error.message,
+            verdict=error.verdict,
+        )
+        run.answer.end(failed)
+
+
+def _doubt(run: EngineRun) -> Verdict:
+    return Verdict.MAY_HAVE_RUN if run.sent else Verdict.NOT_RUN
+
+
+def _is_overdue(answer: Answer) -> bool:
+    # The entry got the ending and neither acknowledged nor left.
+    since = monotonic() - answer.ended_at
+    return answer.ending_sent and since > RESUME_SECONDS
--- /dev/null
+++ b/packages/trestle-endpoint/src/trestle_endpoint/contents.py
@@ -0,0 +1,96 @@
+"""Crash-causing contents: reports of crashes and of finished suspects.
+
+The control state counts the crashes of a content. This process reports what
+ran at each crash, again until it is committed, and clears a suspect whose
+answer finished.
+"""
+
+from collections.abc import Callable
+from typing import Any, Final, Protocol, TypeVar
+
+from gevent import sleep, spawn
+
+from trestle_core.errors import TrestleError
+from trestle_core.logs import part_logger
+from trestle_endpoint.engine_load import EngineCrash
+from trestle_links.codec import Message
+from trestle_links.fleet_messages import (
+    ClearSuspect,
+    CommandReply,
+    CrashReply,
+    ReportCrash,
+)
+
+_SUBMIT_SECONDS: Final = 5.0
+_RETRY_SECONDS: Final = 0.5
+
+Reply = TypeVar('Reply')
+
+_log = part_logger('contents')
+
+
+class Submit(Protocol):
+    """Sends a command to the control state; see `ControlClient.submit`."""
+
+    def __call__(
+        self, command: Message, reply_type: type[Reply], timeout_seconds: float
+    ) -> Reply:
+        """Return the reply, or raise `TrestleError`."""
+
+
+class Contents:
+    """Suspects and quarantined contents, as the control view has them."""
+
+    def __init__(
+        self,
+        host: str,
+        submit: Submit,
+        suspects: Callable[[], set[str]],
+        quarantined: Callable[[], set[str]],
+    ) -> None:
+        """Hold no contents of its own."""
+        self.host = host
+        self.submit = submit
+        self.suspects = suspects
+        self.quarantined = quarantined
+
+    def is_suspect(self, content: str) -> bool:
+        """Tell whether a content ran on an engine that crashed."""
+        return content in self.suspects()
+
+    def is_quarantined(self, content: str) -> bool:
+        """Tell whether a content may not run."""
+        return content in self.quarantined()
+
+    def report_crash(self, crash: EngineCrash) -> None:
+        """Report a crash until the control state has committed it."""
+        report = ReportCrash(
+            endpoint=self.host,
+            crash_id=crash.crash_id,
+            contents=[running.content for running in crash.running],
+            request_ids=[running.request_id for running in crash.running],
+        )
+        spawn(submit_until_done, self.submit, report, CrashReply)
+
+    def note_finished(self, content: str, request_id: str) -> None:
+        """Clear a suspect whose answer finished."""
+        if self.is_suspect(content):
+            spawn(
+                submit_until_done,
+                self.submit,
+                ClearSuspect(content, request_id),
+                CommandReply,
+            )
+
+
+def submit_until_done(
+    submit: Submit, command: Message, reply_type: type[Any]
+) -> Any:
+    """Submit a command until it has a reply, and return that."""
+    while True:
+        try:
+            return submit(command, reply_type, _SUBMIT_SECONDS)
+        except TrestleError as error:
+            name = type(command).__name__
+            _log.warning('{} is not committed yet: {}.', name, error)
+            sleep(_RETRY_SECONDS)
--- /dev/null
+++ b/packages/trestle-endpoint/src/trestle_endpoint/endpoint_app.py
@@ -0,0 +1,132 @@
+"""The endpoint process: its parts joined into one application.
+
+Order of the start: the links listen, the control view is followed, and the
+incarnation asks for admission; until all three hold, every permit ask is
+refused. Order of the stop: readiness and permits go off, admitted work ends,
+outcomes are committed, and only then the links close.
+"""
+
+from typing import Final
+
+from gevent import Greenlet, sleep, spawn
+
+from trestle_core.addresses import write_address_file
+from trestle_core.lifecycle import Application
+from trestle_core.logs import part_logger
+from trestle_core.metrics import Metrics
+from trestle_core.settings import EndpointSettings
+from trestle_endpoint.admission import admit_until_done
+from trestle_endpoint.endpoint_core import EndpointCore, Target, build_core
+from trestle_endpoint.engine_target import engine_target
+from trestle_endpoint.http_pages import HttpPages
+from trestle_endpoint.permit_handlers import permit_handlers
+from trestle_endpoint.service_target import service_target
+from trestle_links.fleet_messages import AdmitEndpoint
+from trestle_links.handshake import read_key
+from trestle_links.link import Identity
+from trestle_links.link_server import LinkServer
+
+_MS_PER_SECOND: Final = 1000
+_DRAIN_POLL_SECONDS: Final = 0.02
+
+_log = part_logger('endpoint')
+
+
+def build_endpoint(settings: EndpointSettings) -> Application:
+    """Make the application of an endpoint process."""
+    metrics = Metrics.empty()
+    me = Identity(settings.host, read_key(settings.key_file), metrics)
+    core = build_core(settings, me, metrics)
+    target = _target_of(core)
+    process = EndpointProcess(core, target, me)
+    pages = HttpPages(settings, core.state.reason, process.set_gauges, metrics)
+    app = Application(
+        f'Endpoint {settings.host}', settings.drain_ms / _MS_PER_SECOND
+    )
+    app.add(start=pages.start, stop=pages.stop)
+    app.add(start=core.control.start, stop=core.control.stop)
+    app.add(start=process.start, drain=process.drain, stop=process.stop)
+    return app
+
+
+def _target_of(core: EndpointCore) -> Target:
+    if core.settings.target_kind == 'engine':
+        return engine_target(core)
+    return service_target(core)
+
+
+class EndpointProcess:
+    """The listener and the background greenlets."""
+
+    def __init__(
+        self, core: EndpointCore, target: Target, me: Identity
+    ) -> None:
+        """Start nothing yet."""
+        self.core = core
+        self.target = target
+        handlers = {**permit_handlers(core, target), **target.handlers}
+        self.server = LinkServer(core.settings.listen, me, handlers)
+        self.tasks: list[Greenlet[..., None]] = []
+
+    def start(self) -> None:
+        """Listen, and ask for admission."""
+        self.server.start()
+        settings = self.core.settings
+        address = self.server.address
+        write_address_file(settings.address_file, address)
+        request = AdmitEndpoint(
+            host=settings.host,
+            incarnation=self.core.permits.incarnation,
+            zone=settings.zone,
+            address=str(address),
+            target_kind=settings.target_kind,
+            target=settings.target,
+            engine_role=settings.engine_role,
+        )
+        self.tasks = [
+            spawn(self._poll_target),
+            spawn(
+                admit_until_done,
+                self.core.control.submit,
+                request,
+                self.core.state,
+                self.target.on_admitted,
+            ),
+        ]
+
+    def drain(self) -> None:
+        """Take no new work, and wait until all admitted work has ended."""
+        self.core.state.draining = True
+        while not self._is_idle():
+            sleep(_DRAIN_POLL_SECONDS)
+
+    def stop(self) -> None:
+        """Close the links."""
+        for task in self.tasks:
+            task.kill()
+        self.server.stop()
+
+    def set_gauges(self) -> None:
+        """Set the gauges of the metrics page."""
+        core = self.core
+        metrics = core.metrics
+        metrics.set_gauge('running', len(core.places.running))
+        metrics.set_gauge('waiting', len(core.places.waiting))
+        metrics.set_gauge('permits_outstanding', len(core.permits.outstanding))
+        metrics.set_gauge('permits_used', len(core.permits.used))
+        metrics.set_gauge('set_version', core.control.view.set_version)
+
+    def _is_idle(self) -> bool:
+        # A granted permit is a promise: it is used, returned, or expires.
+        self.core.permits.expire()
+        return not self.core.permits.outstanding and self.target.is_idle()
+
+    def _poll_target(self) -> None:
+        pause_seconds = self.core.settings.load_every_ms / _MS_PER_SECOND
+        while True:
+            try:
+                self.target.poll()
+                self.core.control.figures.update(self.target.figures())
+            except Exception:
+                _log.exception('A read of the target failed.')
+            sleep(pause_seconds)
--- /dev/null
+++ b/packages/trestle-endpoint/src/trestle_endpoint/engine_adapter.py
@@ -0,0 +1,186 @@
+"""The engine interface over HTTP, as docs/design/outside-interfaces.md has it.
+
+Reading of a stream costs one receive for all the events that wait, and one
+typed decode for each event.
+"""
+
+from collections.abc import Iterator
+from typing import Any, Final
+
+from msgspec import DecodeError, Struct
+from msgspec.json import Decoder, decode, encode
+
+from trestle_core.errorcodes import ENGINE_CRASHED, ENGINE_REFUSED
+from trestle_core.errors import TrestleError
+from trestle_core.verdict import Verdict
+from trestle_endpoint.engine_interface import (
+    CacheEvents,
+    EngineAdapter,
+    EngineCompletion,
+    EngineLoad,
+    EngineOrder,
+    EngineState,
+    EngineStream,
+    EngineToken,
+)
+from trestle_endpoint.http_exchange import (
+    ConnectFailedError,
+    ExchangeBrokenError,
+    HttpExchange,
+    HttpReply,
+    HttpRequest,
+    ResolveAddress,
+    fetch,
+)
+
+_ADMIN_SECONDS: Final = 2
+_TICKET_SECONDS: Final = 10
+_OK: Final = 200
+_ACCEPTED: Final = 202
+_SERVER_ERROR: Final = 500
+_UNAVAILABLE: Final = 503
+_EVENT_END: Final = b'\n\n'
+_DATA: Final = b'data:'
+_STREAM_END: Final = b'[DONE]'
+
+
+class _Choice(Struct):
+    text: str
+    finish_reason: str | None = None
+
+
+class _Event(Struct):
+    id: str
+    index: int
+    choices: list[_Choice]
+
+
+class _Refusal(Struct):
+    code: str = 'refused'
+
+
+class _Ticket(Struct):
+    ticket: str
+
+
+_event_decoder: Final = Decoder(_Event)
+
+
+def engine_over_http(resolve: ResolveAddress) -> EngineAdapter:
+    """Return the adapter of the engine at an address."""
+
+    def call(
+        path: str, body: Any, seconds: float = _ADMIN_SECONDS
+    ) -> HttpReply:
+        request = HttpRequest('POST', path, encode(body))
+        return fetch(resolve, request, seconds)
+
+    def read(path: str, expected: type[Any]) -> Any:
+        reply = fetch(resolve, HttpRequest('GET', path), _ADMIN_SECONDS)
+        return _decoded(reply, expected)
+
+    def send_order(order: EngineOrder) -> str:
+        reply = call('/admin/orders', order._asdict())
+        if reply.status == _ACCEPTED:
+            return ''
+        return _refusal_code(reply.body)
+
+    def cancel(request_id: str) -> None:
+        call('/admin/cancel', {'request_id': request_id})
+
+    def export_kv(request_id: str) -> str:
+        reply = call('/admin/kv/export', {'request_id': request_id})
+        ticket: _Ticket = _decoded(reply, _Ticket)
+        return ticket.ticket
+
+    def import_kv(ticket: str) -> bool:
+        reply = call('/admin/kv/import', {'ticket': ticket}, _TICKET_SECONDS)
+        return reply.status == _OK
+
+    return EngineAdapter(
+        complete=lambda completion: _complete(resolve, completion),
+        cancel=cancel,
+        read_load=lambda: read('/admin/load', EngineLoad),
+        read_state=lambda: read('/admin/state', EngineState),
+        send_order=send_order,
+        read_cache_events=lambda after: read(
+            f'/admin/cache-events?after={after}', CacheEvents
+        ),
+        export_kv=export_kv,
+        import_kv=import_kv,
+    )
+
+
+def _complete(
+    resolve: ResolveAddress, completion: EngineCompletion
+) -> EngineStream:
+    body = completion._asdict() | {'stream': True}
+    request = HttpRequest('POST', '/v1/completions', encode(body))
+    try:
+        exchange = HttpExchange.connect(resolve, request)
+    except ConnectFailedError as error:
+        raise TrestleError(ENGINE_CRASHED, str(error)) from error
+    try:
+        status = exchange.send(request)
+    except BaseException as error:
+        exchange.close()
+        if isinstance(error, ExchangeBrokenError):
+            raise _crashed(error) from error
+        raise
+    if status != _OK:
+        exchange.close()
+        raise _refused(status)
+    return EngineStream(_read_batches(exchange), exchange.close)
+
+
+def _read_batches(exchange: HttpExchange) -> Iterator[list[EngineToken]]:
+    rest = b''
+    try:
+        while received := exchange.read_some():
+            *events, rest = (rest + received).split(_EVENT_END)
+            yield [
+                _token_from(event) for event in events if _has_content(event)
+            ]
+    except (ExchangeBrokenError, DecodeError) as error:
+        raise _crashed(error) from error
+
+
+def _has_content(event: bytes) -> bool:
+    return event.startswith(_DATA) and not event.endswith(_STREAM_END)
+
+
+def _token_from(event: bytes) -> EngineToken:
+    decoded = _event_decoder.decode(event[len(_DATA) :])
+    choice = decoded.choices[0]
+    return EngineToken(
+        decoded.id, decoded.index, choice.text, choice.finish_reason
+    )
+
+
+def _crashed(error: Exception) -> TrestleError:
+    return TrestleError(ENGINE_CRASHED, str(error), Verdict.MAY_HAVE_RUN)
+
+
+def _refused(status: int) -> TrestleError:
+    # A refusal says that nothing ran; any other server error does not.
+    started = status >= _SERVER_ERROR and status != _UNAVAILABLE
+    verdict = Verdict.MAY_HAVE_RUN if started else Verdict.NOT_RUN
+    return TrestleError(
+        ENGINE_REFUSED, f'The engine answered {status}.', verdict
+    )
+
+
+def _decoded(reply: HttpReply, expected: type[Any]) -> Any:
+    if reply.status != _OK:
+        raise ExchangeBrokenError(f'the engine answered {reply.status}')
+    try:
+        return decode(reply.body, type=expected)
+    except DecodeError as error:
+        raise ExchangeBrokenError(str(error)) from error
+
+
+def _refusal_code(body: bytes) -> str:
+    try:
+        return decode(body, type=_Refusal).code
+    except DecodeError:
+        return 'refused'
--- /dev/null
+++ b/packages/trestle-endpoint/src/trestle_endpoint/engine_load.py
@@ -0,0 +1,148 @@
+"""The engine as it was seen last, and the detection of its crashes.
+
+Load reports lag: one whose sequence goes back, or that comes from an earlier
+incarnation, is ignored and counted. The state page does not lag; it alone
+tells the present incarnation.
+
+An engine crashed when it refuses the connection or shows a new incarnation
+while contents ran on it. Each crash is reported once, with the contents that
+ran at its first sign: content that began later ran on the next incarnation.
+A state page that does not answer in time is no crash.
+"""
+
+from collections.abc import Callable
+from time import monotonic
+from typing import NamedTuple
+
+from gevent.lock import RLock
+
+from trestle_core.logs import part_logger
+from trestle_core.metrics import Metrics
+from trestle_endpoint.engine_interface import (
+    EngineAdapter,
+    EngineLoad,
+    EngineState,
+)
+from trestle_endpoint.http_exchange import ConnectFailedError
+
+_log = part_logger('engine')
+
+
+class RunningContent(NamedTuple):
+    """A request on the engine; `began` is on this process's clock."""
+
+    request_id: str
+    content: str
+    began: float
+
+
+class EngineCrash(NamedTuple):
+    """What ran when an engine stopped."""
+
+    crash_id: str
+    running: list[RunningContent]
+
+
+CrashHook = Callable[[EngineCrash], None]
+
+
+class EngineWatch:
+    """Load, state and running contents of one engine."""
+
+    def __init__(
+        self,
+        host: str,
+        engine: EngineAdapter,
+        on_crash: CrashHook,
+        metrics: Metrics,
+    ) -> None:
+        """Know nothing of the engine yet."""
+        self.host = host
+        self.engine = engine
+        self.on_crash = on_crash
+        self.metrics = metrics
+        self.load: EngineLoad | None = None
+        self.state: EngineState | None = None
+        self.is_up = False
+        self.running: dict[str, RunningContent] = {}
+        self.past: set[str] = set()
+        self.checking = RLock()
+
+    def begin(self, engine_id: str, request_id: str, content: str) -> None:
+        """Note that a request is about to reach the engine."""
+        self.running[engine_id] = RunningContent(
+            request_id, content, monotonic()
+        )
+
+    def end(self, engine_id: str) -> None:
+        """Note that a request has left the engine."""
+        self.running.pop(engine_id, None)
+
+    def poll(self) -> None:
+        """Read state and load once."""
+        self.check()
+        if not self.is_up:
+            return
+        try:
+            self._take_load(self.engine.read_load())
+        except OSError as error:
+            self.metrics.count('engine_load_failures', type(error).__name__)
+
+    def check(self, first_sign: float | None = None) -> None:
+        """Read the state page and report a crash that it shows.
+
+        `first_sign` is the time at which a stream broke.
+        """
+        with self.checking:
+            sign = monotonic() if first_sign is None else first_sign
+            try:
+                state = self.engine.read_state()
+            except ConnectFailedError as error:
+                self._note_down(str(error), sign)
+            except OSError as error:
+                self.is_up = False
+                self.metrics.count('engine_state_failures', 'no-answer')
+                _log.warning('The engine shows no state: {}.', error)
+            else:
+                self._take_state(state, sign)
+
+    def _take_state(self, state: EngineState, sign: float) -> None:
+        earlier = self.state
+        if earlier and earlier.incarnation != state.incarnation:
+            self.past.add(earlier.incarnation)
+            self.load = None
+            self._report_crash(earlier.incarnation, sign)
+        self.state = state
+        self.is_up = True
+
+    def _note_down(self, reason: str, sign: float) -> None:
+        if self.is_up:
+            _log.error('The engine refuses connections: {}.', reason)
+        self.is_up = False
+        self.metrics.count('engine_state_failures', 'refused')
+        if self.state:
+            self._report_crash(self.state.incarnation, sign)
+
+    def _report_crash(self, incarnation: str, sign: float) -> None:
+        lost = {
+            engine_id: running
+            for engine_id, running in self.running.items()
+            if running.began <= sign
+        }
+        for engine_id in lost:
+            self.running.pop(engine_id)
+        if not lost:
+            return
+        self.metrics.count('engine_crashes')
+        _log.error('The engine crashed while {} requests ran.', len(lost))
+        crash_id = f'{self.host}/{incarnation}'
+        self.on_crash(EngineCrash(crash_id, list(lost.values())))
+
+    def _take_load(self, load: EngineLoad) -> None:
+        if self.state is None or load.incarnation != self.state.incarnation:
+            self.metrics.count('engine_loads_ignored', 'other-incarnation')
+            return
+        if self.load and load.sequence < self.load.sequence:
+            self.metrics.count('engine_loads_ignored', 'sequence-went-back')
+            return
+        self.load = load
--- /dev/null
+++ b/packages/trestle-endpoint/src/trestle_endpoint/engine_run.py
@@ -0,0 +1,244 @@
+"""One completion on the engine: from its place to its finish marker.
+
+Events with a foreign id or an index below the next token are dropped and
+counted. A gap, or an end without the finish marker, is a failure: such an
+answer is never whole.
+"""
+
+from collections.abc import Iterator
+from contextlib import closing, contextmanager
+from time import monotonic
+from typing import Final, NamedTuple
+
+from gevent import Timeout, spawn
+
+from trestle_core.errorcodes import ANSWER_INCOMPLETE, ENGINE_CRASHED
+from trestle_core.errors import TrestleError
+from trestle_core.logs import part_logger
+from trestle_core.metrics import Metrics
+from trestle_core.verdict import Verdict
+from trestle_endpoint.answer_buffer import Answer
+from trestle_endpoint.engine_interface import (
+    EngineAdapter,
+    EngineCompletion,
+    EngineStream,
+    EngineToken,
+)
+from trestle_endpoint.engine_load import EngineWatch
+from trestle_endpoint.permits import Work
+from trestle_endpoint.places import Places
+from trestle_endpoint.prefix_cache import PrefixCache
+from trestle_endpoint.wait_estimate import WaitEstimate, occupancy
+from trestle_links.answer_messages import AnswerEnd, DispatchCompletion
+
+_AFTER_FINISH_SECONDS: Final = 0.5
+
+_log = part_logger('answers')
+
+
+class EngineParts(NamedTuple):
+    """What a run on the engine needs."""
+
+    engine: EngineAdapter
+    watch: EngineWatch
+    cache: PrefixCache
+    places: Places
+    estimate: WaitEstimate
+    metrics: Metrics
+
+
+class EngineRun:
+    """The progress of one completion on the engine."""
+
+    def __init__(
+        self,
+        parts: EngineParts,
+        work: Work,
+        answer: Answer,
+        dispatch: DispatchCompletion,
+    ) -> None:
+        """Send nothing yet."""
+        self.parts = parts
+        self.work = work
+        self.answer = answer
+        self.dispatch = dispatch
+        permit = work.permit
+        # A caller may send a request id again; the engine's id never repeats.
+        self.engine_id = '.'.join(
+            (dispatch.request_id, permit.incarnation, str(permit.serial))
+        )
+        # True from the moment a byte may reach the engine.
+        self.sent = False
+        self.began = monotonic()
+        self.backlog_tokens = 0
+        self.next_token = dispatch.resume_from
+
+    def run(self) -> None:
+        """Run the completion in a place that the work holds.
+
+        Raises `TrestleError`. However it ends, the engine is left without
+        the request.
+        """
+        dispatch = self.dispatch
+        ticket = self._import_ticket(dispatch.kv_ticket)
+        self._note_begin()
+        finished = False
+        try:
+            self._stream(ticket)
+            finished = True
+        finally:
+            if not finished:
+                spawn(_cancel, self.parts, self.engine_id)
+            self.parts.watch.end(self.engine_id)
+
+    def _note_begin(self) -> None:
+        parts = self.parts
+        priority = self.work.demand.priority
+        ahead = occupancy(priority, parts.places.running.values(), ())
+        self.backlog_tokens = ahead.prefill_tokens
+        self.began = monotonic()
+        parts.watch.begin(
+            self.engine_id,
+            self.dispatch.request_id,
+            self.dispatch.content_digest,
+        )
+
+    def _stream(self, ticket: str) -> None:
+        dispatch = self.dispatch
+        completion = EngineCompletion(
+            request_id=self.engine_id,
+            model=dispatch.model,
+            prompt=dispatch.prompt,
+            max_tokens=dispatch.max_tokens,
+            priority=dispatch.priority,
+            resume_from=dispatch.resume_from,
+            adapter=dispatch.adapter,
+            kv_ticket=ticket,
+        )
+        self.sent = True
+        with self._crash_checked():
+            stream = self.parts.engine.complete(completion)
+            with closing(stream):
+                self._read(stream)
+
+    @contextmanager
+    def _crash_checked(self) -> Iterator[None]:
+        try:
+            yield
+        except TrestleError as error:
+            if error.verdict is Verdict.NOT_RUN:
+                self.sent = False
+            if error.code is ENGINE_CRASHED:
+                self._check_crash()
+            raise
+
+    def _check_crash(self) -> None:
+        watch = self.parts.watch
+        if self.engine_id in watch.running:
+            watch.check(monotonic())
+
+    def _read(self, stream: EngineStream) -> None:
+        finish = None
+        for batch in stream.batches:
+            finish = self._take_batch(batch)
+            if finish:
+                break
+        if finish is None:
+            raise _incomplete('The engine sent no finish marker.')
+        self._finish(finish)
+        self._count_after_finish(stream)
+
+    def _take_batch(self, batch: list[EngineToken]) -> EngineToken | None:
+        texts = []
+        finish = None
+        for token in batch:
+            if token.request_id != self.engine_id:
+                self._drop('crossed-id')
+            elif finish:
+                self._drop('after-finish')
+            elif token.finish_reason:
+                finish = token
+            elif self._is_next(token):
+                texts.append(token.text)
+                self.next_token += 1
+        if texts:
+            self._note_first_token()
+            self.answer.append(texts)
+        return finish
+
+    def _is_next(self, token: EngineToken) -> bool:
+        if token.number > self.next_token:
+            raise _incomplete(f'Token {self.next_token} is missing.')
+        if token.number < self.next_token:
+            self._drop('repeated-token')
+            return False
+        return True
+
+    def _note_first_token(self) -> None:
+        if self.work.prefilled:
+            return
+        self.work.prefilled = True
+        self.parts.cache.note_dispatched(self.work.demand.pieces)
+        seconds = monotonic() - self.began
+        self.parts.estimate.learn_first_token(self.backlog_tokens, seconds)
+        self.parts.metrics.observe_seconds('engine_first_token', seconds)
+
+    def _finish(self, finish: EngineToken) -> None:
+        if finish.number != self.next_token:
+            raise _incomplete('The finish marker stands at another token.')
+        ending = AnswerEnd(
+            permit=self.work.permit,
+            request_id=self.dispatch.request_id,
+            total=self.next_token,
+            finish_reason=finish.finish_reason or '',
+            kv_ticket=self._export_ticket(),
+        )
+        self.parts.metrics.count('answers', 'whole')
+        self.answer.end(ending)
+
+    def _count_after_finish(self, stream: EngineStream) -> None:
+        # The answer is whole and on its way; what still comes is counted.
+        try:
+            with Timeout(_AFTER_FINISH_SECONDS):
+                for batch in stream.batches:
+                    for _ in batch:
+                        self._drop('after-finish')
+        except (Timeout, TrestleError) as error:
+            _log.debug('The stream ended late: {}.', error)
+
+    def _drop(self, reason: str) -> None:
+        self.parts.metrics.count('engine_events_dropped', reason)
+
+    def _import_ticket(self, ticket: str) -> str:
+        if not ticket:
+            return ''
+        try:
+            imported = self.parts.engine.import_kv(ticket)
+        except OSError:
+            imported = False
+        label = 'imported' if imported else 'missed'
+        self.parts.metrics.count('kv_imports', label)
+        return ticket if imported else ''
+
+    def _export_ticket(self) -> str:
+        if self.work.demand.phase != 'prefill':
+            return ''
+        try:
+            return self.parts.engine.export_kv(self.engine_id)
+        except OSError:
+            self.parts.metrics.count('kv_exports', 'failed')
+            return ''
+
+
+def _cancel(parts: EngineParts, engine_id: str) -> None:
+    try:
+        parts.engine.cancel(engine_id)
+    except OSError:
+        # Without an engine there is nothing to cancel.
+        parts.metrics.count('engine_cancels', 'failed')
+    else:
+        parts.metrics.count('engine_cancels', 'sent')
+
+
+def _incomplete(text: str) -> TrestleError:
+    return TrestleError(ANSWER_INCOMPLETE, text, Verdict.MAY_HAVE_RUN)
--- /dev/null
+++ b/packages/trestle-endpoint/src/trestle_endpoint/http_pages.py
@@ -0,0 +1,75 @@
+"""The HTTP pages of the process: /healthz, /ready and /metrics."""
+
+from collections.abc import Callable, Iterable
+from typing import Any, Final
+
+from gevent.pywsgi import WSGIServer
+
+from trestle_core.addresses import (
+    Address,
+    resolve_address,
+    write_address_file,
+)
+from trestle_core.errorcodes import ErrorCode
+from trestle_core.metrics import Metrics
+from trestle_core.settings import CommonSettings
+
+_TEXT: Final = (('Content-Type', 'text/plain; charset=utf-8'),)
+
+Reason = Callable[[], ErrorCode | None]
+Refresh = Callable[[], None]
+
+
+class HttpPages:
+    """The server of the pages."""
+
+    def __init__(
+        self,
+        settings: CommonSettings,
+        reason: Reason,
+        refresh: Refresh,
+        metrics: Metrics,
+    ) -> None:
+        """Prepare the listener.
+
+        `reason` tells why the process is not ready; `refresh` sets the
+        gauges before they are shown.
+        """
+        self.address_file = settings.http_address_file
+        self.reason = reason
+        self.refresh = refresh
+        self.metrics = metrics
+        address = resolve_address(settings.http_listen)
+        self.server = WSGIServer(
+            (address.ip, address.port), self._serve, log=None, error_log=None
+        )
+
+    def start(self) -> None:
+        """Bind, write the address file and serve."""
+        self.server.start()
+        ip, port = self.server.socket.getsockname()[:2]
+        write_address_file(self.address_file, Address(ip, port))
+
+    def stop(self) -> None:
+        """Stop serving."""
+        self.server.stop(timeout=1)
+
+    def _serve(
+        self, environ: dict[str, Any], start: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        status, text = self._page(environ['PATH_INFO'])
+        start(status, list(_TEXT))
+        return [text.encode()]
+
+    def _page(self, path: str) -> tuple[str, str]:
+        if path == '/healthz':
+            return '200 OK', 'ok\n'
+        if path == '/ready':
+            reason = self.reason()
+            if reason is None:
+                return '200 OK', 'ready\n'
+            return '503 Service Unavailable', f'{reason.code}\n'
+        if path == '/metrics':
+            self.refresh()
+            return '200 OK', self.metrics.render()
+        return '404 Not Found', 'not-found\n'
--- /dev/null
+++ b/packages/trestle-endpoint/src/trestle_endpoint/permit_handlers.py
@@ -0,0 +1,70 @@
+"""Handlers of permits and of named sets that a peer holds."""
+
+from trestle_core.errorcodes import STALE_NODE
+from trestle_core.errors import TrestleError
+from trestle_endpoint.endpoint_core import EndpointCore, Target
+from trestle_endpoint.grants import GrantLimits, GrantParts, grant_permit
+from trestle_links.connection import Channel
+from trestle_links.link_messages import Done
+from trestle_links.link_server import Handlers
+from trestle_links.permit_messages import (
+    PermitAsk,
+    PermitGrant,
+    PermitReturn,
+    PermitRevoke,
+    PermitRevoked,
+)
+from trestle_links.watch_messages import FetchSet, SetDelta
+
+
+def permit_handlers(core: EndpointCore, target: Target) -> Handlers:
+    """Return the handlers that every endpoint process has."""
+    settings = core.settings
+    parts = GrantParts(
+        limits=GrantLimits(
+            settings.target, settings.max_running, settings.max_queued
+        ),
+        state=core.state,
+        permits=core.permits,
+        places=core.places,
+        estimate=core.estimate,
+        pool=core.pool,
+        matched_pieces=target.matched_pieces,
+        set_version=lambda: core.control.view.set_version,
+        metrics=core.metrics,
+    )
+
+    def ask(body: PermitAsk, _channel: Channel) -> PermitGrant:
+        return grant_permit(parts, body)
+
+    def give_back(body: PermitReturn, _channel: Channel) -> Done:
+        core.permits.give_back(body.permit)
+        return Done()
+
+    def revoke(body: PermitRevoke, _channel: Channel) -> PermitRevoked:
+        return core.permits.revoke(body.permit)
+
+    def fetch_set(_body: FetchSet, _channel: Channel) -> SetDelta:
+        return _set_in_force(core)
+
+    def offer_set(body: SetDelta, _channel: Channel) -> Done:
+        # From an entry that saw in a grant that this process is behind.
+        core.control.offer_set(body)
+        return Done()
+
+    return {
+        PermitAsk: ask,
+        PermitReturn: give_back,
+        PermitRevoke: revoke,
+        FetchSet: fetch_set,
+        SetDelta: offer_set,
+    }
+
+
+def _set_in_force(core: EndpointCore) -> SetDelta:
+    view = core.control.view
+    if view.named_set is None:
+        raise TrestleError(STALE_NODE, 'No named set is in force here.')
+    return SetDelta(
+        view.set_version, view.set_digest, view.set_content, view.set_log_index
+    )
--- /dev/null
+++ b/packages/trestle-endpoint/src/trestle_endpoint/wait_estimate.py
@@ -0,0 +1,101 @@
+"""The predicted time to the first token, learned from what completed.
+
+The prediction has three parts: the wait for a place, the prompt tokens that
+the engine reads first, and a fixed part. Each rate is a moving average of
+what this process itself saw, so no lagging load report enters. The engine
+honours priorities, so only work at least as urgent counts as ahead.
+"""
+
+from collections.abc import Iterable
+from typing import Final, NamedTuple
+
+from trestle_endpoint.permits import Demand, Work
+
+_WEIGHT: Final = 0.2
+_FIRST_PREFILL_TOKENS_PER_SECOND: Final = 20_000.0
+_FIRST_RUN_SECONDS: Final = 1.0
+_FIRST_FIXED_SECONDS: Final = 0.02
+# Below this the fixed part hides the reading of the prompt.
+_LEAST_LEARNED_TOKENS: Final = 500
+
+
+class Occupancy(NamedTuple):
+    """The work ahead of a demand, counted where it waits."""
+
+    prefill_tokens: int
+    running: int
+    queued: int
+    long_prompts: int
+
+
+class WaitEstimate:
+    """Moving averages of one target."""
+
+    def __init__(self, max_running: int) -> None:
+        """Start from cautious rates."""
+        self.max_running = max_running
+        self.prefill_rate = _FIRST_PREFILL_TOKENS_PER_SECOND
+        self.fixed_seconds = _FIRST_FIXED_SECONDS
+        self.run_seconds = _FIRST_RUN_SECONDS
+        self.long_run_seconds = _FIRST_RUN_SECONDS
+
+    def first_token_seconds(
+        self, demand: Demand, ahead: Occupancy, long_limit: int
+    ) -> float:
+        """Predict the time from dispatch to the first token."""
+        tokens = ahead.prefill_tokens + demand.prefill_tokens
+        return (
+            self.fixed_seconds
+            + tokens / self.prefill_rate
+            + self._place_seconds(demand, ahead, long_limit)
+        )
+
+    def learn_first_token(self, tokens: int, seconds: float) -> None:
+        """Take in a first token that came after so many prompt tokens."""
+        if tokens < _LEAST_LEARNED_TOKENS:
+            self.fixed_seconds = _moved(self.fixed_seconds, seconds)
+            return
+        reading = max(seconds - self.fixed_seconds, seconds / 2, 0.001)
+        self.prefill_rate = _moved(self.prefill_rate, tokens / reading)
+
+    def learn_run(self, demand: Demand, seconds: float) -> None:
+        """Take in how long a place was held."""
+        if demand.is_long:
+            self.long_run_seconds = _moved(self.long_run_seconds, seconds)
+        self.run_seconds = _moved(self.run_seconds, seconds)
+
+    def _place_seconds(
+        self, demand: Demand, ahead: Occupancy, long_limit: int
+    ) -> float:
+        over = ahead.running + ahead.queued + 1 - self.max_running
+        seconds = max(0, over) * self.run_seconds / self.max_running
+        if demand.is_long:
+            over = ahead.long_prompts + 1 - long_limit
+            long_seconds = max(0, over) * self.long_run_seconds / long_limit
+            seconds = max(seconds, long_seconds)
+        return seconds
+
+
+def occupancy(
+    priority: int,
+    running: Iterable[Work],
+    others: Iterable[Work],
+) -> Occupancy:
+    """Count the work ahead of a demand of this priority.
+
+    All that runs holds a place; of the others only the more or equally
+    urgent come first.
+    """
+    running = list(running)
+    ahead = [work for work in others if work.demand.priority <= priority]
+    tokens = sum(
+        work.demand.prefill_tokens
+        for work in (*running, *ahead)
+        if work.demand.priority <= priority and not work.prefilled
+    )
+    long_prompts = sum(work.demand.is_long for work in (*running, *ahead))
+    return Occupancy(tokens, len(running), len(ahead), long_prompts)
+
+
+def _moved(average: float, sample: float) -> float:
+    return average + _WEIGHT * (sample - average)
