Endpoint process: tried against the fakes; JSON pages, advertised address

Cause: the first run of the process against the fake engine and the fake service (a hand trial, not a test: real processes, a control stub in the trial) showed four faults: - the subscripted Greenlet annotation of a named tuple is evaluated; - /admin/state of the fake gives fencing as a boolean, so no state was read and the process never became ready; the field is not used here and is no longer decoded; - a failing read of the state page logged a line at each poll, now one; - readiness pages are read as JSON by the harness. An outcome not-run is recorded like any other, for the control state frees the key on it; no separate release.

--- a/packages/trestle-endpoint/src/trestle_endpoint/admission.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/admission.py
@@ -15,13 +15,14 @@
 _RETRY_SECONDS: Final = 0.3
 
 AdmitHook = Callable[[AdmitReply], None]
+RequestMaker = Callable[[], AdmitEndpoint]
 
 _log = part_logger('admission')
 
 
 def admit_until_done(
     submit: Submit,
-    request: AdmitEndpoint,
+    make_request: RequestMaker,
     state: AdmissionState,
     on_admitted: AdmitHook,
 ) -> None:
@@ -32,9 +33,9 @@
     """
     refused = ''
     while not state.draining:
-        reply = _ask(submit, request)
+        reply = _ask(submit, make_request)
         if reply and reply.admitted:
-            _log.info('Incarnation {} is admitted.', request.incarnation)
+            _log.info('Incarnation {} is admitted.', state.incarnation)
             state.admitted.set()
             on_admitted(reply)
             return
@@ -44,9 +45,11 @@
         sleep(_RETRY_SECONDS)
 
 
-def _ask(submit: Submit, request: AdmitEndpoint) -> AdmitReply | None:
+def _ask(submit: Submit, make_request: RequestMaker) -> AdmitReply | None:
+    # The request is made anew: the advertised address may come in a file
+    # that another process has not written yet.
     try:
-        return submit(request, AdmitReply, _SUBMIT_SECONDS)
-    except TrestleError as error:
+        return submit(make_request(), AdmitReply, _SUBMIT_SECONDS)
+    except (TrestleError, OSError, ValueError) as error:
         _log.warning('No answer to the admission: {}.', error)
         return None
--- a/packages/trestle-endpoint/src/trestle_endpoint/calls.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/calls.py
@@ -35,7 +35,6 @@
     ClaimReply,
     Outcome,
     RecordOutcome,
-    ReleaseClaim,
 )
 from trestle_links.connection import Channel
 
@@ -126,13 +125,9 @@
         self.parts.metrics.observe_seconds('service_call', seconds)
 
     def _commit(self, body: DispatchCall, outcome: Outcome) -> None:
+        # An outcome `not-run` frees the key.
         claim_key = ClaimKey(body.service, body.caller, body.key)
-        command: RecordOutcome | ReleaseClaim
-        if outcome.verdict is Verdict.NOT_RUN:
-            # The key is free again; the entry commits the refusal, if any.
-            command = ReleaseClaim(claim_key, body.permit)
-        else:
-            command = RecordOutcome(claim_key, body.permit, outcome)
+        command = RecordOutcome(claim_key, body.permit, outcome)
         reply = submit_until_done(self.parts.submit, command, ClaimReply)
         if not reply.accepted:
             self.parts.metrics.count('outcomes_not_accepted')
@@ -156,7 +151,7 @@
 def _answer_from(body: DispatchCall, work: Work) -> CallAnswer:
     known = work.outcome or _IN_DOUBT
     if known.verdict is Verdict.NOT_RUN and not work.settled.is_set():
-        # `not-run` is answered only when its release is committed.
+        # `not-run` is answered only when the key is free.
         known = _IN_DOUBT
     code = _code_of(known)
     return CallAnswer(
--- a/packages/trestle-endpoint/src/trestle_endpoint/completions.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/completions.py
@@ -50,7 +50,7 @@
     """An answer and the greenlet that fills it."""
 
     answer: Answer
-    runner: Greenlet[..., None]
+    runner: 'Greenlet[..., None]'
 
 
 class Completions:
--- a/packages/trestle-endpoint/src/trestle_endpoint/endpoint_app.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/endpoint_app.py
@@ -10,7 +10,7 @@
 
 from gevent import Greenlet, sleep, spawn
 
-from trestle_core.addresses import write_address_file
+from trestle_core.addresses import resolve_address, write_address_file
 from trestle_core.lifecycle import Application
 from trestle_core.logs import part_logger
 from trestle_core.metrics import Metrics
@@ -71,24 +71,13 @@
     def start(self) -> None:
         """Listen, and ask for admission."""
         self.server.start()
-        settings = self.core.settings
-        address = self.server.address
-        write_address_file(settings.address_file, address)
-        request = AdmitEndpoint(
-            host=settings.host,
-            incarnation=self.core.permits.incarnation,
-            zone=settings.zone,
-            address=str(address),
-            target_kind=settings.target_kind,
-            target=settings.target,
-            engine_role=settings.engine_role,
-        )
+        write_address_file(self.core.settings.address_file, self.server.address)
         self.tasks = [
             spawn(self._poll_target),
             spawn(
                 admit_until_done,
                 self.core.control.submit,
-                request,
+                self._admission_request,
                 self.core.state,
                 self.target.on_admitted,
             ),
@@ -116,6 +105,21 @@
         metrics.set_gauge('permits_used', len(core.permits.used))
         metrics.set_gauge('set_version', core.control.view.set_version)
 
+    def _admission_request(self) -> AdmitEndpoint:
+        settings = self.core.settings
+        address = self.server.address
+        if settings.advertise:
+            address = resolve_address(settings.advertise)
+        return AdmitEndpoint(
+            host=settings.host,
+            incarnation=self.core.permits.incarnation,
+            zone=settings.zone,
+            address=str(address),
+            target_kind=settings.target_kind,
+            target=settings.target,
+            engine_role=settings.engine_role,
+        )
+
     def _is_idle(self) -> bool:
         # A granted permit is a promise: it is used, returned, or expires.
         self.core.permits.expire()
--- a/packages/trestle-endpoint/src/trestle_endpoint/engine_interface.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/engine_interface.py
@@ -72,7 +72,6 @@
     role: str
     model: str
     version: str
-    fencing: int
     adapters: list[str] = field(default_factory=list)
     order: EngineOrderState | None = None
 
--- a/packages/trestle-endpoint/src/trestle_endpoint/engine_load.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/engine_load.py
@@ -100,9 +100,10 @@
             except ConnectFailedError as error:
                 self._note_down(str(error), sign)
             except OSError as error:
-                self.is_up = False
                 self.metrics.count('engine_state_failures', 'no-answer')
-                _log.warning('The engine shows no state: {}.', error)
+                if self.is_up:
+                    _log.warning('The engine shows no state: {}.', error)
+                self.is_up = False
             else:
                 self._take_state(state, sign)
 
--- a/packages/trestle-endpoint/src/trestle_endpoint/http_pages.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/http_pages.py
@@ -1,21 +1,20 @@
 """The HTTP pages of the process: /healthz, /ready and /metrics."""
 
 from collections.abc import Callable, Iterable
-from typing import Any, Final
+from typing import Any
 
 from gevent.pywsgi import WSGIServer
+from msgspec.json import encode
 
 from trestle_core.addresses import (
     Address,
     resolve_address,
     write_address_file,
 )
-from trestle_core.errorcodes import ErrorCode
+from trestle_core.errorcodes import NOT_FOUND, ErrorCode
 from trestle_core.metrics import Metrics
 from trestle_core.settings import CommonSettings
 
-_TEXT: Final = (('Content-Type', 'text/plain; charset=utf-8'),)
-
 Reason = Callable[[], ErrorCode | None]
 Refresh = Callable[[], None]
 
@@ -57,19 +56,22 @@
     def _serve(
         self, environ: dict[str, Any], start: Callable[..., Any]
     ) -> Iterable[bytes]:
-        status, text = self._page(environ['PATH_INFO'])
-        start(status, list(_TEXT))
-        return [text.encode()]
-
-    def _page(self, path: str) -> tuple[str, str]:
-        if path == '/healthz':
-            return '200 OK', 'ok\n'
-        if path == '/ready':
-            reason = self.reason()
-            if reason is None:
-                return '200 OK', 'ready\n'
-            return '503 Service Unavailable', f'{reason.code}\n'
+        path = environ['PATH_INFO']
         if path == '/metrics':
             self.refresh()
-            return '200 OK', self.metrics.render()
-        return '404 Not Found', 'not-found\n'
+            start('200 OK', [('Content-Type', 'text/plain; charset=utf-8')])
+            return [self.metrics.render().encode()]
+        status, content = self._page(path)
+        start(status, [('Content-Type', 'application/json')])
+        return [encode(content)]
+
+    def _page(self, path: str) -> tuple[str, dict[str, Any]]:
+        if path == '/healthz':
+            return '200 OK', {'status': 'ok'}
+        if path != '/ready':
+            return '404 Not Found', {'code': NOT_FOUND.code}
+        reason = self.reason()
+        if reason is None:
+            return '200 OK', {'ready': True}
+        content = {'ready': False, 'code': reason.code}
+        return '503 Service Unavailable', content
