Claim model; a send opens one attempt, every refusal moves the mark

* a release barred the attempt that had claimed, and a barred attempt was refused without a commit that bars the others (variants barred-by-release and kept-mark).

Now a send keeps its one attempt and claims again with it after a release; a release bars nobody; a refusal always moves the mark to the highest attempt; a barred send commits a refusal of its own before it says not-run; refuse_key refuses again after a claim was released instead of answering uncommitted.

--- a/packages/trestle-control/src/trestle_control/claim_commands.py
+++ b/packages/trestle-control/src/trestle_control/claim_commands.py
@@ -5,10 +5,12 @@
 
 * an attempt number is never given twice, also after a register was dropped;
 * a claim is written once, by an attempt above the refusal mark;
-* a refusal commits only while no claim stands and bars all opened attempts;
-* a release needs the permit of the claim and no outcome, and bars the
-  attempts up to the one that claimed, so that a commit delivered again
-  cannot claim for a permit that is gone;
+* a refusal commits only while no claim stands and bars all opened attempts,
+  also when its own attempt is barred already: attempts opened since then
+  would else run after its `not-run`;
+* a release needs the permit of the claim and no outcome; it bars nobody, so
+  the attempt may claim again. A commit delivered again may then claim for
+  the permit that is gone; whoever follows that claim releases it;
 * an outcome is written once.
 
 Whoever answers `not-run` to a caller has committed a refusal first.
@@ -86,10 +88,8 @@
         return _forgotten(command.attempt, Permit('', '', 0))
     if register.claim:
         return ClaimReply(accepted=False, claim=register.claim)
-    if command.attempt > register.refused:
-        # A resend finds its attempt barred and leaves the mark.
-        register = register._replace(refused=register.opened)
-        _write(state, command.claim_key, register)
+    register = register._replace(refused=register.opened)
+    _write(state, command.claim_key, register)
     return ClaimReply(accepted=True, claim=None)
 
 
@@ -105,7 +105,7 @@
         return ClaimReply(accepted=True, claim=None)
     if claim.permit != command.permit or claim.outcome:
         return ClaimReply(accepted=False, claim=claim)
-    _free(state, command.claim_key, register, claim)
+    _write(state, command.claim_key, register._replace(claim=None))
     return ClaimReply(accepted=True, claim=None)
 
 
@@ -122,7 +122,7 @@
     if claim.outcome:
         return ClaimReply(claim.outcome == command.outcome, claim)
     if command.outcome.verdict is Verdict.NOT_RUN:
-        _free(state, command.claim_key, register, claim)
+        _write(state, command.claim_key, register._replace(claim=None))
         return ClaimReply(accepted=True, claim=None)
     claim = claim._replace(outcome=command.outcome)
     _write(state, command.claim_key, register._replace(claim=claim))
@@ -151,13 +151,6 @@
     state.registers[claim_key] = register._replace(touched_ms=state.clock_ms)
 
 
-def _free(
-    state: ControlState, claim_key: ClaimKey, register: Register, claim: Claim
-) -> None:
-    refused = max(register.refused, claim.attempt)
-    _write(state, claim_key, register._replace(claim=None, refused=refused))
-
-
 def _forgotten(attempt: int, permit: Permit) -> ClaimReply:
     # The key was dropped after its retention: nothing can be proved.
     unknown = Outcome(Verdict.MAY_HAVE_RUN, 0, b'')
--- a/packages/trestle-entry/src/trestle_entry/claimed_calls.py
+++ b/packages/trestle-entry/src/trestle_entry/claimed_calls.py
@@ -6,15 +6,16 @@
 Invariants, which testbed/claim_model.py explores exhaustively:
 
 * nothing is dispatched before its claim is committed;
-* `not-run` is answered only after a refusal was committed, or after a claim
-  was won by none and the attempt is barred;
+* `not-run` is answered only after a refusal was committed, by this send;
+* a send opens one attempt: a second one would pass over the refusals that
+  were answered since the first;
 * a claim is released only after the incarnation that issued its permit has
   revoked it unused; another incarnation proves nothing;
 * where the control state cannot be reached the answer is `may-have-run`.
 """
 
 from time import monotonic
-from typing import Final, TypeVar
+from typing import Final
 
 from trestle_core.digests import content_digest
 from trestle_core.errorcodes import (
@@ -51,32 +52,25 @@
 )
 
 _MS_PER_SECOND: Final = 1000
-_FOLLOW_SECONDS: Final = 0.05
-_MAX_FOLLOW_SECONDS: Final = 0.4
-_REVOKE_SECONDS: Final = 1.0
 # Time kept for the commits that follow the obtaining of a place.
 _COMMIT_RESERVE_SECONDS: Final = 0.5
 
 
-Reply = TypeVar('Reply')
-
-
 def run_claimed(context: EntryContext, call: ClaimedCall) -> ClaimedResult:
     """Run a call at most once, or return what its key has recorded.
 
     Raises `TrestleError` with a verdict on the key.
     """
+    opened = _open_attempt(context, call)
+    claim = opened.claim
     while True:
-        opened = _open_attempt(context, call)
-        if opened.conflict:
-            raise TrestleError(KEY_CONFLICT, KEY_CONFLICT_TEXT)
-        claim = opened.claim
         if claim is None:
             claim = _claim_and_run(context, call, opened.attempt)
         result = follow_claim(context, call, claim)
         if result:
             return result
         context.metrics.count('retries', 'claim-released')
+        claim = None
 
 
 def refuse_key(
@@ -90,13 +84,14 @@
     earlier send of the key has claimed it.
     """
     opened = _open_attempt(context, call)
-    if opened.conflict:
-        raise TrestleError(KEY_CONFLICT, KEY_CONFLICT_TEXT)
-    claim = opened.claim or _refuse(context, call, opened.attempt, error)
-    result = follow_claim(context, call, claim)
-    if result:
-        return result
-    raise TrestleError(OVERLOADED)
+    claim = opened.claim
+    while True:
+        if claim is None:
+            claim = _refuse(context, call, opened.attempt, error)
+        result = follow_claim(context, call, claim)
+        if result:
+            return result
+        claim = None
 
 
 def _open_attempt(context: EntryContext, call: ClaimedCall) -> AttemptOpened:
@@ -106,6 +101,8 @@
         call.job.request.request_id,
     )
     opened = submit_command(context, call, command, AttemptOpened)
+    if opened.conflict:
+        raise TrestleError(KEY_CONFLICT, KEY_CONFLICT_TEXT)
     call.record.note('attempt', number=opened.attempt)
     return opened
 
@@ -126,14 +123,20 @@
     reply = _commit_claim(context, call, attempt, place)
     if not reply.accepted:
         return_permit(context, place)
-        return _standing(reply)
+        # Without a claim, a refusal answered to another send has barred
+        # this attempt; `not-run` needs a refusal of its own.
+        return reply.claim or _refuse(
+            context, call, attempt, TrestleError(OVERLOADED)
+        )
     claim = reply.claim
     assert claim is not None
     return _dispatch_claimed(context, call, claim, place)
 
 
 def _obtain(context: EntryContext, call: ClaimedCall) -> Place:
-    latest = call.job.finish_by - _COMMIT_RESERVE_SECONDS
+    grace = context.settings.dispatch_grace_ms / _MS_PER_SECOND
+    latest = min(call.job.finish_by, call.job.request.arrived + grace)
+    latest -= _COMMIT_RESERVE_SECONDS
     if monotonic() > latest:
         raise TrestleError(DEADLINE_UNREACHABLE)
     need = PlaceNeed(service_ask(call.job), latest)
@@ -156,13 +159,6 @@
     return submit_command(context, call, command, ClaimReply)
 
 
-def _standing(reply: ClaimReply) -> Claim:
-    if reply.claim:
-        return reply.claim
-    # No claim stands: an answered refusal has barred this attempt.
-    raise TrestleError(OVERLOADED)
-
-
 def _dispatch_claimed(
     context: EntryContext,
     call: ClaimedCall,
