Engine orders: gate, execution, recovery; features of mid-order faults

Cause: an engine order could not be taken; a role change would have cut running work. Ruled out: sending an inherited order again (an engine without fencing may hold it already), and a confirmation from the state stream alone (a paused process would act on an old one). Conclusion: an order is sent at most once, by the incarnation that is admitted, and is ended by the log.

--- a/packages/trestle-endpoint/src/trestle_endpoint/endpoint_app.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/endpoint_app.py
@@ -21,13 +21,14 @@
 from trestle_endpoint.http_pages import HttpPages
 from trestle_endpoint.permit_handlers import permit_handlers
 from trestle_endpoint.service_target import service_target
-from trestle_links.fleet_messages import AdmitEndpoint
+from trestle_links.fleet_messages import AdmitEndpoint, AdmitReply
 from trestle_links.handshake import read_key
 from trestle_links.link import Identity
 from trestle_links.link_server import LinkServer
 
 _MS_PER_SECOND: Final = 1000
 _DRAIN_POLL_SECONDS: Final = 0.02
+_CONFIRM_SECONDS: Final = 3.0
 
 _log = part_logger('endpoint')
 
@@ -74,6 +75,7 @@
         write_address_file(self.core.settings.address_file, self.server.address)
         self.tasks = [
             spawn(self._poll_target),
+            spawn(self.target.run, self._confirm_admission),
             spawn(
                 admit_until_done,
                 self.core.control.submit,
@@ -120,10 +122,18 @@
             engine_role=settings.engine_role,
         )
 
+    def _confirm_admission(self) -> AdmitReply:
+        # The resend of a committed admission reads the present assignment.
+        return self.core.control.submit(
+            self._admission_request(), AdmitReply, _CONFIRM_SECONDS
+        )
+
     def _is_idle(self) -> bool:
         # A granted permit is a promise: it is used, returned, or expires.
-        self.core.permits.expire()
-        return not self.core.permits.outstanding and self.target.is_idle()
+        permits = self.core.permits
+        permits.expire()
+        admitted = permits.outstanding or permits.used
+        return not admitted and self.target.is_idle()
 
     def _poll_target(self) -> None:
         pause_seconds = self.core.settings.load_every_ms / _MS_PER_SECOND
--- a/packages/trestle-endpoint/src/trestle_endpoint/endpoint_core.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/endpoint_core.py
@@ -9,6 +9,7 @@
 from trestle_endpoint.admission_state import AdmissionState, ControlFacts
 from trestle_endpoint.contents import Contents
 from trestle_endpoint.grants import long_limit
+from trestle_endpoint.orders import ConfirmAssignment
 from trestle_endpoint.permits import PermitTable
 from trestle_endpoint.places import PlaceLimits, Places
 from trestle_endpoint.wait_estimate import WaitEstimate
@@ -45,6 +46,8 @@
     matched_pieces: Callable[[list[str]], int]
     figures: Callable[[], dict[str, float]]
     on_admitted: Callable[[AdmitReply], None]
+    # A background task; its argument asks for the admission once more.
+    run: Callable[[ConfirmAssignment], None]
 
 
 def build_core(
--- a/packages/trestle-endpoint/src/trestle_endpoint/engine_adapter.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/engine_adapter.py
@@ -4,7 +4,7 @@
 typed decode for each event.
 """
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any, Final
 
 from msgspec import DecodeError, Struct
@@ -79,8 +79,10 @@
         reply = fetch(resolve, HttpRequest('GET', path), _ADMIN_SECONDS)
         return _decoded(reply, expected)
 
-    def send_order(order: EngineOrder) -> str:
-        reply = call('/admin/orders', order._asdict())
+    def send_order(order: EngineOrder, may_send: Callable[[], bool]) -> str:
+        body = encode(order._asdict())
+        request = HttpRequest('POST', '/admin/orders', body)
+        reply = fetch(resolve, request, _ADMIN_SECONDS, may_send)
         if reply.status == _ACCEPTED:
             return ''
         return _refusal_code(reply.body)
--- a/packages/trestle-endpoint/src/trestle_endpoint/engine_interface.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/engine_interface.py
@@ -104,14 +104,15 @@
 
     All raise `ConnectFailedError` or `ExchangeBrokenError`, but `complete`,
     which raises `TrestleError` with a true verdict. `send_order` returns the
-    code of a refusal, or an empty text.
+    code of a refusal, or an empty text; it asks its second argument right
+    before the first byte and sends nothing when that is false.
     """
 
     complete: Callable[[EngineCompletion], EngineStream]
     cancel: Callable[[str], None]
     read_load: Callable[[], EngineLoad]
     read_state: Callable[[], EngineState]
-    send_order: Callable[[EngineOrder], str]
+    send_order: Callable[[EngineOrder, Callable[[], bool]], str]
     read_cache_events: Callable[[int], CacheEvents]
     export_kv: Callable[[str], str]
     import_kv: Callable[[str], bool]
--- a/packages/trestle-endpoint/src/trestle_endpoint/engine_run.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/engine_run.py
@@ -87,9 +87,10 @@
             self._stream(ticket)
             finished = True
         finally:
-            if not finished:
+            if finished:
+                self.parts.watch.end(self.engine_id)
+            else:
                 spawn(_cancel, self.parts, self.engine_id)
-            self.parts.watch.end(self.engine_id)
 
     def _note_begin(self) -> None:
         parts = self.parts
@@ -238,6 +239,9 @@
         parts.metrics.count('engine_cancels', 'failed')
     else:
         parts.metrics.count('engine_cancels', 'sent')
+    finally:
+        # Until now the engine may have run it.
+        parts.watch.end(engine_id)
 
 
 def _incomplete(text: str) -> TrestleError:
--- a/packages/trestle-endpoint/src/trestle_endpoint/engine_target.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/engine_target.py
@@ -1,5 +1,7 @@
 """The parts of an endpoint process beside a model engine."""
 
+from typing import Final
+
 from trestle_core.addresses import resolve_address
 from trestle_endpoint.completions import Completions
 from trestle_endpoint.endpoint_core import EndpointCore, Target
@@ -7,10 +9,18 @@
 from trestle_endpoint.engine_interface import EngineAdapter
 from trestle_endpoint.engine_load import EngineWatch
 from trestle_endpoint.engine_run import EngineParts
+from trestle_endpoint.order_gate import OrderGate
+from trestle_endpoint.orders import (
+    ConfirmAssignment,
+    OrderParts,
+    Orders,
+)
 from trestle_endpoint.prefix_cache import PrefixCache
 from trestle_links.answer_messages import AnswerResume, DispatchCompletion
 from trestle_links.fleet_messages import AdmitReply
 
+_MS_PER_SECOND: Final = 1000
+
 
 def engine_target(core: EndpointCore) -> Target:
     """Join the parts around the engine that the settings name."""
@@ -33,7 +43,29 @@
         if watch.is_up:
             _read_cache_events(engine, cache, watch)
 
-    def on_admitted(_reply: AdmitReply) -> None:
+    gate = OrderGate(core.settings.host, core.state, core.metrics)
+    core.control.on_order.append(gate.offer)
+
+    def is_quiet() -> bool:
+        core.permits.expire()
+        admitted = core.permits.outstanding or core.permits.used
+        return not admitted and not watch.running
+
+    def run(confirm: ConfirmAssignment) -> None:
+        order_parts = OrderParts(
+            engine=engine,
+            state=core.state,
+            submit=core.control.submit,
+            confirm=confirm,
+            is_quiet=is_quiet,
+            refresh=poll,
+            timeout_seconds=core.settings.order_timeout_ms / _MS_PER_SECOND,
+            metrics=core.metrics,
+        )
+        Orders(order_parts, gate).run()
+
+    def on_admitted(reply: AdmitReply) -> None:
+        gate.admit(reply)
         watch.poll()
 
     return Target(
@@ -42,10 +74,11 @@
             AnswerResume: completions.resume,
         },
         poll=poll,
-        is_idle=lambda: core.places.is_idle() and not completions.deliveries,
+        is_idle=lambda: not completions.deliveries and not gate.busy,
         matched_pieces=cache.matched_pieces,
         figures=lambda: _figures(core, watch),
         on_admitted=on_admitted,
+        run=run,
     )
 
 
--- a/packages/trestle-endpoint/src/trestle_endpoint/http_exchange.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/http_exchange.py
@@ -117,17 +117,22 @@
 
 
 def fetch(
-    resolve: ResolveAddress, request: HttpRequest, timeout_seconds: float
+    resolve: ResolveAddress,
+    request: HttpRequest,
+    timeout_seconds: float,
+    may_send: Callable[[], bool] | None = None,
 ) -> HttpReply:
     """Send a request and return its whole answer.
 
-    Raises `ConnectFailedError`, or `ExchangeBrokenError` also when the time
-    is over.
+    Raises `ConnectFailedError`, also when `may_send` forbids the first byte,
+    or `ExchangeBrokenError`, also when the time is over.
     """
     exchange = HttpExchange.connect(resolve, request)
     limit = Timeout(timeout_seconds)
     try:
         with limit:
+            if may_send and not may_send():
+                raise ConnectFailedError('the time to send it is over')
             status = exchange.send(request)
             return HttpReply(status, exchange.read_all())
     except Timeout as error:
--- /dev/null
+++ b/packages/trestle-endpoint/src/trestle_endpoint/order_gate.py
@@ -0,0 +1,97 @@
+"""Which engine orders this process takes, and when the engine is closed.
+
+Orders come from the control state only: as a delta of the state stream, or
+with the reply to the admission, which is a committed command and so reads
+this endpoint's own assignment. A control host that lags may repeat an old
+order.
+
+Invariants: an order is taken once, and only with a fencing number above
+every number that was taken or told at the admission; an order that was
+outstanding at the admission may have been sent by an earlier incarnation
+and is never sent by this one.
+"""
+
+from typing import Final
+
+from gevent.event import Event
+
+from trestle_core.errorcodes import STALE_ORDER
+from trestle_core.metrics import Metrics
+from trestle_endpoint.admission_state import AdmissionState
+from trestle_links.fleet_messages import AdmitReply, Order, OrderState
+
+# The engine serves on while it loads an adapter.
+_SERVED_THROUGH: Final = frozenset(('load-adapter',))
+
+
+class OrderGate:
+    """The order that waits or runs, and the highest fencing number seen."""
+
+    def __init__(
+        self, host: str, state: AdmissionState, metrics: Metrics
+    ) -> None:
+        """Take nothing before the admission."""
+        self.host = host
+        self.state = state
+        self.metrics = metrics
+        self.highest = 0
+        self.inherited: Order | None = None
+        self.waiting: Order | None = None
+        # True from an order's arrival until its end is committed.
+        self.busy = False
+        self.arrived = Event()
+        self.admitted = Event()
+
+    def offer(self, order: Order) -> None:
+        """Take an order of the state stream if it is news."""
+        if order.endpoint != self.host or order.state is not OrderState.ISSUED:
+            return
+        if order.fencing <= self.highest:
+            repeated = order.fencing == self.highest
+            reason = 'seen-before' if repeated else STALE_ORDER.code
+            self.metrics.count('orders_refused', reason)
+            return
+        self.highest = order.fencing
+        self.waiting = order
+        self.busy = True
+        self.close_for(order)
+        self.arrived.set()
+
+    def admit(self, reply: AdmitReply) -> None:
+        """Take the assignment that the admission has read."""
+        if self.waiting and self.waiting.fencing <= reply.fencing:
+            self.waiting = None
+            self.busy = False
+        self.highest = max(self.highest, reply.fencing)
+        self.inherited = reply.order
+        if reply.order:
+            self.close_for(reply.order)
+        self.admitted.set()
+
+    def next_order(self) -> Order:
+        """Wait for an order and return it."""
+        while self.waiting is None:
+            self.arrived.clear()
+            self.arrived.wait()
+        order = self.waiting
+        self.waiting = None
+        return order
+
+    def finish(self) -> None:
+        """Note that the end of the running order is committed."""
+        self.busy = self.waiting is not None
+
+    def close_for(self, order: Order) -> None:
+        """Grant no permits from now on if the order interrupts the engine."""
+        if interrupts_engine(order):
+            self.state.order_waits = True
+
+    def reopen(self) -> None:
+        """Grant permits again unless another order waits."""
+        if self.waiting is None or not interrupts_engine(self.waiting):
+            self.state.order_waits = False
+
+
+def interrupts_engine(order: Order) -> bool:
+    """Tell whether the engine serves nothing while it runs an order."""
+    return order.kind not in _SERVED_THROUGH
--- /dev/null
+++ b/packages/trestle-endpoint/src/trestle_endpoint/orders.py
@@ -0,0 +1,158 @@
+"""Carries out the orders of the control state, one after another.
+
+The way of an order: permits stop, admitted work ends, the assignment is
+read once more from the control state, the order is sent, its end is
+reported until that is committed, and permits start again once the engine
+shows no order.
+
+The assignment is confirmed by the command of the admission, which is
+committed: an incarnation that another one has replaced, or whose order was
+reported already, sends nothing. The confirmation holds for a short time by
+this process's own clock, so that a process that was paused after it sends
+nothing either. Between the last look at the clock and the first byte only
+an engine that checks fencing numbers can refuse.
+"""
+
+from collections.abc import Callable
+from time import monotonic
+from typing import Final, NamedTuple
+
+from gevent import sleep
+
+from trestle_core.errorcodes import DRAINING, INTERNAL, STALE_ORDER
+from trestle_core.errors import TrestleError
+from trestle_core.logs import part_logger
+from trestle_core.metrics import Metrics
+from trestle_endpoint.admission_state import AdmissionState
+from trestle_endpoint.contents import Submit, submit_until_done
+from trestle_endpoint.engine_interface import EngineAdapter
+from trestle_endpoint.order_gate import OrderGate, interrupts_engine
+from trestle_endpoint.order_run import (
+    OrderEnd,
+    OrderRun,
+    failed_order,
+    read_quiet_state,
+)
+from trestle_links.fleet_messages import (
+    AdmitReply,
+    CommandReply,
+    Order,
+    ReportOrder,
+)
+
+_IDLE_POLL_SECONDS: Final = 0.01
+_CONFIRM_RETRY_SECONDS: Final = 0.3
+_CONFIRMED_SECONDS: Final = 1.0
+
+ConfirmAssignment = Callable[[], AdmitReply]
+
+_log = part_logger('orders')
+
+
+class OrderParts(NamedTuple):
+    """What carrying out orders needs."""
+
+    engine: EngineAdapter
+    state: AdmissionState
+    submit: Submit
+    confirm: ConfirmAssignment
+    # True when no admitted request can reach the engine or runs there.
+    is_quiet: Callable[[], bool]
+    # Reads the engine anew, so that permits rest on its present state.
+    refresh: Callable[[], None]
+    timeout_seconds: float
+    metrics: Metrics
+
+
+class Orders:
+    """The serial execution of orders on one engine."""
+
+    def __init__(self, parts: OrderParts, gate: OrderGate) -> None:
+        """Carry out nothing yet."""
+        self.parts = parts
+        self.gate = gate
+
+    def run(self) -> None:
+        """Carry out orders for ever."""
+        self.gate.admitted.wait()
+        if self.gate.inherited:
+            self._recover(self.gate.inherited)
+        while True:
+            order = self.gate.next_order()
+            _log.info('Order {} arrived: {}.', order.fencing, order.kind)
+            self._report(order, self._carry_out(order))
+            self.gate.finish()
+            self._reopen()
+
+    def _recover(self, order: Order) -> None:
+        # An earlier incarnation may have sent it, and the engine may still
+        # take it; nothing else is sent before the timeout is over.
+        _log.warning('Order {} was outstanding at the start.', order.fencing)
+        self.parts.metrics.count('orders', 'inherited')
+        run = OrderRun(self.parts.engine, order, self.parts.timeout_seconds)
+        self._report(order, run.follow())
+        self._reopen()
+
+    def _carry_out(self, order: Order) -> OrderEnd:
+        try:
+            return self._send(order)
+        except Exception:
+            _log.exception('Order {} failed unexpectedly.', order.fencing)
+            return failed_order(INTERNAL.summary)
+
+    def _send(self, order: Order) -> OrderEnd:
+        if interrupts_engine(order):
+            self._wait_quiet()
+        run = OrderRun(self.parts.engine, order, self.parts.timeout_seconds)
+        end = run.prepare()
+        if end:
+            return end
+        refusal = self._refusal(order)
+        if refusal:
+            self.parts.metrics.count('orders_refused', refusal)
+            return failed_order(f'it was not sent: {refusal}')
+        confirmed_until = monotonic() + _CONFIRMED_SECONDS
+        return run.send(lambda: monotonic() < confirmed_until)
+
+    def _wait_quiet(self) -> None:
+        while not self.parts.is_quiet():
+            sleep(_IDLE_POLL_SECONDS)
+
+    def _refusal(self, order: Order) -> str:
+        """Return why the order may not be sent, empty if it may."""
+        while not self.parts.state.draining:
+            try:
+                reply = self.parts.confirm()
+            except (TrestleError, OSError, ValueError) as error:
+                _log.warning('Order not confirmed yet: {}.', error)
+                sleep(_CONFIRM_RETRY_SECONDS)
+                continue
+            if not reply.admitted:
+                return reply.code
+            own = reply.order and reply.order.fencing == order.fencing
+            return '' if own else STALE_ORDER.code
+        return DRAINING.code
+
+    def _report(self, order: Order, end: OrderEnd) -> None:
+        _log.info(
+            'Order {} {}: {}.', order.fencing, end.state.value, end.detail
+        )
+        self.parts.metrics.count('orders', end.state.value)
+        report = ReportOrder(
+            order.endpoint,
+            self.parts.state.incarnation,
+            order.fencing,
+            end.state,
+            end.detail,
+        )
+        reply = submit_until_done(self.parts.submit, report, CommandReply)
+        if not reply.accepted:
+            self.parts.metrics.count('order_reports_refused', reply.code)
+
+    def _reopen(self) -> None:
+        """Grant permits again once the engine shows no running order."""
+        engine = self.parts.engine
+        while read_quiet_state(engine, self.parts.timeout_seconds) is None:
+            _log.warning('The engine shows no state without an order.')
+        self.parts.refresh()
+        self.gate.reopen()
--- a/packages/trestle-endpoint/src/trestle_endpoint/service_target.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/service_target.py
@@ -3,6 +3,7 @@
 from trestle_core.addresses import resolve_address
 from trestle_endpoint.calls import CallParts, Calls
 from trestle_endpoint.endpoint_core import EndpointCore, Target
+from trestle_endpoint.orders import ConfirmAssignment
 from trestle_endpoint.service_adapter import service_over_http
 from trestle_links.answer_messages import DispatchCall
 from trestle_links.fleet_messages import AdmitReply
@@ -27,6 +28,9 @@
     def on_admitted(_reply: AdmitReply) -> None:
         """A service takes no orders."""
 
+    def run(_confirm: ConfirmAssignment) -> None:
+        """A service has nothing to carry out."""
+
     return Target(
         handlers={DispatchCall: calls.dispatch},
         poll=poll,
@@ -38,4 +42,5 @@
             'run_seconds': core.estimate.run_seconds,
         },
         on_admitted=on_admitted,
+        run=run,
     )
