A lost link is seen by each read of its channels; features of answers

Cause: the end of a lost connection was given to one read only. Ruled out: a mend in the answer stream alone (other readers of a channel had the same wait). The proxy now stands between entries and an endpoint process by its advertised address.

--- a/packages/trestle-links/src/trestle_links/connection.py
+++ b/packages/trestle-links/src/trestle_links/connection.py
@@ -79,12 +79,10 @@
     def receive(self, timeout_seconds: float | None = None) -> Message | None:
         """Return the next message, or None at the end of the channel.
 
-        Raises `CallTimeoutError`, `LinkDownError`, or the peer's error.
+        Raises `CallTimeoutError`, `LinkDownError`, or the peer's error. The
+        end is returned or raised again at each further call.
         """
-        try:
-            body = self.received.get(timeout=timeout_seconds)
-        except Empty as error:
-            raise CallTimeoutError from error
+        body = self._next_body(timeout_seconds)
         if body is None and self.connection.lost.is_set():
             raise LinkDownError('the connection was lost', sent=True)
         if isinstance(body, ErrorReply):
@@ -100,6 +98,14 @@
         if not self.connection.lost.is_set():
             self.connection.send(encode_frame(self.number, None))
 
+    def _next_body(self, timeout_seconds: float | None) -> Message | None:
+        if self.ended.is_set() and self.received.empty():
+            return None
+        try:
+            return self.received.get(timeout=timeout_seconds)
+        except Empty as error:
+            raise CallTimeoutError from error
+
     def deliver(self, body: Message | None) -> None:
         """Take a frame from the reader."""
         if body is None:
--- a/testbed/cluster.py
+++ b/testbed/cluster.py
@@ -21,6 +21,7 @@
 KEY_BYTES: Final = 24
 PROXY: Final = 'proxy'
 HOST_LIST: Final = 'hosts'
+ANY_ENTRY: Final = 'entry'
 
 
 class Endpoint(NamedTuple):
@@ -39,7 +40,11 @@
 
 
 class Layout(NamedTuple):
-    """What to start; links are `SOURCE>TARGET` pairs behind the proxy."""
+    """What to start; links are `SOURCE>TARGET` pairs behind the proxy.
+
+    A link `entry>HOST` carries what all entries send to an endpoint process,
+    which then advertises the proxy's address.
+    """
 
     zones: tuple[str, ...]
     endpoints: tuple[Endpoint, ...]
@@ -120,6 +125,8 @@
 
     def start_endpoint(self, endpoint: Endpoint) -> Process:
         """Start the process of the system beside an engine or service."""
+        link = f'{ANY_ENTRY}>{endpoint.host}'
+        advertised = link in self.layout.links
         return self.start_daemon(
             endpoint.host,
             'endpoint',
@@ -128,6 +135,9 @@
                 'target_kind': endpoint.kind,
                 'target': endpoint.target,
                 'target_url': self.route(endpoint.host, endpoint.backend),
+                'advertise': self.route(ANY_ENTRY, endpoint.host)
+                if advertised
+                else '',
             },
         )
 
