The whole path as a feature: callers to engines and services and back

Cause: the roles were built apart; only a run through all of them shows that their messages agree. Ruled out: in-process roles in the test (they hide start order and links). Before: no run through all roles.

--- /dev/null
+++ b/testbed/firms.py
@@ -0,0 +1,43 @@
+"""Small systems of the two firms, as layouts for `Cluster`."""
+
+from pathlib import Path
+from typing import Final
+
+from testbed.cluster import Cluster, Endpoint, Layout
+from testbed.processes import ROOT
+
+MEDENA_ZONES: Final = ('plovdiv-a', 'plovdiv-b', 'asenovgrad', 'pazardzhik')
+MEDENA_SET: Final = ROOT / 'examples' / 'medena' / 'set'
+READER: Final = 'certificate-reader'
+DESK: Final = 'order-desk'
+
+
+def medena_layout(
+    readers: int,
+    desks: int,
+    engine_options: tuple[str, ...] = (),
+    **layout: object,
+) -> Layout:
+    """Return a layout of Medena's services, spread over its zones."""
+    model = (f'--model={READER}', '--version=1', *engine_options)
+    endpoints = [
+        Endpoint(f'reader-{number}', _zone(number), READER, model)
+        for number in range(1, readers + 1)
+    ]
+    endpoints.extend(
+        Endpoint(f'desk-{number}', _zone(number), DESK, kind='service')
+        for number in range(1, desks + 1)
+    )
+    return Layout(MEDENA_ZONES, tuple(endpoints), **layout)  # type: ignore[arg-type]
+
+
+def publish_when_ready(cluster: Cluster, folder: Path = MEDENA_SET) -> None:
+    """Publish a set once the control group answers; wait for every node."""
+    cluster.wait_ready(cluster.control_hosts)
+    published = cluster.operate('publish', str(folder), '--wait')
+    assert published.returncode == 0, published.stdout + published.stderr
+    cluster.wait_ready()
+
+
+def _zone(number: int) -> str:
+    return MEDENA_ZONES[number % len(MEDENA_ZONES)]
