Roles: offered work, goodput model, policy by plan, KV transfers by ticket

Cause: the mix of prompts and answers shifts within minutes and no engine can be added; roles are what can follow it. Ruled out: served work as the policy's input (an overloaded phase hides its own need); a transfer between mixed engines (it gains nothing). Before: roles never changed, each answer ran on one engine.

--- a/packages/trestle-control/src/trestle_control/control_app.py
+++ b/packages/trestle-control/src/trestle_control/control_app.py
@@ -9,6 +9,7 @@
 from trestle_control.node_table import NodeRelay, NodeTable
 from trestle_control.queries import QueryContext
 from trestle_control.replica import Replica
+from trestle_control.role_manager import RoleManager
 from trestle_control.status_pages import StatusPages
 from trestle_control.watch_server import WatchServer
 from trestle_core.addresses import write_address_file
@@ -63,12 +64,26 @@
     app.add(start=replica.start, stop=replica.stop)
     _add_pages(app, settings, metrics, replica)
     app.add(start=relay.start, stop=relay.stop)
+    _add_leader_tasks(app, settings, machine, replica, nodes, metrics)
+    return app
+
+
+def _add_leader_tasks(
+    app: Application,
+    settings: ControlSettings,
+    machine: ControlMachine,
+    replica: Replica,
+    nodes: NodeTable,
+    metrics: Metrics,
+) -> None:
+    """Add what runs on every member and acts on the leader only."""
     clock = LeaderClock(machine, replica, settings.answer_retention_ms)
     app.add(start=clock.start, stop=clock.stop)
+    roles = RoleManager.from_config(settings, machine, replica, nodes, metrics)
+    app.add(start=roles.start, stop=roles.stop)
     if settings.host_list_url:
         hosts = HostListReader.from_config(settings, machine, replica, metrics)
         app.add(start=hosts.start, stop=hosts.stop)
-    return app
 
 
 def _add_servers(
--- a/packages/trestle-core/src/trestle_core/errorcodes.py
+++ b/packages/trestle-core/src/trestle_core/errorcodes.py
@@ -91,6 +91,9 @@
 ENGINE_REFUSED: Final = _in_doubt(
     'engine-refused', 502, 'The engine refused the request.'
 )
+KV_UNAVAILABLE: Final = _refusal(
+    'kv-unavailable', 503, 'The KV cache of the ticket cannot be had.'
+)
 ANSWER_INCOMPLETE: Final = _in_doubt(
     'answer-incomplete', 502, 'The answer ended early.'
 )
--- a/packages/trestle-endpoint/src/trestle_endpoint/engine_run.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/engine_run.py
@@ -12,7 +12,11 @@
 
 from gevent import Timeout, spawn
 
-from trestle_core.errorcodes import ANSWER_INCOMPLETE, ENGINE_CRASHED
+from trestle_core.errorcodes import (
+    ANSWER_INCOMPLETE,
+    ENGINE_CRASHED,
+    KV_UNAVAILABLE,
+)
 from trestle_core.errors import TrestleError
 from trestle_core.logs import part_logger
 from trestle_core.metrics import Metrics
@@ -70,6 +74,7 @@
         # True from the moment a byte may reach the engine.
         self.sent = False
         self.began = monotonic()
+        self.first_token_at = 0.0
         self.backlog_tokens = 0
         self.next_token = dispatch.resume_from
 
@@ -179,7 +184,8 @@
             return
         self.work.prefilled = True
         self.parts.cache.note_dispatched(self.work.demand.pieces)
-        seconds = monotonic() - self.began
+        self.first_token_at = monotonic()
+        seconds = self.first_token_at - self.began
         self.parts.estimate.learn_first_token(self.backlog_tokens, seconds)
         self.parts.metrics.observe_seconds('engine_first_token', seconds)
 
@@ -194,6 +200,10 @@
             kv_ticket=self._export_ticket(),
         )
         self.parts.metrics.count('answers', 'whole')
+        self.parts.estimate.learn_stream(
+            self.next_token - self.dispatch.resume_from - 1,
+            monotonic() - self.first_token_at,
+        )
         self.answer.end(ending)
 
     def _count_after_finish(self, stream: EngineStream) -> None:
@@ -218,7 +228,11 @@
             imported = False
         label = 'imported' if imported else 'missed'
         self.parts.metrics.count('kv_imports', label)
-        return ticket if imported else ''
+        if not imported:
+            # A decode engine reads prompts slowly: the entry shall choose
+            # another one for a fresh prefill.
+            raise TrestleError(KV_UNAVAILABLE)
+        return ticket
 
     def _export_ticket(self) -> str:
         if self.work.demand.phase != 'prefill':
--- a/packages/trestle-endpoint/src/trestle_endpoint/engine_target.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/engine_target.py
@@ -68,6 +68,7 @@
         'running': len(core.places.running),
         'waiting': len(core.places.waiting),
         'prefill_rate': core.estimate.prefill_rate,
+        'decode_rate': core.estimate.decode_rate(),
         'run_seconds': core.estimate.run_seconds,
         'engine_running': load.running if load else 0,
         'engine_queued': load.queued if load else 0,
--- a/packages/trestle-endpoint/src/trestle_endpoint/wait_estimate.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/wait_estimate.py
@@ -15,6 +15,10 @@
 _FIRST_PREFILL_TOKENS_PER_SECOND: Final = 20_000.0
 _FIRST_RUN_SECONDS: Final = 1.0
 _FIRST_FIXED_SECONDS: Final = 0.02
+_FIRST_STREAM_RATE: Final = 25.0
+# Streams shorter than this measure the batching of frames.
+_LEAST_STREAM_TOKENS: Final = 4
+_SLOWER_WEIGHT: Final = 0.02
 # Below this the fixed part hides the reading of the prompt.
 _LEAST_LEARNED_TOKENS: Final = 500
 
@@ -36,6 +40,7 @@
         self.max_running = max_running
         self.prefill_rate = _FIRST_PREFILL_TOKENS_PER_SECOND
         self.fixed_seconds = _FIRST_FIXED_SECONDS
+        self.stream_rate = _FIRST_STREAM_RATE
         self.run_seconds = _FIRST_RUN_SECONDS
         self.long_run_seconds = _FIRST_RUN_SECONDS
 
@@ -64,6 +69,25 @@
             self.long_run_seconds = _moved(self.long_run_seconds, seconds)
         self.run_seconds = _moved(self.run_seconds, seconds)
 
+    def learn_stream(self, tokens: int, seconds: float) -> None:
+        """Take in the pace of one stream after its first token.
+
+        The rate is that of an engine which only decodes, so faster streams
+        count at once and slower ones, held up by prompts, little.
+        """
+        if tokens < _LEAST_STREAM_TOKENS or seconds <= 0:
+            return
+        rate = tokens / seconds
+        if rate > self.stream_rate:
+            self.stream_rate = _moved(self.stream_rate, rate)
+        else:
+            change = rate - self.stream_rate
+            self.stream_rate += _SLOWER_WEIGHT * change
+
+    def decode_rate(self) -> float:
+        """Return the tokens per second of a full batch of streams."""
+        return self.stream_rate * self.max_running
+
     def _place_seconds(
         self, demand: Demand, ahead: Occupancy, long_limit: int
     ) -> float:
--- a/packages/trestle-entry/src/trestle_entry/answer_stream.py
+++ b/packages/trestle-entry/src/trestle_entry/answer_stream.py
@@ -47,6 +47,7 @@
 
     total: int
     finish_reason: str
+    kv_ticket: str
 
 
 class AnswerStream:
@@ -145,7 +146,9 @@
     def _take_end(self, body: AnswerEnd) -> None:
         if body.total != self.next_token:
             raise _incomplete()
-        self.finish = AnswerFinish(body.total, body.finish_reason)
+        self.finish = AnswerFinish(
+            body.total, body.finish_reason, body.kv_ticket
+        )
         self._send_ack()
 
     def _acknowledge(self) -> None:
--- a/packages/trestle-entry/src/trestle_entry/completions.py
+++ b/packages/trestle-entry/src/trestle_entry/completions.py
@@ -42,16 +42,21 @@
         'overloaded',
         'call-timeout',
         'internal',
+        'kv-unavailable',
     )
 )
 
 
 class CompletionJob(NamedTuple):
-    """A model request with its route and limits; times are monotonic."""
+    """A model request with its route and limits; times are monotonic.
+
+    `disaggregated` requests are read and answered on different engines.
+    """
 
     request: ModelRequest
     route: ModelRoute
     pool: EnginePool
+    disaggregated: bool
     first_token_by: float
     finish_by: float
 
@@ -66,6 +71,27 @@
         self.delivered = 0
         self.failed_hosts: frozenset[str] = frozenset()
         self.finish: AnswerFinish | None = None
+        self.kv_ticket = ''
+        # Set when a KV transfer failed: the rest runs on one engine.
+        self.kv_failed = False
+
+    def phase(self) -> str:
+        """Return the phase that comes next: prefill, decode or mixed.
+
+        A short prompt is read by the engine that decodes; it is not worth
+        a transfer of its cache.
+        """
+        if not self.job.disaggregated:
+            return 'mixed'
+        if self.kv_failed or not self.job.request.pieces:
+            return 'prefill' if self.kv_failed else 'decode'
+        return 'decode' if self.kv_ticket else 'prefill'
+
+    def output_tokens(self) -> int:
+        """Return the length at which the next dispatch ends."""
+        if self.phase() == 'prefill' and not self.kv_failed:
+            return min(self.delivered + 1, self.job.request.max_tokens)
+        return self.job.request.max_tokens
 
     def place_need(self, context: EntryContext) -> PlaceNeed:
         """Return what the rest of the answer needs from an endpoint."""
@@ -77,12 +103,13 @@
             route=job.request.route,
             target=job.route.pool,
             priority=job.route.priority,
-            prompt_tokens=job.request.prompt_tokens,
-            output_tokens=job.request.max_tokens - self.delivered,
+            prompt_tokens=0 if self.kv_ticket else job.request.prompt_tokens,
+            output_tokens=self.output_tokens() - self.delivered,
             pieces=job.request.pieces,
             left_ms=0,
             set_version=0,
             suspect=job.request.content in context.control.view.suspects,
+            phase=self.phase(),
         )
         return PlaceNeed(ask, latest, self.failed_hosts)
 
@@ -96,11 +123,12 @@
             caller=job.request.caller,
             model=job.pool.model,
             prompt=job.request.prompt,
-            max_tokens=job.request.max_tokens,
+            max_tokens=self.output_tokens(),
             priority=job.route.priority,
             left_ms=max(1, int(left * _MS_PER_SECOND)),
             resume_from=self.delivered,
             adapter=job.route.adapter,
+            kv_ticket=self.kv_ticket,
             content_digest=job.request.content,
         )
 
@@ -111,15 +139,25 @@
     route: ModelRoute,
 ) -> CompletionJob:
     """Fix the limits of a request from the set in force."""
+    named_set = named_set_of(context)
+    pool = named_set.pools[route.pool]
     return CompletionJob(
         request=request,
         route=route,
-        pool=named_set_of(context).pools[route.pool],
+        pool=pool,
+        disaggregated=named_set.plans[pool.plan].disaggregated
+        and _has_prefill_engine(context, route.pool),
         first_token_by=request.arrived + route.first_token_ms / _MS_PER_SECOND,
         finish_by=request.arrived + route.deadline_ms / _MS_PER_SECOND,
     )
 
 
+def _has_prefill_engine(context: EntryContext, pool: str) -> bool:
+    # Between mixed engines a transfer of the cache gains nothing.
+    endpoints = context.control.view.endpoints_of(pool)
+    return any(info.engine_role == 'prefill' for info in endpoints)
+
+
 def run_completion(
     context: EntryContext,
     completion: Completion,
@@ -166,8 +204,28 @@
         estimate.inflight -= 1
         context.rooms.of(completion.job.route.pool).place_freed()
     context.estimates.served(host, completion.job.request.pieces)
-    completion.finish = stream.finish
     record.note('finish', endpoint=host)
+    assert stream.finish is not None
+    _take_finish(context, completion, stream.finish)
+
+
+def _take_finish(
+    context: EntryContext,
+    completion: Completion,
+    finish: AnswerFinish,
+) -> None:
+    """End the answer, or go on to decode what a prefill engine read."""
+    request = completion.job.request
+    more = finish.total < request.max_tokens
+    if more and finish.finish_reason == 'length':
+        completion.kv_ticket = finish.kv_ticket
+        completion.kv_failed = not finish.kv_ticket
+        context.metrics.count(
+            'kv_transfers', 'ticket' if finish.kv_ticket else 'no-ticket'
+        )
+        return
+    completion.finish = finish
+    context.offered.learn(request, finish.total)
 
 
 def _count_tokens(completion: Completion, amount: int) -> None:
@@ -192,6 +250,11 @@
     completion.failed_hosts |= {host}
     if error.code.code not in _RETRIABLE:
         raise error
+    if completion.kv_ticket:
+        # The ticket names an engine that may be gone: read the prompt anew.
+        completion.kv_ticket = ''
+        completion.kv_failed = True
+        context.metrics.count('kv_transfers', 'failed')
     budget = context.budgets.of(completion.job.request.route)
     if not budget.spend():
         context.metrics.count('refusals_of_retry', RETRY_BUDGET.code)
--- a/packages/trestle-entry/src/trestle_entry/entry_app.py
+++ b/packages/trestle-entry/src/trestle_entry/entry_app.py
@@ -27,6 +27,7 @@
 from trestle_entry.entry_context import EntryContext, Inflight, WaitingRooms
 from trestle_entry.estimates import Estimates
 from trestle_entry.http_server import HttpServer
+from trestle_entry.offered_work import OfferedWork
 from trestle_entry.request_records import RequestRecords
 from trestle_entry.retry_budget import RetryBudgets
 from trestle_links.control_client import ControlClient
@@ -63,9 +64,10 @@
     metrics = Metrics()
     me = Identity(settings.host, read_key(settings.key_file), metrics)
     estimates = Estimates()
+    control = ControlClient.from_config(settings, me, 'entry', [], metrics)
     return EntryContext(
         settings=settings,
-        control=ControlClient.from_config(settings, me, 'entry', [], metrics),
+        control=control,
         links=LinkPool(me),
         metrics=metrics,
         estimates=estimates,
@@ -74,6 +76,7 @@
         budgets=RetryBudgets(),
         inflight=Inflight(),
         records=RequestRecords(metrics),
+        offered=OfferedWork(control.figures, estimates),
     )
 
 
--- a/packages/trestle-entry/src/trestle_entry/entry_context.py
+++ b/packages/trestle-entry/src/trestle_entry/entry_context.py
@@ -11,6 +11,7 @@
 from trestle_core.texts import UNKNOWN_ROUTE as UNKNOWN_ROUTE_TEXT
 from trestle_entry.choosing import Choose
 from trestle_entry.estimates import Estimates
+from trestle_entry.offered_work import OfferedWork
 from trestle_entry.request_records import RequestRecords
 from trestle_entry.retry_budget import RetryBudgets
 from trestle_entry.waiting_room import WaitingRoom
@@ -69,6 +70,7 @@
     budgets: RetryBudgets
     inflight: Inflight
     records: RequestRecords
+    offered: OfferedWork
 
 
 def named_set_of(context: EntryContext) -> NamedSet:
--- a/packages/trestle-entry/src/trestle_entry/estimates.py
+++ b/packages/trestle-entry/src/trestle_entry/estimates.py
@@ -72,6 +72,13 @@
                 return host
         return None
 
+    def known_pieces(self, pieces: list[str]) -> int:
+        """Return how many leading pieces some host holds, as believed."""
+        for depth in range(len(pieces), 0, -1):
+            if pieces[depth - 1] in self.piece_hosts:
+                return depth
+        return 0
+
     def forget(self, host: str) -> None:
         """Drop the belief about a host that left."""
         self.by_host.pop(host, None)
--- a/packages/trestle-entry/src/trestle_entry/model_pages.py
+++ b/packages/trestle-entry/src/trestle_entry/model_pages.py
@@ -90,6 +90,7 @@
                 route.caller_concurrency,
             )
         )
+        context.offered.add(route.pool, request)
         completion = Completion(completion_job(context, request, route), record)
         return _answer(context, call, completion, stack)
     except BaseException as error:
--- a/packages/trestle-entry/src/trestle_entry/places.py
+++ b/packages/trestle-entry/src/trestle_entry/places.py
@@ -108,7 +108,8 @@
 
 def _candidates(context: EntryContext, need: PlaceNeed) -> list[EndpointInfo]:
     endpoints = context.control.view.endpoints_of(need.ask.target)
-    fitting = [info for info in endpoints if _fits(info, need)]
+    # A phase that no engine is there for runs on any engine.
+    fitting = [info for info in endpoints if _fits(info, need)] or endpoints
     subset = endpoint_subset(
         fitting,
         context.settings.host,
