--- a/testbed/firms.py
+++ b/testbed/firms.py
@@ -18,6 +18,8 @@
 WORDS: Final = tuple(f'{number:03x}' for number in range(512))
 QUESTION_TOKENS: Final = 24
 MS_PER_SECOND: Final = 1000
+# Shares that a greedy caller sends beside its own.
+GREEDY_EXTRA: Final = 9
 
 
 class ModelClass(NamedTuple):
@@ -192,6 +194,21 @@
     }
 
 
+def with_greedy_caller(firm: Firm) -> Firm:
+    """Return a firm whose first caller sends ten times its share."""
+    greedy = [
+        model._replace(
+            callers=model.callers[:1],
+            rates=(
+                model.rates[0] * GREEDY_EXTRA / len(model.callers),
+                model.rates[1] * GREEDY_EXTRA / len(model.callers),
+            ),
+        )
+        for model in firm.models
+    ]
+    return firm._replace(models=(*firm.models, *greedy))
+
+
 def schedule(
     firm: Firm, seed: int, seconds: float, load: float
 ) -> list[Arrival]:
@@ -223,7 +240,7 @@
     model: ModelClass, seed: int, seconds: float, load: float
 ) -> Iterator[Arrival]:
     """Yield a class's requests, thinned to the rate of each half swing."""
-    random = Random(f'{seed} {model.route}')
+    random = Random(f'{seed} {model.route} {len(model.callers)}')
     peak = max(model.rates) * load
     number = 0
     for at in poisson_times(random, peak, seconds):
--- a/testbed/workload.py
+++ b/testbed/workload.py
@@ -25,7 +25,7 @@
     call_service,
     complete,
 )
-from testbed.firms import FIRMS, Arrival, schedule
+from testbed.firms import FIRMS, Arrival, schedule, with_greedy_caller
 from testbed.serving import JsonObject
 
 # A caller waits a little longer than its answer is useful.
@@ -43,6 +43,9 @@
     seed: Annotated[int, Arg(long=True)] = 1
     seconds: Annotated[float, Arg(long=True)] = 30
     load: Annotated[float, Arg(long=True, help='Multiplies rates.')] = 1
+    greedy: Annotated[
+        bool, Arg(long=True, help='One caller sends ten times its share.')
+    ] = False
     start: Annotated[
         float, Arg(long=True, help='Monotonic seconds of the start.')
     ] = 0
@@ -112,9 +115,10 @@
 def main() -> None:
     """Run this program's share of the schedule."""
     options = parse(Options)
-    arrivals = schedule(
-        FIRMS[options.firm], options.seed, options.seconds, options.load
-    )
+    firm = FIRMS[options.firm]
+    if options.greedy:
+        firm = with_greedy_caller(firm)
+    arrivals = schedule(firm, options.seed, options.seconds, options.load)
     options.start = options.start or monotonic()
     with options.records.open('w', encoding='utf-8') as stream:
         run_schedule(options, arrivals, stream)
