--- a/testbed/bench.py
+++ b/testbed/bench.py
@@ -17,7 +17,7 @@
 
 from testbed.bench_figures import Figures
 from testbed.bench_system import Run, execute
-from testbed.firms import FIRMS
+from testbed.firm_workloads import FIRMS
 from testbed.processes import ROOT
 from testbed.serving import JsonObject
 
--- a/testbed/bench_figures.py
+++ b/testbed/bench_figures.py
@@ -6,7 +6,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from testbed.firms import FIRMS
+from testbed.firm_workloads import FIRMS
 from testbed.serving import JsonObject
 
 HIGHEST_US: Final = 600_000_000
@@ -108,7 +108,7 @@
 
 def useful_share(records: list[JsonObject]) -> float:
     """Return the share of answers whole, correct and in time."""
-    useful = sum(one['useful'] for one in records)
+    useful: int = sum(one['useful'] for one in records)
     return useful / max(1, len(records))
 
 
--- a/testbed/bench_system.py
+++ b/testbed/bench_system.py
@@ -13,7 +13,8 @@
 from testbed.bench_figures import Figures, figures_of
 from testbed.calls import closing_client, http_call
 from testbed.cluster import HOST_LIST, Cluster, Endpoint, Layout, numbered
-from testbed.firms import FIRMS, Firm, named_set
+from testbed.firm_workloads import FIRMS, named_set
+from testbed.firms import publish_when_ready
 from testbed.processes import Processes, poll_until
 from testbed.serving import JsonObject
 
@@ -87,17 +88,12 @@
     )
 
 
-def publish(cluster: Cluster, firm: Firm) -> None:
-    """Publish a firm's set and wait until every process is ready."""
+def publish(cluster: Cluster, content: JsonObject) -> None:
+    """Publish a named set and wait until every process is ready."""
     folder = cluster.folder / 'set'
     folder.mkdir()
-    (folder / 'set.json').write_text(dumps(named_set(firm)), encoding='utf-8')
-
-    def published() -> bool:
-        return cluster.operate('publish', str(folder)).returncode == 0
-
-    poll_until(published, PUBLISH_LIMIT_SECONDS, 'the set published')
-    cluster.wait_ready()
+    (folder / 'set.json').write_text(dumps(content), encoding='utf-8')
+    publish_when_ready(cluster, folder)
 
 
 def leader_of(cluster: Cluster) -> str:
@@ -119,7 +115,7 @@
         Processes(Path(folder)) as processes,
     ):
         cluster = Cluster.from_config(processes, layout_of(run))
-        publish(cluster, FIRMS[run.firm])
+        publish(cluster, named_set(FIRMS[run.firm]))
         began = monotonic() + START_DELAY_SECONDS
         fault = spawn_fault(run, cluster, began)
         records = send_workload(run, cluster, began)
@@ -230,7 +226,9 @@
 }
 
 
-def spawn_fault(run: Run, cluster: Cluster, began: float) -> Greenlet:
+def spawn_fault(
+    run: Run, cluster: Cluster, began: float
+) -> 'Greenlet[[], None]':
     """Let the run's fault happen a third into the run."""
 
     def happen() -> None:
--- a/testbed/demo.py
+++ b/testbed/demo.py
@@ -11,7 +11,6 @@
 from collections.abc import Callable
 from functools import partial
 from itertools import cycle
-from json import loads
 from pathlib import Path
 from random import Random
 from sys import exit as sys_exit
@@ -22,6 +21,7 @@
 
 from gevent import joinall, spawn
 
+from testbed.bench_system import leader_of
 from testbed.callers import (
     Answer,
     Completion,
@@ -30,13 +30,15 @@
     complete,
 )
 from testbed.calls import http_call
-from testbed.cluster import Cluster, Endpoint, Layout, numbered
-from testbed.firms import MEDENA, words
-from testbed.processes import ROOT, Processes, poll_until
-
-EXAMPLE_SET: Final = ROOT / 'examples' / 'medena' / 'set'
-READ: Final = 'certificate-read'
-QUERY: Final = 'lot-query'
+from testbed.cluster import Cluster, numbered
+from testbed.firm_workloads import words
+from testbed.firms import DESK, medena_layout, publish_when_ready
+from testbed.processes import Processes, poll_until
+
+READERS: Final = 9
+DESKS: Final = 4
+READ: Final = 'certificate-grades'
+QUERY: Final = 'lot-verdicts'
 READ_TOKENS: Final = 12000
 READ_ANSWER_TOKENS: Final = 250
 QUERY_TOKENS: Final = 200
@@ -44,8 +46,6 @@
 BURST: Final = 8
 READS_THROUGH_FAILURES: Final = 6
 ANSWER_LIMIT_SECONDS: Final = 30.0
-LEADER_LIMIT_SECONDS: Final = 10.0
-PUBLISH_LIMIT_SECONDS: Final = 20.0
 MS_PER_SECOND: Final = 1000
 
 
@@ -123,6 +123,8 @@
         address = self.cluster.http_address(entry)
         path = f'/requests/{answer.request_id}'
         _, record = http_call(address, 'GET', path)
+        if not holds:
+            self.say(f'{name} does not hold: {record}')
         verdict = answer.verdict + (f' {answer.code}' if answer.code else '')
         if answer.replayed:
             verdict += ' (replayed)'
@@ -137,39 +139,11 @@
         self.lines.append(line)
         return line
 
-    def leader(self) -> str:
-        """Return the control host that leads."""
-        status = self.cluster.operate('status', '--json')
-        if status.returncode:
-            return ''
-        return str(loads(status.stdout)['replica'].get('leader') or '')
-
-
-def layout() -> Layout:
-    """Return Medena's fleet: nine engines, four order desks, four zones."""
-    zones = cycle(MEDENA.zones)
-    engines = [
-        Endpoint(host, next(zones), MEDENA.pool, ('--no-fencing',))
-        for host in numbered('reader', MEDENA.engines)
-    ]
-    desks = [
-        Endpoint(host, next(zones), MEDENA.service, kind='service')
-        for host in numbered('desk', MEDENA.services)
-    ]
-    return Layout(MEDENA.zones, (*engines, *desks))
-
 
-def publish(demo: Demo) -> None:
+def publish_set(demo: Demo) -> None:
     """Publish the Medena set, and wait until every process is ready."""
-
-    def published() -> bool:
-        done = demo.cluster.operate('publish', str(EXAMPLE_SET))
-        return done.returncode == 0
-
-    poll_until(published, PUBLISH_LIMIT_SECONDS, 'the set published')
-    demo.say('the Medena set is published')
-    demo.cluster.wait_ready()
-    demo.say('every process is ready')
+    publish_when_ready(demo.cluster)
+    demo.say('the Medena set is published and every process is ready')
 
 
 def side_by_side(work: list[Callable[[], Line]]) -> None:
@@ -185,12 +159,10 @@
     burst = range(1, BURST + 1)
     side_by_side([partial(demo.ask, f'query {n}', QUERY) for n in burst])
     demo.say('a reservation, its resend with the same key, a stock check')
-    call = ServiceCall(
-        'busbar-clerk-1', MEDENA.service, 'reserve', 'demo-1', {'lot': 7}
-    )
+    call = ServiceCall('busbar-clerk-1', DESK, 'reserve', 'demo-1', {'lot': 7})
     demo.call('reservation', call)
     demo.call('reservation, resent', call, replayed=True)
-    stock = call._replace(operation='check-stock', key='')
+    stock = call._replace(operation='stock', key='')
     demo.call('stock check', stock)
 
 
@@ -201,19 +173,17 @@
         spawn(demo.ask, f'read {n} through failures', READ) for n in numbers
     ]
     kill_busy_endpoint(demo)
-    leader = poll_until(demo.leader, LEADER_LIMIT_SECONDS, 'a leader')
+    leader = leader_of(demo.cluster)
     demo.cluster.process(leader).kill()
     demo.say(f'killed {leader}, the control leader')
-    call = ServiceCall(
-        'trader-2', MEDENA.service, 'reserve', 'demo-2', {'lot': 8}
-    )
+    call = ServiceCall('trader-2', DESK, 'reserve', 'demo-2', {'lot': 8})
     demo.call('reservation, leader lost', call)
     joinall(reads, raise_error=True)
 
 
 def kill_busy_endpoint(demo: Demo) -> None:
     """Kill the process of an endpoint that has just begun a read."""
-    hosts = numbered('reader', MEDENA.engines)
+    hosts = numbered('reader', READERS)
     before = {host: len(demo.cluster.record(host)) for host in hosts}
 
     def busy() -> list[str]:
@@ -249,7 +219,7 @@
     stdout.write(
         row.format('request', 'answer', 'verdict', 'attempts', 'first token')
     )
-    for line in lines:
+    for line in sorted(lines):
         answer = 'whole' if line.holds else 'WRONG'
         stdout.write(row.format(line.name, answer, *line[2:]))
 
@@ -259,10 +229,10 @@
     began = monotonic()
     stdout.write('starting the processes\n')
     with TemporaryDirectory() as folder, Processes(Path(folder)) as processes:
-        cluster = Cluster.from_config(processes, layout())
+        cluster = Cluster.from_config(processes, medena_layout(READERS, DESKS))
         demo = Demo(cluster, began)
         demo.say(f'started {len(processes.started)} processes')
-        publish(demo)
+        publish_set(demo)
         show_quiet_path(demo)
         show_failures(demo)
         clean = stop_gracefully(demo)
--- a/testbed/workload.py
+++ b/testbed/workload.py
@@ -25,7 +25,7 @@
     call_service,
     complete,
 )
-from testbed.firms import FIRMS, Arrival, schedule, with_greedy_caller
+from testbed.firm_workloads import FIRMS, Arrival, schedule, with_greedy_caller
 from testbed.serving import JsonObject
 
 # A caller waits a little longer than its answer is useful.
