--- a/packages/trestle-entry/src/trestle_entry/answer_stream.py
+++ b/packages/trestle-entry/src/trestle_entry/answer_stream.py
@@ -177,8 +177,10 @@
         try:
             self.channel = self.link.open(resume)
         except LinkDownError:
-            # Counted as a try: the next read fails at once and comes back.
             self.context.metrics.count('retries', 'resume-connect')
+            # A process that refuses twice is gone: another endpoint goes on.
+            if tries > 1:
+                raise error from None
 
 
 def _incomplete() -> TrestleError:
--- a/testbed/firms.py
+++ b/testbed/firms.py
@@ -1,6 +1,8 @@
 """Small systems of the two firms, as layouts for `Cluster`."""
 
+from json import dumps, loads
 from pathlib import Path
+from shutil import copytree
 from typing import Final
 
 from testbed.cluster import Cluster, Endpoint, Layout
@@ -31,6 +33,30 @@
     return Layout(MEDENA_ZONES, tuple(endpoints), **layout)  # type: ignore[arg-type]
 
 
+def with_roles(layout: Layout, roles: tuple[str, ...]) -> Layout:
+    """Return the layout with roles given to its engines in turn."""
+    settings = dict(layout.settings)
+    endpoints = list(layout.endpoints)
+    for number, role in enumerate(roles):
+        engine = endpoints[number]
+        options = (*engine.options, f'--role={role}')
+        endpoints[number] = engine._replace(options=options)
+        settings[engine.host] = {'engine_role': role}
+    return layout._replace(endpoints=tuple(endpoints), settings=settings)
+
+
+def medena_set_with_plan(folder: Path, **fields: object) -> Path:
+    """Copy Medena's set with other fields in its plan; return its folder."""
+    target = folder / 'set'
+    copytree(MEDENA_SET, target)
+    path = target / 'plans.json'
+    plans = loads(path.read_text(encoding='utf-8'))
+    for plan in plans['plans'].values():
+        plan.update(fields)
+    path.write_text(dumps(plans), encoding='utf-8')
+    return target
+
+
 def publish_when_ready(cluster: Cluster, folder: Path = MEDENA_SET) -> None:
     """Publish a set once the control group answers; wait for every node."""
     cluster.wait_ready(cluster.control_hosts)
