Named sets travel as patches; state streams spread over control hosts

Cause: each publication sent the whole set to each node, and each node tried the control hosts in the order of its settings, so all streams met at the first one. Ruled out: a patch without a check (a wrong base would put another set in force; the digest of the result decides); random choice of the control host (it moves at each reconnect).

--- a/packages/trestle-control/src/trestle_control/set_commands.py
+++ b/packages/trestle-control/src/trestle_control/set_commands.py
@@ -44,6 +44,7 @@
         story.log_index,
     )
     state.versions[command.version] = record
+    state.base_content = state.set_content
     state.set_content = command.content
     _drop_old_versions(state)
     story.record(
--- a/packages/trestle-control/src/trestle_control/state.py
+++ b/packages/trestle-control/src/trestle_control/state.py
@@ -81,6 +81,7 @@
     registers: list[tuple[ClaimKey, Register]]
     versions: dict[int, SetRecord]
     set_content: bytes
+    base_content: bytes
     endpoints: dict[str, EndpointInfo]
     withdrawals: dict[str, Withdrawal]
     past_incarnations: dict[str, list[str]]
@@ -104,6 +105,8 @@
         self.registers: dict[ClaimKey, Register] = {}
         self.versions: dict[int, SetRecord] = {}
         self.set_content = b''
+        # Content of the version before, which patches start from.
+        self.base_content = b''
         self.endpoints: dict[str, EndpointInfo] = {}
         self.withdrawals: dict[str, Withdrawal] = {}
         self.past_incarnations: dict[str, list[str]] = {}
--- a/packages/trestle-control/src/trestle_control/watch_deltas.py
+++ b/packages/trestle-control/src/trestle_control/watch_deltas.py
@@ -17,11 +17,13 @@
     RestoreEndpoint,
     WithdrawEndpoint,
 )
+from trestle_links.set_patch import set_patch
 from trestle_links.watch_messages import (
     ContentDelta,
     EndpointsDelta,
     OrderDelta,
     SetDelta,
+    SetPatch,
     Watch,
 )
 
@@ -106,9 +108,16 @@
 
 def _published(state: ControlState, change: Change) -> list[Message]:
     published = set_delta(state)
-    if published and published.log_index == change.log_index:
-        return [published]
-    return []
+    if published is None or published.log_index != change.log_index:
+        return []
+    return [_patch_to(state, published) or published]
+
+
+def _patch_to(state: ControlState, published: SetDelta) -> SetPatch | None:
+    if not state.base_content:
+        return None
+    before = SetDelta(published.version - 1, '', state.base_content, 0)
+    return set_patch(before, published)
 
 
 def _endpoint_changed(state: ControlState, change: Change) -> list[Message]:
--- a/packages/trestle-core/src/trestle_core/digests.py
+++ b/packages/trestle-core/src/trestle_core/digests.py
@@ -1,10 +1,11 @@
 """Digests: content of named sets, request bodies and prompt pieces."""
 
+from collections.abc import Iterable
 from hashlib import blake2b
 from typing import Any, Final
 
 import msgspec
-from xxhash import xxh3_64
+from xxhash import xxh3_64, xxh3_64_intdigest
 
 PIECE_TOKENS: Final = 2000
 _DIGEST_BYTES: Final = 16
@@ -20,6 +21,18 @@
     return blake2b(content, digest_size=_DIGEST_BYTES).hexdigest()
 
 
+def rendezvous_score(key: str, name: str) -> int:
+    """Return the score of a name for a key; the highest score wins."""
+    return xxh3_64_intdigest(f'{key}\n{name}'.encode())
+
+
+def ranked(key: str, names: Iterable[str]) -> list[str]:
+    """Return the names by their rendezvous score for a key."""
+    return sorted(
+        names, key=lambda name: rendezvous_score(key, name), reverse=True
+    )
+
+
 def piece_digests(prompt: str, limit: int) -> list[str]:
     """Digest each leading run of whole pieces of a prompt.
 
--- a/packages/trestle-entry/src/trestle_entry/choosing.py
+++ b/packages/trestle-entry/src/trestle_entry/choosing.py
@@ -10,8 +10,8 @@
 from random import Random
 from typing import Final, NamedTuple
 
+from trestle_core.digests import rendezvous_score
 from trestle_entry.estimates import Estimates
-from trestle_entry.subset import rendezvous_score
 from trestle_links.watch_messages import EndpointInfo
 
 _ZONE_MS: Final = 3.0
--- a/packages/trestle-entry/src/trestle_entry/subset.py
+++ b/packages/trestle-entry/src/trestle_entry/subset.py
@@ -6,16 +6,10 @@
 
 from collections.abc import Iterable
 
-from xxhash import xxh3_64_intdigest
-
+from trestle_core.digests import rendezvous_score
 from trestle_links.watch_messages import EndpointInfo
 
 
-def rendezvous_score(key: str, host: str) -> int:
-    """Return the score of a host for a key; the highest score wins."""
-    return xxh3_64_intdigest(f'{key}\n{host}'.encode())
-
-
 def endpoint_subset(
     endpoints: Iterable[EndpointInfo],
     entry_host: str,
--- a/packages/trestle-links/src/trestle_links/control_client.py
+++ b/packages/trestle-links/src/trestle_links/control_client.py
@@ -4,21 +4,19 @@
 freshness stamp at a fixed pace and moves to the next host when the stamps
 stop or grow old.
 
-A stamp says how old the host's state was when the ask arrived. The node
-subtracts that age from the time at which it asked, on its own clock, so
-neither the delay of the answer nor another host's clock makes it fresher.
-A stamp counts only when the node holds the set that it names.
+A stamp (see `freshness`) counts only when the node holds the set that it
+names.
 """
 
 from collections.abc import Callable
 from itertools import count, cycle
-from math import inf
 from time import monotonic
 from typing import Any, Final, NamedTuple, Self, TypeVar
 
 from gevent import Greenlet, spawn
 from gevent.event import Event
 
+from trestle_core.digests import ranked
 from trestle_core.errors import TrestleError
 from trestle_core.logs import part_logger
 from trestle_core.metrics import Metrics
@@ -27,13 +25,16 @@
 from trestle_links.connection import CallTimeoutError, Channel
 from trestle_links.control_calls import ControlCaller
 from trestle_links.fleet_messages import Order
+from trestle_links.freshness import Freshness
 from trestle_links.link import Identity, Link
 from trestle_links.node_view import NodeView
 from trestle_links.watch_messages import (
     ContentDelta,
     EndpointsDelta,
+    FetchSet,
     OrderDelta,
     SetDelta,
+    SetPatch,
     Stamp,
     StampAsk,
     Watch,
@@ -42,6 +43,7 @@
 # Share of `stale_after` without a fresh stamp after which the node moves on.
 _MOVE_SHARE: Final = 0.3
 _RETRY_SECONDS: Final = 0.2
+_FETCH_SECONDS: Final = 3.0
 _MS_PER_SECOND: Final = 1000
 
 Reply = TypeVar('Reply')
@@ -78,13 +80,13 @@
         self.on_endpoints: list[Hook] = []
         self.on_order: list[OrderHook] = []
         self.on_contents: list[Hook] = []
-        self.fresh_at = -inf
-        self.asked: dict[int, float] = {}
+        self.freshness = Freshness()
         self.lost = False
         self.stopped = Event()
         self.takers: dict[type[Any], Callable[[Any], None]] = {
             Stamp: self._take_stamp,
             SetDelta: self.offer_set,
+            SetPatch: self._take_patch,
             EndpointsDelta: self._take_endpoints,
             ContentDelta: self._take_contents,
             OrderDelta: self._take_order,
@@ -109,7 +111,10 @@
             settings.stamp_every_ms / _MS_PER_SECOND,
             settings.stale_after_ms / _MS_PER_SECOND,
         )
-        return cls(watcher, settings.control, me)
+        # Streams spread over the control hosts, and a host's streams over
+        # the others when it is lost.
+        addresses = ranked(settings.host, settings.control)
+        return cls(watcher, addresses, me)
 
     def start(self) -> None:
         """Start following a control host."""
@@ -131,7 +136,7 @@
 
     def freshness_seconds(self) -> float:
         """Return the age of the view; infinity before the first stamp."""
-        return monotonic() - self.fresh_at
+        return self.freshness.age_seconds()
 
     def submit(
         self,
@@ -149,9 +154,17 @@
     def offer_set(self, delta: SetDelta) -> None:
         """Take a set that a peer has in force, if it is newer."""
         if self.view.take_set(delta):
-            self.me.metrics.set_gauge('set_version', delta.version)
-            _log.info('Named set version {} is in force.', delta.version)
-            _run_hooks(self.on_set)
+            self._set_changed()
+
+    def _take_patch(self, patch: SetPatch) -> None:
+        if self.view.take_patch(patch):
+            self._set_changed()
+
+    def _set_changed(self) -> None:
+        version = self.view.set_version
+        self.me.metrics.set_gauge('set_version', version)
+        _log.info('Named set version {} is in force.', version)
+        _run_hooks(self.on_set)
 
     def _run(self) -> None:
         for address in cycle(self.addresses):
@@ -177,7 +190,7 @@
 
     def _follow(self, link: Link) -> None:
         watcher = self.watcher
-        self.asked.clear()
+        self.freshness.begin_stream()
         channel = link.open(
             Watch(
                 watcher.host,
@@ -188,7 +201,7 @@
         )
         opened_at = monotonic()
         for number in count():
-            self.asked[number] = monotonic()
+            self.freshness.note_ask(number)
             channel.send(StampAsk(number, self.view.set_version, self.figures))
             if not self._take_until(channel, monotonic() + _ask_pause(self)):
                 return
@@ -228,21 +241,19 @@
             hook(delta.order)
 
     def _take_stamp(self, stamp: Stamp) -> None:
-        asked_at = self.asked.pop(stamp.number, None)
-        if asked_at is None:
-            return
         self.lost = False
         self.view.reach(stamp.log_index)
         if stamp.set_version > self.view.set_version:
-            # The set was not usable here: the node must not count as fresh.
+            # Without the set the node must not count as fresh. A patch that
+            # did not fit leaves the whole set to be fetched.
+            spawn(_fetch_set, self)
             return
-        fresh_at = asked_at - stamp.age_ms / _MS_PER_SECOND
-        self.fresh_at = max(self.fresh_at, fresh_at)
+        self.freshness.take(stamp)
 
     def _should_move(self, opened_at: float) -> bool:
         limit_seconds = self.watcher.stale_seconds * _MOVE_SHARE
-        oldest = monotonic() - limit_seconds
-        return self.fresh_at < oldest and opened_at < oldest
+        is_old = self.freshness_seconds() > limit_seconds
+        return is_old and monotonic() - opened_at > limit_seconds
 
 
 def _ask_pause(client: ControlClient) -> float:
@@ -256,3 +267,14 @@
 def _run_hooks(hooks: list[Hook]) -> None:
     for hook in hooks:
         hook()
+
+
+def _fetch_set(client: ControlClient) -> None:
+    client.me.metrics.count('set_fetches')
+    fetch = FetchSet(client.view.set_version)
+    try:
+        delta = client.submit(fetch, SetDelta, _FETCH_SECONDS)
+    except TrestleError as error:
+        _log.warning('The set cannot be fetched: {}.', error)
+    else:
+        client.offer_set(delta)
--- a/packages/trestle-links/src/trestle_links/node_view.py
+++ b/packages/trestle-links/src/trestle_links/node_view.py
@@ -17,11 +17,13 @@
 from trestle_core.logs import part_logger
 from trestle_core.namedset import NamedSet
 from trestle_core.namedset_check import check_set
+from trestle_links.set_patch import patched_set
 from trestle_links.watch_messages import (
     ContentDelta,
     EndpointInfo,
     EndpointsDelta,
     SetDelta,
+    SetPatch,
 )
 
 _log = part_logger('watch')
@@ -65,6 +67,13 @@
         self.set_log_index = delta.log_index
         return True
 
+    def take_patch(self, patch: SetPatch) -> bool:
+        """Take a patch of the set at hand; another one has to be fetched."""
+        if patch.base_version != self.set_version:
+            return False
+        patched = patched_set(self.set_content, patch)
+        return patched is not None and self.take_set(patched)
+
     def take_endpoints(self, delta: EndpointsDelta) -> bool:
         """Take changed endpoints above the reached log index."""
         if not _is_news(delta, self.endpoints_index):
--- a/packages/trestle-links/src/trestle_links/watch_messages.py
+++ b/packages/trestle-links/src/trestle_links/watch_messages.py
@@ -129,6 +129,25 @@
     set_version: int
 
 
+class ObjectChange(NamedTuple):
+    """One object of a set as canonical JSON; empty content removes it."""
+
+    section: str
+    name: str
+    content: bytes
+
+
+@message(91)
+class SetPatch(NamedTuple):
+    """What turns the set of `base_version` into this version."""
+
+    version: int
+    digest: str
+    base_version: int
+    changes: list[ObjectChange]
+    log_index: int
+
+
 class NodeReport(NamedTuple):
     """The last ask of a node; `age_ms` is the time since it came."""
 
