make capacity: slopes of streams, publications, claims, permits and tables

Cause: docs/CAPACITY.md has to rest on measured slopes. Ruled out: one size and a division (it hides the base); counters inside the processes (they cost what they measure). Before: no figures.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 PACKAGES := $(wildcard packages/*)
 
-.PHONY: setup demo test format lint types check
+.PHONY: setup demo test format lint types check capacity
 
 setup: $(VENV)/.installed
 
@@ -33,3 +33,6 @@
 
 types: setup
 	$(BIN)/mypy packages testbed features
+
+capacity: setup
+	$(BIN)/python -m testbed.capacity
