--- a/packages/trestle-links/src/trestle_links/connection.py
+++ b/packages/trestle-links/src/trestle_links/connection.py
@@ -79,10 +79,15 @@
     def receive(self, timeout_seconds: float | None = None) -> Message | None:
         """Return the next message, or None at the end of the channel.
 
-        Raises `CallTimeoutError`, `LinkDownError`, or the peer's error. The
-        end is returned or raised again at each further call.
+        A channel that has ended answers so at every later call. Raises
+        `CallTimeoutError`, `LinkDownError`, or the peer's error.
         """
-        body = self._next_body(timeout_seconds)
+        # The end is delivered once; nothing comes after it to wait for.
+        ended = self.ended.is_set() and self.received.empty()
+        try:
+            body = None if ended else self.received.get(timeout=timeout_seconds)
+        except Empty as error:
+            raise CallTimeoutError from error
         if body is None and self.connection.lost.is_set():
             raise LinkDownError('the connection was lost', sent=True)
         if isinstance(body, ErrorReply):
@@ -98,14 +103,6 @@
         if not self.connection.lost.is_set():
             self.connection.send(encode_frame(self.number, None))
 
-    def _next_body(self, timeout_seconds: float | None) -> Message | None:
-        if self.ended.is_set() and self.received.empty():
-            return None
-        try:
-            return self.received.get(timeout=timeout_seconds)
-        except Empty as error:
-            raise CallTimeoutError from error
-
     def deliver(self, body: Message | None) -> None:
         """Take a frame from the reader."""
         if body is None:
