A resume ends when nobody answers, not after a reset

Ruled out: going back to five tries for every failure; a dead process refuses the connection at once and its answer is gone.

--- a/packages/trestle-entry/src/trestle_entry/answer_stream.py
+++ b/packages/trestle-entry/src/trestle_entry/answer_stream.py
@@ -10,7 +10,7 @@
 from time import monotonic
 from typing import Final, NamedTuple
 
-from gevent import sleep
+from gevent import Timeout, sleep
 
 from trestle_core.errorcodes import (
     ANSWER_INCOMPLETE,
@@ -40,6 +40,7 @@
 _RESUME_TRIES: Final = 5
 _RESUME_PAUSE_SECONDS: Final = 0.05
 _ACK_TOKENS: Final = 64
+_UNREACHABLE: Final = (ConnectionRefusedError, TimeoutError, Timeout)
 
 
 class AnswerFinish(NamedTuple):
@@ -176,10 +177,11 @@
         )
         try:
             self.channel = self.link.open(resume)
-        except LinkDownError:
+        except LinkDownError as failure:
             self.context.metrics.count('retries', 'resume-connect')
-            # A process that refuses twice is gone: another endpoint goes on.
-            if tries > 1:
+            # Nobody answers there: another endpoint goes on. After a reset
+            # the next read fails at once and the resume is tried again.
+            if isinstance(failure.__cause__, _UNREACHABLE):
                 raise error from None
 
 
