Registers are kept packed

Cause: a claim took 2.2 to 3.1 kB of memory on a control host (make capacity, with the log of its three commands), most of it objects. Ruled out: a digest as the key (explain needs the names); a smaller retention alone (it bounds the sum, not the slope). Also: expiry no longer copies the whole table each tick.

--- a/packages/trestle-control/src/trestle_control/claim_commands.py
+++ b/packages/trestle-control/src/trestle_control/claim_commands.py
@@ -21,7 +21,8 @@
 from typing import Final
 
 from trestle_control.audit import Story
-from trestle_control.state import ControlState, Register
+from trestle_control.registers import Register
+from trestle_control.state import ControlState
 from trestle_core.verdict import Verdict
 from trestle_links.claim_messages import (
     AttemptOpened,
@@ -132,23 +133,26 @@
 def drop_expired(state: ControlState, retention_ms: int) -> None:
     """Drop registers untouched for the retention, but no open claim."""
     oldest_ms = state.clock_ms - retention_ms
-    expired = takewhile(
-        lambda entry: entry[1].touched_ms < oldest_ms,
-        list(state.registers.items()),
+    # Listed before the first change, but only as far as it is expired.
+    expired = list(
+        takewhile(
+            lambda entry: entry[1].touched_ms < oldest_ms,
+            state.registers.entries(),
+        )
     )
     for claim_key, register in expired:
         if register.claim and register.claim.outcome is None:
             _write(state, claim_key, register)
             continue
         state.attempt_floor = max(state.attempt_floor, register.opened)
-        state.registers.pop(claim_key)
+        state.registers.drop(claim_key)
 
 
 def _write(
     state: ControlState, claim_key: ClaimKey, register: Register
 ) -> None:
-    state.registers.pop(claim_key, None)
-    state.registers[claim_key] = register._replace(touched_ms=state.clock_ms)
+    touched = register._replace(touched_ms=state.clock_ms)
+    state.registers.write(claim_key, touched)
 
 
 def _free(
--- a/packages/trestle-control/src/trestle_control/queries.py
+++ b/packages/trestle-control/src/trestle_control/queries.py
@@ -100,7 +100,7 @@
             'refused': register.refused,
             'claim': _without_body(_plain(register.claim)),
         }
-        for claim_key, register in state.registers.items()
+        for claim_key, register in state.registers.entries()
         if name == claim_key.key or name in register.request_ids
     ]
     return {'name': name, 'records': records, 'claims': claims}
--- a/packages/trestle-control/src/trestle_control/state.py
+++ b/packages/trestle-control/src/trestle_control/state.py
@@ -13,26 +13,11 @@
 from msgpack import packb, unpackb
 from msgspec import convert
 
-from trestle_links.claim_messages import Claim, ClaimKey
+from trestle_control.registers import RegisterTable
 from trestle_links.fleet_messages import Order
 from trestle_links.watch_messages import EndpointInfo
 
 
-class Register(NamedTuple):
-    """The write-once register of one idempotency key.
-
-    Attempts up to `refused` can never claim. `touched_ms` is the state's
-    clock at the last command on the key.
-    """
-
-    body_digest: str
-    opened: int
-    refused: int
-    claim: Claim | None
-    request_ids: list[str]
-    touched_ms: int
-
-
 class SetRecord(NamedTuple):
     """An accepted version of the named set, without its content."""
 
@@ -78,7 +63,7 @@
     clock_ms: int
     unix_ms: int
     attempt_floor: int
-    registers: list[tuple[ClaimKey, Register]]
+    registers: list[tuple[bytes, bytes]]
     versions: dict[int, SetRecord]
     set_content: bytes
     base_content: bytes
@@ -101,8 +86,7 @@
         self.unix_ms = 0
         # Highest attempt of a register that was dropped.
         self.attempt_floor = 0
-        # Ordered by `touched_ms`, so that expiry reads only the front.
-        self.registers: dict[ClaimKey, Register] = {}
+        self.registers = RegisterTable()
         self.versions: dict[int, SetRecord] = {}
         self.set_content = b''
         # Content of the version before, which patches start from.
@@ -131,7 +115,7 @@
         """Encode every table."""
         columns = [getattr(self, name) for name in Tables._fields]
         tables = Tables(*columns)._replace(
-            registers=list(self.registers.items())
+            registers=list(self.registers.packed.items())
         )
         packed: bytes = packb(tables, use_bin_type=True)
         return packed
@@ -145,4 +129,5 @@
         tables = convert(raw, Tables)
         for name in Tables._fields:
             setattr(self, name, getattr(tables, name))
-        self.registers = dict(tables.registers)
+        self.registers = RegisterTable()
+        self.registers.packed.update(tables.registers)
--- a/testbed/capacity_tables.py
+++ b/testbed/capacity_tables.py
@@ -5,7 +5,10 @@
 from typing import Final
 
 from testbed.slopes import Point, Slope, fit
+from trestle_control.registers import Register, RegisterTable
+from trestle_core.verdict import Verdict
 from trestle_entry.estimates import Estimates
+from trestle_links.claim_messages import Claim, ClaimKey, Outcome
 from trestle_links.codec import (
     decode_message,
     encode_frame,
@@ -27,6 +30,7 @@
     """Measure what the tables of a node hold, in this process."""
     return [
         fit('node memory of an endpoint', 'bytes', held_bytes(hold_endpoints)),
+        fit('control memory of a register', 'bytes', held_bytes(hold_claims)),
         fit('entry memory of a prefix piece', 'bytes', held_bytes(hold_pieces)),
     ]
 
@@ -55,6 +59,19 @@
     return view
 
 
+def hold_claims(size: int) -> object:
+    """Hold registers of bookings that ran."""
+    table = RegisterTable()
+    for number in range(size):
+        key = ClaimKey('order-desk', 'trader', f'key-{number}')
+        permit = Permit('desk-1', '0123456789abcdef', number)
+        outcome = Outcome(Verdict.RAN, 200, b'x' * 80)
+        claim = Claim(1, permit, '10.0.0.1:7000', outcome)
+        request = f'{number:032x}'
+        table.write(key, Register('0' * 32, 1, 0, claim, [request], number))
+    return table
+
+
 def hold_pieces(size: int) -> object:
     """Hold who served which prompt pieces."""
     estimates = Estimates()
