Replica: faults found in review, each with a failing case first

Cause: a critical reading of storage, follower and reads. Ruled out by reading: votes and terms are synced before they are sent; only entries of the own term are committed by counting; a delayed answer of an earlier term counts for nothing; a resumed leader reads only after a round that began after the read.

--- /dev/null
+++ b/features/log_storage.feature
@@ -0,0 +1,42 @@
+Feature: The log's files tell a torn write from damage
+  One member's parts run inside the test, without a group.
+
+  Scenario: Damage before the last batch refuses to start, at any byte
+    Given a log of several batches in several segments
+    Then a changed byte anywhere before the last batch is damage
+    And a log cut anywhere in its last batch keeps all before it
+
+  Scenario: An emptied segment in the middle is damage
+    Given a log of several batches in several segments
+    When the first segment is emptied
+    Then the log refuses to open
+
+  Scenario: What a killed process wrote is synced before it is counted
+    Given a log of several batches in several segments
+    When the log is opened with a recorded sync
+    Then its last segment was synced
+
+  Scenario: A full disk fails the member and acknowledges nothing
+    Given a log whose writes fail after the first batch
+    When another batch is appended
+    Then waiting for it raises storage-failed
+    And after a restart the first batch is there
+
+  Scenario: Entries of a deposed leader do not follow a truncation
+    Given a follower with an entry of an earlier term
+    When a later term begins while a conflict is truncated
+    Then no entry of the deposed leader was appended
+
+  Scenario: Parts of two snapshots are not mixed
+    Given a follower with an entry of an earlier term
+    When a part of an older snapshot arrives between two parts
+    Then the member holds the newer snapshot
+
+  Scenario: The member set is known while a snapshot replaces the log
+    Given a follower with an entry of an earlier term
+    When the snapshot is installed on a slow disk
+    Then the member set was known all the time
+
+  Scenario: A leader whose applied state lags gives no fresh stamp
+    Given a leader whose peers answer while it has not applied
+    Then its state is as old as what it applied
--- a/packages/trestle-control/src/trestle_control/log_recovery.py
+++ b/packages/trestle-control/src/trestle_control/log_recovery.py
@@ -48,9 +48,10 @@
     """
     entries: list[LogEntry] = []
     for segment in segments:
-        is_last = segment is segments[-1]
-        if entries and segment.first_index != entries[-1].log_index + 1:
+        expected = segments[0].first_index + len(entries)
+        if segment.first_index != expected:
             raise DamagedLogError(f'{segment.path.name} does not follow')
+        is_last = segment is segments[-1]
         entries.extend(_read_segment(segment, is_last=is_last))
     return entries
 
--- a/packages/trestle-control/src/trestle_control/log_segments.py
+++ b/packages/trestle-control/src/trestle_control/log_segments.py
@@ -42,9 +42,13 @@
         segment_bytes: int,
         sync_file: SyncFile = fdatasync,
     ) -> None:
-        """Read the folder and cut a torn tail; raises `DamagedLogError`."""
+        """Read the folder and cut a torn tail.
+
+        Raises `DamagedLogError` and `OSError`.
+        """
         self.files = SegmentFiles(folder, segment_bytes, sync_file)
         self.entries = recover_entries(self.files.segments)
+        self.files.sync_last()
         segments = self.files.segments
         self.first_index = segments[0].first_index if segments else 1
         self.synced_index = self.last_index
@@ -96,6 +100,8 @@
 
     def append(self, entries: list[LogEntry]) -> None:
         """Add entries in memory; `wait_synced` tells when they are durable."""
+        if entries[0].log_index != self.last_index + 1:
+            raise AssertionError('an entry does not follow the last one')
         self.entries.extend(entries)
         self.waiting.extend(entries)
         self.wake_writer.set()
--- a/packages/trestle-control/src/trestle_control/peers.py
+++ b/packages/trestle-control/src/trestle_control/peers.py
@@ -23,7 +23,6 @@
         self.link = link
         self.next_index = 1
         self.match_index = 0
-        self.sent_commit_index = 0
         self.acked_at = -inf
         self.led_term = 0
         self.wake = Event()
@@ -32,7 +31,6 @@
         """Forget the progress of an earlier term."""
         self.next_index = last_index + 1
         self.match_index = 0
-        self.sent_commit_index = 0
         self.acked_at = -inf
 
     def silent_seconds(self) -> float:
--- a/packages/trestle-control/src/trestle_control/read_barrier.py
+++ b/packages/trestle-control/src/trestle_control/read_barrier.py
@@ -18,7 +18,7 @@
 from trestle_control.control_errors import NoQuorumError
 from trestle_control.peer_calls import quorum_acked_at
 from trestle_control.replica_forward import call_leader
-from trestle_control.replica_leader import has_committed_own_term
+from trestle_control.replica_leader import has_committed_own_term, note_fresh
 from trestle_control.replica_messages import ReadIndexAsk, ReadIndexReply
 from trestle_control.replica_state import ReplicaState
 from trestle_core.errors import TrestleError
@@ -91,10 +91,8 @@
 
 def freshness_age_seconds(state: ReplicaState) -> float:
     """Return the age of the last confirmed round; infinity if unknown."""
-    now = monotonic()
-    if state.is_leader and has_committed_own_term(state):
-        state.fresh_at = max(state.fresh_at, quorum_acked_at(state, now))
-    return now - state.fresh_at
+    note_fresh(state)
+    return monotonic() - state.fresh_at
 
 
 def run_freshness(state: ReplicaState) -> None:
--- a/packages/trestle-control/src/trestle_control/replica.py
+++ b/packages/trestle-control/src/trestle_control/replica.py
@@ -6,17 +6,13 @@
 """
 
 from collections.abc import Callable
-from fcntl import LOCK_EX, LOCK_NB, flock
 from pathlib import Path
 from time import monotonic
-from typing import Any, Final, Self, TextIO
+from typing import Any, Self, TextIO
 
-from gevent import Greenlet, sleep, spawn
+from gevent import Greenlet
 
-from trestle_control.control_errors import DamagedLogError
-from trestle_control.log_segments import SegmentLog
-from trestle_control.peer_calls import call_peer, header_for
-from trestle_control.peers import Peer
+from trestle_control.control_errors import StorageFailedError
 from trestle_control.read_barrier import (
     freshness_age_seconds,
     read_barrier,
@@ -36,7 +32,7 @@
     run_announcements,
 )
 from trestle_control.replica_forward import forward_handler, submit
-from trestle_control.replica_log import note_members
+from trestle_control.replica_handover import hand_over
 from trestle_control.replica_messages import (
     Announce,
     AppendAsk,
@@ -46,27 +42,17 @@
     SnapshotPart,
     VoteAsk,
 )
-from trestle_control.replica_snapshots import restore_snapshot
+from trestle_control.replica_opening import lock_folder, open_state
 from trestle_control.replica_state import ReplicaState
 from trestle_control.replica_status import status_handler, status_of
-from trestle_control.snapshots import load_snapshot
+from trestle_control.replica_tasks import spawn_part
 from trestle_control.state_machine import StateMachine
 from trestle_control.status_messages import ReplicaStatus, StatusAsk
-from trestle_control.vote_file import VoteFile
-from trestle_core.errorcodes import DATA_FOLDER_IN_USE, INTERNAL
-from trestle_core.errors import TrestleError
-from trestle_core.logs import part_logger
 from trestle_core.settings import ControlSettings
 from trestle_links.codec import Message
 from trestle_links.link import Identity
-from trestle_links.link_messages import Done
 from trestle_links.link_server import Handlers
 
-_HANDOVER_SECONDS: Final = 2.0
-_POLL_SECONDS: Final = 0.01
-
-_log = part_logger('replica')
-
 
 class Replica:
     """One member; the API that the rest of the control process uses."""
@@ -75,7 +61,7 @@
         """Wrap an opened state; `lock_file` guards the data folder."""
         self.state = state
         self.lock_file = lock_file
-        self.tasks: list[Greenlet[..., Any]] = []
+        self.tasks: list['Greenlet[..., Any]'] = []
         self.on_applied = state.on_applied
         self.on_restored = state.on_restored
         self.on_failed = state.on_failed
@@ -89,16 +75,15 @@
     ) -> Self:
         """Open the data folder and restore the state machine.
 
-        Raises `DamagedLogError`, or `TrestleError` when another process uses
-        the folder.
+        Raises `DamagedLogError`, `StorageFailedError`, or `TrestleError` when
+        another process uses the folder.
         """
         folder = Path(settings.data_folder)
-        folder.mkdir(parents=True, exist_ok=True)
-        lock_file = _lock_folder(folder)
-        votes = VoteFile.open(folder, settings.host)
-        log = SegmentLog(folder, settings.segment_bytes)
-        state = ReplicaState(settings, me, log, votes, machine)
-        _restore(state)
+        try:
+            lock_file = lock_folder(folder)
+            state = open_state(settings, machine, me)
+        except OSError as error:
+            raise StorageFailedError(str(error)) from error
         return cls(state, lock_file)
 
     @property
@@ -143,14 +128,12 @@
             run_freshness,
         )
         for loop in loops:
-            task = spawn(loop, state)
-            task.link_exception(self._fail_on_bug)
-            self.tasks.append(task)
+            self.tasks.append(spawn_part(state, loop))
 
     def stop(self) -> None:
         """Hand leadership over, sync the log and stop."""
         if self.state.is_leader:
-            _hand_over(self.state)
+            hand_over(self.state)
         self.state.running = False
         for task in self.tasks:
             task.kill()
@@ -193,81 +176,9 @@
         """Return this member's view of the group."""
         return status_of(self.state)
 
-    def _fail_on_bug(self, task: 'Greenlet[..., Any]') -> None:
-        _log.error('A greenlet failed: {!r}.', task.exception)
-        self.state.fail(TrestleError(INTERNAL, repr(task.exception)))
-
 
 def _bind(
     state: ReplicaState,
     handler: Callable[[ReplicaState, Any, Any], Message],
 ) -> Callable[[Any, Any], Message]:
     return lambda ask, channel: handler(state, ask, channel)
-
-
-def _lock_folder(folder: Path) -> TextIO:
-    lock_file = (folder / 'lock').open('w')
-    try:
-        flock(lock_file, LOCK_EX | LOCK_NB)
-    except OSError as error:
-        lock_file.close()
-        raise TrestleError(DATA_FOLDER_IN_USE, str(folder)) from error
-    return lock_file
-
-
-def _restore(state: ReplicaState) -> None:
-    snapshot = load_snapshot(state.folder)
-    log = state.log
-    if snapshot:
-        # A crash while a leader's snapshot was installed leaves the old log.
-        entry = log.entry_at(snapshot.log_index)
-        is_older = log.last_index < snapshot.log_index
-        if is_older or (entry and entry.term != snapshot.term):
-            log.reset(snapshot.log_index + 1)
-        state.snapshot = snapshot
-        restore_snapshot(state, snapshot)
-    if log.first_index > state.snapshot_index + 1:
-        raise DamagedLogError(
-            f'The log starts at {log.first_index}, '
-            f'the snapshot ends at {state.snapshot_index}.'
-        )
-    for entry in log.entries:
-        if entry.log_index > state.snapshot_index:
-            note_members(state, entry)
-    _log.info(
-        'Opened: term {}, snapshot {}, log up to {}.',
-        state.term,
-        state.snapshot_index,
-        log.last_index,
-    )
-
-
-def _hand_over(state: ReplicaState) -> None:
-    state.handing_over = True
-    deadline = monotonic() + _HANDOVER_SECONDS
-    asked = False
-    while state.is_leader and monotonic() < deadline:
-        peer = _caught_up_voter(state)
-        if peer and not asked:
-            asked = _ask_to_lead(state, peer)
-        sleep(_POLL_SECONDS)
-
-
-def _caught_up_voter(state: ReplicaState) -> Peer | None:
-    for peer in state.peers.values():
-        is_live = peer.silent_seconds() < state.election_seconds
-        matches = peer.match_index == state.log.last_index
-        if peer.member.voter and is_live and matches:
-            return peer
-    return None
-
-
-def _ask_to_lead(state: ReplicaState, peer: Peer) -> bool:
-    header = header_for(state, peer, state.term)
-    try:
-        call_peer(state, peer, LeadNow(header), Done)
-    except TrestleError as error:
-        _log.info('{} does not take over: {}.', peer.member.host, error.message)
-        return False
-    _log.info('Asked {} to lead.', peer.member.host)
-    return True
--- a/packages/trestle-control/src/trestle_control/replica_apply.py
+++ b/packages/trestle-control/src/trestle_control/replica_apply.py
@@ -11,7 +11,7 @@
     NotLeaderError,
 )
 from trestle_control.log_records import EntryKind, LogEntry
-from trestle_control.replica_leader import propose_entry
+from trestle_control.replica_leader import note_fresh, propose_entry
 from trestle_control.replica_snapshots import needs_snapshot, take_snapshot
 from trestle_control.replica_state import ReplicaState, Waiter
 from trestle_core.errors import TrestleError
@@ -77,6 +77,7 @@
             if entry is None:
                 raise AssertionError(f'committed entry {index} is missing')
             _apply(state, entry)
+        note_fresh(state)
         if needs_snapshot(state):
             take_snapshot(state)
     state.applies.notify()
--- a/packages/trestle-control/src/trestle_control/replica_follower.py
+++ b/packages/trestle-control/src/trestle_control/replica_follower.py
@@ -20,7 +20,11 @@
     SnapshotReply,
 )
 from trestle_control.replica_snapshots import install_snapshot
-from trestle_control.replica_state import ReplicaState, Role
+from trestle_control.replica_state import (
+    IncomingSnapshot,
+    ReplicaState,
+    Role,
+)
 from trestle_control.snapshots import unpack_snapshot
 from trestle_links.connection import Channel
 from trestle_links.link_messages import Done
@@ -40,7 +44,8 @@
         _check_data_folder(state, ask.header)
         if not _matches(state, ask):
             return _reject(state, ask.previous_index - 1)
-        _append_new(state, entries)
+        if not _append_new(state, entries, ask.header.term):
+            return _reject(state, 0)
     state.log.wait_synced(last_index)
     if state.term != ask.header.term:
         return _reject(state, 0)
@@ -55,15 +60,14 @@
     """Collect the parts of a snapshot and install it."""
     if not _follow(state, part.header):
         return SnapshotReply(answer_from(state), 0)
-    received = state.incoming
-    if part.offset == 0:
-        received.clear()
-    if part.offset == len(received):
-        received.extend(part.content)
+    incoming = _incoming_for(state, part)
+    if part.offset == len(incoming.received):
+        incoming.received.extend(part.content)
         if part.end:
-            install_snapshot(state, unpack_snapshot(bytes(received)))
+            packed = bytes(incoming.received)
+            install_snapshot(state, unpack_snapshot(packed))
     state.heard_at = monotonic()
-    return SnapshotReply(answer_from(state), len(received))
+    return SnapshotReply(answer_from(state), len(incoming.received))
 
 
 def lead_now_handler(state: ReplicaState, ask: LeadNow, _: Channel) -> Done:
@@ -86,6 +90,19 @@
     return True
 
 
+def _incoming_for(state: ReplicaState, part: SnapshotPart) -> IncomingSnapshot:
+    # A part that was delayed on an earlier connection may be of another
+    # snapshot; it starts nothing and fits nowhere.
+    incoming = state.incoming
+    is_same = incoming.source == (part.header.term, part.log_index)
+    if part.offset == 0:
+        source = (part.header.term, part.log_index)
+        state.incoming = IncomingSnapshot(source, bytearray())
+    elif not is_same:
+        return IncomingSnapshot(incoming.source, bytearray())
+    return state.incoming
+
+
 def _check_data_folder(state: ReplicaState, header: PeerHeader) -> None:
     if header.acked_index <= state.log.last_index:
         return
@@ -104,7 +121,9 @@
     return term_at(state, ask.previous_index) == ask.previous_term
 
 
-def _append_new(state: ReplicaState, entries: list[LogEntry]) -> None:
+def _append_new(
+    state: ReplicaState, entries: list[LogEntry], term: int
+) -> bool:
     for position, entry in enumerate(entries):
         if entry.log_index <= state.snapshot_index:
             continue
@@ -113,8 +132,13 @@
             continue
         if known is not None:
             truncate_log(state, entry.log_index)
+        if state.term != term:
+            # The next term began during the truncation, and this member may
+            # lead it.
+            return False
         append_entries(state, entries[position:])
-        return
+        return True
+    return True
 
 
 def _reject(state: ReplicaState, index: int) -> AppendReply:
--- /dev/null
+++ b/packages/trestle-control/src/trestle_control/replica_handover.py
@@ -0,0 +1,56 @@
+"""Handing leadership over before a planned stop.
+
+The leader takes no more commands, waits until a voter holds its whole log,
+and asks it to start an election at once. So a planned stop costs one round
+instead of an election timeout.
+"""
+
+from time import monotonic
+from typing import Final
+
+from gevent import sleep
+
+from trestle_control.peer_calls import call_peer, header_for
+from trestle_control.peers import Peer
+from trestle_control.replica_messages import LeadNow
+from trestle_control.replica_state import ReplicaState
+from trestle_core.errors import TrestleError
+from trestle_core.logs import part_logger
+from trestle_links.link_messages import Done
+
+_HANDOVER_SECONDS: Final = 2.0
+_POLL_SECONDS: Final = 0.01
+
+_log = part_logger('replica')
+
+
+def hand_over(state: ReplicaState) -> None:
+    """Let another voter lead, if one is caught up in time."""
+    state.handing_over = True
+    deadline = monotonic() + _HANDOVER_SECONDS
+    asked = False
+    while state.is_leader and monotonic() < deadline:
+        peer = _caught_up_voter(state)
+        if peer and not asked:
+            asked = _ask_to_lead(state, peer)
+        sleep(_POLL_SECONDS)
+
+
+def _caught_up_voter(state: ReplicaState) -> Peer | None:
+    for peer in state.peers.values():
+        is_live = peer.silent_seconds() < state.election_seconds
+        matches = peer.match_index == state.log.last_index
+        if peer.member.voter and is_live and matches:
+            return peer
+    return None
+
+
+def _ask_to_lead(state: ReplicaState, peer: Peer) -> bool:
+    header = header_for(state, peer, state.term)
+    try:
+        call_peer(state, peer, LeadNow(header), Done)
+    except TrestleError as error:
+        _log.info('{} does not take over: {}.', peer.member.host, error.message)
+        return False
+    _log.info('Asked {} to lead.', peer.member.host)
+    return True
--- a/packages/trestle-control/src/trestle_control/replica_leader.py
+++ b/packages/trestle-control/src/trestle_control/replica_leader.py
@@ -11,7 +11,7 @@
 from time import monotonic
 from typing import Final
 
-from gevent import sleep, spawn
+from gevent import sleep
 
 from trestle_control.log_records import EntryKind, LogEntry
 from trestle_control.membership import Member, MemberSet, next_member_set
@@ -23,6 +23,7 @@
 from trestle_control.replica_log import append_entries, term_at
 from trestle_control.replica_peers import replicate_to
 from trestle_control.replica_state import ReplicaState, Role
+from trestle_control.replica_tasks import spawn_part
 from trestle_core.errors import TrestleError
 from trestle_core.logs import part_logger
 from trestle_links.codec import encode_message
@@ -38,13 +39,14 @@
     """Become the leader of a term that was won."""
     state.leading_since = monotonic()
     state.handing_over = False
+    refresh_peers(state)
     for peer in state.peers.values():
         peer.start_term(state.log.last_index)
     state.set_role(Role.LEADER, state.identity)
     # An entry of this term commits what earlier terms left behind.
     propose_entry(state, EntryKind.NO_OP, b'')
-    spawn(_run_leader, state, term)
-    spawn(_commit_synced, state, term)
+    spawn_part(state, _run_leader, term)
+    spawn_part(state, _commit_synced, term)
 
 
 def propose_entry(state: ReplicaState, kind: EntryKind, payload: bytes) -> int:
@@ -63,6 +65,14 @@
     return term_at(state, state.commit_index) == state.term
 
 
+def note_fresh(state: ReplicaState) -> None:
+    """Note that a leader's applied state was the newest at its last round."""
+    applied_all = state.applied_index >= state.commit_index
+    if state.is_leader and applied_all and has_committed_own_term(state):
+        acked_at = quorum_acked_at(state, monotonic())
+        state.fresh_at = max(state.fresh_at, acked_at)
+
+
 def commit_at_quorum(state: ReplicaState) -> None:
     """Raise the commit index to what a quorum holds."""
     index = quorum_match_index(state)
@@ -89,7 +99,7 @@
     for peer in state.peers.values():
         if peer.led_term != term:
             peer.led_term = term
-            spawn(replicate_to, state, peer, term, commit_at_quorum)
+            spawn_part(state, replicate_to, peer, term, commit_at_quorum)
 
 
 def _commit_synced(state: ReplicaState, term: int) -> None:
@@ -158,5 +168,7 @@
 
 
 def _is_silent(state: ReplicaState, earlier: Member) -> bool:
+    if monotonic() - state.leading_since < state.election_seconds:
+        return False
     peer = state.peers.get(earlier.incarnation)
     return peer is None or peer.silent_seconds() > state.election_seconds
--- a/packages/trestle-control/src/trestle_control/replica_log.py
+++ b/packages/trestle-control/src/trestle_control/replica_log.py
@@ -48,5 +48,4 @@
 
 def reset_log(state: ReplicaState, first_index: int) -> None:
     """Remove all entries, because a snapshot stands for them."""
-    state.member_sets = []
     state.log.reset(first_index)
--- a/packages/trestle-control/src/trestle_control/replica_snapshots.py
+++ b/packages/trestle-control/src/trestle_control/replica_snapshots.py
@@ -2,7 +2,10 @@
 
 from typing import Final
 
-from trestle_control.control_errors import CommitUnknownError
+from trestle_control.control_errors import (
+    CommitUnknownError,
+    StorageFailedError,
+)
 from trestle_control.durable_files import run_blocking
 from trestle_control.membership import MemberSet
 from trestle_control.replica_log import reset_log, term_at
@@ -36,7 +39,7 @@
         encode_message(_members_at(state, index)),
         state.machine.snapshot(),
     )
-    run_blocking(lambda: store_snapshot(state.folder, snapshot))
+    _store(state, snapshot)
     state.snapshot = snapshot
     _log.info('Snapshot {} of {} bytes.', index, len(snapshot.state))
     state.me.metrics.count('replica_snapshots_taken')
@@ -51,10 +54,12 @@
     with state.apply_lock, state.log_lock:
         if snapshot.log_index <= state.commit_index:
             return
-        run_blocking(lambda: store_snapshot(state.folder, snapshot))
+        _store(state, snapshot)
         keeps_log = term_at(state, snapshot.log_index) == snapshot.term
         state.snapshot = snapshot
         if not keeps_log:
+            # The set must be known while the disk is busy.
+            state.member_sets = [_members_in(snapshot)]
             reset_log(state, snapshot.log_index + 1)
         _answer_covered(state, snapshot.log_index)
         restore_snapshot(state, snapshot)
@@ -72,12 +77,24 @@
     state.machine.restore(snapshot.state)
     state.applied_index = snapshot.log_index
     state.commit_index = max(state.commit_index, snapshot.log_index)
-    members = decode_message(snapshot.members)
-    assert isinstance(members, MemberSet)
     later = [
         noted for noted in state.member_sets if noted[0] > snapshot.log_index
     ]
-    state.member_sets = [(snapshot.log_index, members), *later]
+    state.member_sets = [_members_in(snapshot), *later]
+
+
+def _members_in(snapshot: Snapshot) -> tuple[int, MemberSet]:
+    members = decode_message(snapshot.members)
+    assert isinstance(members, MemberSet)
+    return snapshot.log_index, members
+
+
+def _store(state: ReplicaState, snapshot: Snapshot) -> None:
+    try:
+        run_blocking(lambda: store_snapshot(state.folder, snapshot))
+    except StorageFailedError as error:
+        state.fail(error)
+        raise
 
 
 def _answer_covered(state: ReplicaState, index: int) -> None:
--- a/packages/trestle-control/src/trestle_control/replica_state.py
+++ b/packages/trestle-control/src/trestle_control/replica_state.py
@@ -25,7 +25,10 @@
 from gevent.event import AsyncResult, Event
 from gevent.lock import RLock
 
-from trestle_control.control_errors import StorageFailedError
+from trestle_control.control_errors import (
+    CommitUnknownError,
+    StorageFailedError,
+)
 from trestle_control.log_segments import SegmentLog
 from trestle_control.membership import (
     EMPTY_SET,
@@ -72,6 +75,13 @@
     heard_at: float
 
 
+class IncomingSnapshot(NamedTuple):
+    """Parts received so far; `source` is the term and the log index."""
+
+    source: tuple[int, int]
+    received: bytearray
+
+
 AppliedHook = Callable[[int, Message, Message], None]
 
 
@@ -107,7 +117,7 @@
         self.peers: dict[str, Peer] = {}
         self.forward_links = LinkPool(me)
         self.newcomers: dict[str, Newcomer] = {}
-        self.incoming = bytearray()
+        self.incoming = IncomingSnapshot((0, 0), bytearray())
         self.fresh_at = -inf
         self.waiters: dict[int, Waiter] = {}
         self.log_lock = RLock()
@@ -225,5 +235,16 @@
         _log.error('Replica stops: {} ({}).', error.message, error.code.code)
         self.me.metrics.count('replica_failures', error.code.code)
         self.set_role(Role.FOLLOWER, None)
+        _answer_waiters(self.waiters, error)
         for hook in self.on_failed:
             hook(error)
+
+
+def _answer_waiters(waiters: dict[int, Waiter], error: TrestleError) -> None:
+    # A proposed command may be on the disk of this member or another.
+    if not isinstance(error, StorageFailedError):
+        error = CommitUnknownError(error.message)
+    waiting = list(waiters.values())
+    waiters.clear()
+    for waiter in waiting:
+        waiter.reply.set_exception(error)
--- a/packages/trestle-control/src/trestle_control/segment_files.py
+++ b/packages/trestle-control/src/trestle_control/segment_files.py
@@ -39,6 +39,20 @@
         self.descriptor: int | None = None
         self.size = 0
 
+    def sync_last(self) -> None:
+        """Sync what an earlier process may have left unsynced.
+
+        A process killed between a write and its sync leaves records that the
+        kernel shows and the disk may lack.
+        """
+        if not self.segments:
+            return
+        descriptor = open_file(self.segments[-1].path, O_WRONLY)
+        try:
+            self.sync_file(descriptor)
+        finally:
+            close(descriptor)
+
     def append(self, first_index: int, packed: bytes) -> None:
         """Write records with one sync; `first_index` is that of the first."""
         descriptor = self._segment_for(first_index)
