Replicated log under cuts and pauses; status and members through any host

Added: GroupStatusAsk, AddControlHost and RemoveControlHost, answered by any member; the member set names the hosts that may join, so a removed host that still runs is not admitted again; a member that hears no leader announces itself. second_loss_safe no longer asks for a follower that is level to the last entry: under load that was never seen true.

--- a/features/steps/log_storage_steps.py
+++ b/features/steps/log_storage_steps.py
@@ -118,7 +118,7 @@
     members = [
         Member(*identity, '127.0.0.1:1', voter=True) for identity in identities
     ]
-    return MemberSet('group', members)
+    return MemberSet('group', members, [])
 
 
 def header_of(state: ReplicaState, term: int) -> PeerHeader:
--- a/features/steps/replicated_log_steps.py
+++ b/features/steps/replicated_log_steps.py
@@ -18,23 +18,10 @@
     context.group = group
     context.add_cleanup(group.close)
     context.written = {}
-    group.start_all()
-    context.leader = group.leader()
-    for host in HOSTS:
-        wait_until_follows(group, host)
+    context.leader = group.start_and_wait()
     return group
 
 
-def wait_until_follows(group: LogGroup, host: str) -> None:
-    """Wait until a member knows a leader."""
-
-    def follows() -> bool:
-        status = group.status(host)
-        return bool(status and status.leader)
-
-    poll_until(follows, LIMIT_SECONDS, f'{host} follows a leader')
-
-
 def write(context: Context, host: str, count: int) -> None:
     """Send commands through a member and note those acknowledged."""
     for _ in range(count):
@@ -45,7 +32,7 @@
 
 def check_reads(context: Context, host: str) -> None:
     """Check that a member reads every acknowledged value."""
-    wait_until_follows(context.group, host)
+    context.group.wait_until_follows(host)
     for key, expected in context.written.items():
         reply = context.group.read(host, key)
         assert reply.value == expected, (host, key, reply)
--- a/packages/trestle-control/src/trestle_control/control_app.py
+++ b/packages/trestle-control/src/trestle_control/control_app.py
@@ -45,7 +45,7 @@
     nodes = NodeTable()
     relay = NodeRelay.from_config(settings, nodes, me)
     watches = WatchServer(machine, replica, nodes, metrics)
-    context = QueryContext(machine.state, nodes, replica.status)
+    context = QueryContext(machine.state, nodes, replica.group_status)
     commands = CommandServer(
         replica, context, settings.answer_limit_bytes, metrics
     )
--- a/packages/trestle-control/src/trestle_control/membership.py
+++ b/packages/trestle-control/src/trestle_control/membership.py
@@ -39,15 +39,26 @@
         return MemberIdentity(self.host, self.incarnation)
 
 
+class ListedHost(NamedTuple):
+    """A host that may belong to the group, and its peer address."""
+
+    host: str
+    address: str
+
+
 @message(120)
 class MemberSet(NamedTuple):
-    """All members; `group` is an id made when the group was formed."""
+    """All members; `group` is an id made when the group was formed.
+
+    Only a process on one of `hosts` is admitted.
+    """
 
     group: str
     members: list[Member]
+    hosts: list[ListedHost]
 
 
-EMPTY_SET = MemberSet('', [])
+EMPTY_SET = MemberSet('', [], [])
 
 
 def voters_of(member_set: MemberSet) -> list[Member]:
@@ -100,6 +111,27 @@
     return member_set._replace(members=changed)
 
 
+def with_host(member_set: MemberSet, host: str, address: str) -> MemberSet:
+    """List a host, or change its address."""
+    kept = [listed for listed in member_set.hosts if listed.host != host]
+    moved = [
+        member._replace(address=address) if member.host == host else member
+        for member in member_set.members
+    ]
+    hosts = sorted([*kept, ListedHost(host, address)])
+    return MemberSet(member_set.group, moved, hosts)
+
+
+def without_host(member_set: MemberSet, host: str) -> MemberSet:
+    """Drop a host and one of its identities; again for the next one."""
+    hosts = [listed for listed in member_set.hosts if listed.host != host]
+    unlisted = member_set._replace(hosts=hosts)
+    for member in member_set.members:
+        if member.host == host:
+            return without_member(unlisted, member.incarnation)
+    return unlisted
+
+
 def next_member_set(
     current: MemberSet,
     newcomers: list[Member],
--- a/packages/trestle-control/src/trestle_control/replica.py
+++ b/packages/trestle-control/src/trestle_control/replica.py
@@ -33,6 +33,10 @@
 )
 from trestle_control.replica_forward import forward_handler, submit
 from trestle_control.replica_handover import hand_over
+from trestle_control.replica_members import (
+    add_host_handler,
+    remove_host_handler,
+)
 from trestle_control.replica_messages import (
     Announce,
     AppendAsk,
@@ -44,7 +48,12 @@
 )
 from trestle_control.replica_opening import lock_folder, open_state
 from trestle_control.replica_state import ReplicaState
-from trestle_control.replica_status import status_handler, status_of
+from trestle_control.replica_status import (
+    group_status,
+    group_status_handler,
+    status_handler,
+    status_of,
+)
 from trestle_control.replica_tasks import spawn_part
 from trestle_control.state_machine import StateMachine
 from trestle_control.status_messages import ReplicaStatus, StatusAsk
@@ -52,6 +61,11 @@
 from trestle_links.codec import Message
 from trestle_links.link import Identity
 from trestle_links.link_server import Handlers
+from trestle_links.member_messages import (
+    AddControlHost,
+    GroupStatusAsk,
+    RemoveControlHost,
+)
 
 
 class Replica:
@@ -113,6 +127,9 @@
             ForwardCommand: _bind(state, forward_handler),
             ReadIndexAsk: _bind(state, read_index_handler),
             StatusAsk: _bind(state, status_handler),
+            GroupStatusAsk: _bind(state, group_status_handler),
+            AddControlHost: _bind(state, add_host_handler),
+            RemoveControlHost: _bind(state, remove_host_handler),
         }
 
     def start(self) -> None:
@@ -176,6 +193,10 @@
         """Return this member's view of the group."""
         return status_of(self.state)
 
+    def group_status(self) -> ReplicaStatus:
+        """Return the leader's view of the group; waits for its answer."""
+        return group_status(self.state)
+
 
 def _bind(
     state: ReplicaState,
--- a/packages/trestle-control/src/trestle_control/replica_formation.py
+++ b/packages/trestle-control/src/trestle_control/replica_formation.py
@@ -8,12 +8,14 @@
 """
 
 from time import monotonic
+from typing import Final
 from uuid import uuid4
 
 from gevent import joinall, sleep, spawn
 
 from trestle_control.log_records import EntryKind, LogEntry
 from trestle_control.membership import (
+    ListedHost,
     Member,
     MemberIdentity,
     MemberSet,
@@ -29,6 +31,8 @@
 from trestle_links.connection import Channel
 from trestle_links.link import Link
 
+_LOST_TIMEOUTS: Final = 4
+
 _log = part_logger('replica')
 
 
@@ -40,7 +44,7 @@
         if listed.host != state.settings.host
     }
     while state.running:
-        if find_member(state.members, state.incarnation) is None:
+        if _is_outside(state):
             replies = _announce_to(state, links)
             _form_group(state, replies)
         sleep(state.heartbeat_seconds * 2)
@@ -58,6 +62,15 @@
     return _own_reply(state)
 
 
+def _is_outside(state: ReplicaState) -> bool:
+    # A removed member never gets the entry that removes it: it hears of no
+    # leader any more.
+    silent_seconds = monotonic() - state.heard_at
+    is_lost = silent_seconds > state.election_seconds * _LOST_TIMEOUTS
+    is_member = find_member(state.members, state.incarnation) is not None
+    return not state.is_leader and (is_lost or not is_member)
+
+
 def _own_reply(state: ReplicaState) -> AnnounceReply:
     return AnnounceReply(
         state.identity, state.members.group, state.settings.bootstrap
@@ -97,7 +110,8 @@
         Member(*reply.identity, addresses[reply.identity.host], voter=True)
         for reply in replies
     ]
-    member_set = MemberSet(uuid4().hex, members)
+    listed = sorted(ListedHost(*item) for item in addresses.items())
+    member_set = MemberSet(uuid4().hex, members, listed)
     payload = encode_message(member_set)
     with state.log_lock:
         if state.log.last_index:
--- a/packages/trestle-control/src/trestle_control/replica_forward.py
+++ b/packages/trestle-control/src/trestle_control/replica_forward.py
@@ -8,6 +8,7 @@
 from trestle_control.control_errors import (
     CommitUnknownError,
     NotLeaderError,
+    StorageFailedError,
 )
 from trestle_control.replica_apply import propose
 from trestle_control.replica_messages import ForwardCommand, ForwardReply
@@ -29,7 +30,8 @@
     """Propose a command at the leader, wherever that is.
 
     Another leader is tried only when the last one proved that the command
-    did not run. Raises `NotLeaderError` or `CommitUnknownError`.
+    did not run. Raises `NotLeaderError`, `CommitUnknownError` or
+    `StorageFailedError`.
     """
     deadline = monotonic() + timeout_seconds
     while state.running:
@@ -39,8 +41,7 @@
         try:
             return _submit_once(state, command, left_seconds)
         except TrestleError as error:
-            if error.verdict is not Verdict.NOT_RUN:
-                raise CommitUnknownError(error.message) from error
+            _raise_if_unknown(error)
         state.me.metrics.count('replica_submit_retries', NOT_LEADER.code)
         sleep(min(state.heartbeat_seconds / 2, left_seconds))
     raise NotLeaderError(state.leader_address)
@@ -77,6 +78,13 @@
     return ForwardReply(encode_message(reply))
 
 
+def _raise_if_unknown(error: TrestleError) -> None:
+    if isinstance(error, StorageFailedError):
+        raise error
+    if error.verdict is not Verdict.NOT_RUN:
+        raise CommitUnknownError(error.message) from error
+
+
 def _submit_once(
     state: ReplicaState, command: Message, timeout_seconds: float
 ) -> Message:
--- a/packages/trestle-control/src/trestle_control/replica_leader.py
+++ b/packages/trestle-control/src/trestle_control/replica_leader.py
@@ -14,7 +14,13 @@
 from gevent import sleep
 
 from trestle_control.log_records import EntryKind, LogEntry
-from trestle_control.membership import Member, MemberSet, next_member_set
+from trestle_control.membership import (
+    Member,
+    MemberSet,
+    next_member_set,
+    quorum_size,
+    voters_of,
+)
 from trestle_control.peer_calls import (
     quorum_acked_at,
     quorum_match_index,
@@ -150,8 +156,26 @@
     propose_entry(state, EntryKind.MEMBERS, encode_message(changed))
 
 
+def keeps_quorum(state: ReplicaState, changed: MemberSet) -> bool:
+    """Tell whether the voters of a set that answer now are a quorum of it."""
+    voters = voters_of(changed)
+    if not voters:
+        return False
+    answering = [
+        voter for voter in voters if _answers(state, voter.incarnation)
+    ]
+    return len(answering) >= quorum_size(changed)
+
+
+def _answers(state: ReplicaState, incarnation: str) -> bool:
+    if incarnation == state.incarnation:
+        return True
+    peer = state.peers.get(incarnation)
+    return peer is not None and peer.silent_seconds() < state.election_seconds
+
+
 def _newcomers(state: ReplicaState) -> list[Member]:
-    listed = {entry.host: entry.address for entry in state.settings.members}
+    listed = {entry.host: entry.address for entry in state.members.hosts}
     oldest = monotonic() - state.election_seconds * _NEWCOMER_TIMEOUTS
     return [
         Member(host, newcomer.incarnation, listed[host], voter=False)
--- a/packages/trestle-control/src/trestle_control/replica_status.py
+++ b/packages/trestle-control/src/trestle_control/replica_status.py
@@ -1,13 +1,16 @@
 """The status of the group as one member sees it."""
 
 from trestle_control.membership import Member, quorum_size
+from trestle_control.replica_forward import call_leader
 from trestle_control.replica_state import ReplicaState
 from trestle_control.status_messages import (
     MemberStatus,
     ReplicaStatus,
     StatusAsk,
 )
+from trestle_core.errors import TrestleError
 from trestle_links.connection import Channel
+from trestle_links.member_messages import GroupStatusAsk
 
 
 def status_handler(
@@ -37,6 +40,25 @@
     )
 
 
+def group_status(state: ReplicaState) -> ReplicaStatus:
+    """Return the leader's view; a member that reaches none gives its own."""
+    if state.is_leader:
+        return status_of(state)
+    try:
+        return call_leader(
+            state, StatusAsk(), ReplicaStatus, state.election_seconds
+        )
+    except TrestleError:
+        return status_of(state)
+
+
+def group_status_handler(
+    state: ReplicaState, _ask: GroupStatusAsk, _channel: Channel
+) -> ReplicaStatus:
+    """Tell another process the status of the group."""
+    return group_status(state)
+
+
 def _member_status(state: ReplicaState, member: Member) -> MemberStatus:
     if member.incarnation == state.incarnation:
         match_index, reachable = state.log.synced_index, True
@@ -56,9 +78,11 @@
         return False
     if any(not member.voter for member in members):
         return False
-    holding = [
+    # Every committed entry is on a quorum of the set in force, so on one of
+    # any quorum that is left; a voter that lags gets it from there.
+    following = [
         member
         for member in members
-        if member.reachable and member.match_index >= state.commit_index
+        if member.reachable and member.match_index >= state.members_index
     ]
-    return len(holding) - 1 >= quorum_size(state.members)
+    return len(following) - 1 >= quorum_size(state.members)
--- a/packages/trestle-core/src/trestle_core/errorcodes.py
+++ b/packages/trestle-core/src/trestle_core/errorcodes.py
@@ -130,6 +130,9 @@
 WRONG_MEMBER: Final = _refusal(
     'wrong-member', 409, 'The message is for another member identity.'
 )
+MEMBERS_REFUSED: Final = _refusal(
+    'members-refused', 409, 'The control hosts left would be no quorum.'
+)
 DATA_FOLDER_IN_USE: Final = _refusal(
     'data-folder-in-use', 500, 'Another process uses the data folder.'
 )
--- a/testbed/log_group.py
+++ b/testbed/log_group.py
@@ -14,6 +14,12 @@
 from trestle_core.errors import TrestleError
 from trestle_core.metrics import Metrics
 from trestle_links.link import Identity, Link
+from trestle_links.member_messages import (
+    AddControlHost,
+    ControlHosts,
+    GroupStatusAsk,
+    RemoveControlHost,
+)
 
 HOSTS: Final = ('plovdiv-a', 'plovdiv-b', 'asenovgrad')
 LIMIT_SECONDS: Final = 30.0
@@ -65,6 +71,23 @@
         for host in HOSTS:
             self.start(host)
 
+    def start_and_wait(self) -> str:
+        """Start every member, wait until all follow; return the leader."""
+        self.start_all()
+        leader = self.leader()
+        for host in HOSTS:
+            self.wait_until_follows(host)
+        return leader
+
+    def wait_until_follows(self, host: str) -> None:
+        """Wait until a member knows a leader that others follow, too."""
+
+        def follows() -> bool:
+            status = self.status(host)
+            return bool(status and status.leader)
+
+        poll_until(follows, LIMIT_SECONDS, f'{host} follows a leader')
+
     def process(self, host: str) -> Process:
         """Return the last process of a member."""
         return self.processes.started[host]
@@ -87,6 +110,20 @@
         except TrestleError:
             return None
 
+    def group_status(self, host: str) -> ReplicaStatus:
+        """Return the status of the group, asked at any member."""
+        return self.links[host].call(GroupStatusAsk(), ReplicaStatus, 2)
+
+    def add_host(self, host: str, through: str) -> ControlHosts:
+        """Let a host join, by a command to any member."""
+        command = AddControlHost(host, f'@{self.address_file(host)}')
+        return self.links[through].call(command, ControlHosts, CALL_SECONDS)
+
+    def remove_host(self, host: str, through: str) -> ControlHosts:
+        """Take a host out, by a command to any member."""
+        command = RemoveControlHost(host)
+        return self.links[through].call(command, ControlHosts, CALL_SECONDS)
+
     def leader(self, among: tuple[str, ...] = HOSTS) -> str:
         """Wait until one of the hosts leads and has committed."""
 
