Log storage: nothing counts as durable before its sync has ended

New scenario with a slow sync: with the mechanism off it fails ('its sync had ended'), with it on it passes.

--- a/features/log_storage.feature
+++ b/features/log_storage.feature
@@ -16,6 +16,11 @@
     When the log is opened with a recorded sync
     Then its last segment was synced
 
+  Scenario: Nothing counts as durable before its sync has ended
+    Given a log whose syncs take a while
+    When a batch is written
+    Then its sync had ended
+
   Scenario: A full disk fails the member and acknowledges nothing
     Given a log whose writes fail after the first batch
     When another batch is appended
--- a/features/steps/log_storage_steps.py
+++ b/features/steps/log_storage_steps.py
@@ -223,6 +223,28 @@
     assert context.synced
 
 
+@given('a log whose syncs take a while')
+def step_slow_log(context: Context) -> None:
+    context.synced = []
+
+    def sync_slowly(descriptor: int) -> None:
+        block(SLOW_SECONDS)
+        context.synced.append(descriptor)
+
+    context.log = SegmentLog(context.folder, SEGMENT_BYTES, sync_slowly)
+    context.log.start()
+
+
+@when('a batch is written')
+def step_write_batch(context: Context) -> None:
+    write_batch(context.log)
+
+
+@then('its sync had ended')
+def step_sync_ended(context: Context) -> None:
+    assert context.synced
+
+
 @given('a log whose writes fail after the first batch')
 def step_failing_log(context: Context) -> None:
     log = open_log(context.folder)
