--- a/packages/trestle-core/src/trestle_core/errorcodes.py
+++ b/packages/trestle-core/src/trestle_core/errorcodes.py
@@ -91,6 +91,9 @@
 ENGINE_REFUSED: Final = _in_doubt(
     'engine-refused', 502, 'The engine refused the request.'
 )
+KV_UNAVAILABLE: Final = _refusal(
+    'kv-unavailable', 503, 'The KV cache of the ticket cannot be had.'
+)
 ANSWER_INCOMPLETE: Final = _in_doubt(
     'answer-incomplete', 502, 'The answer ended early.'
 )
@@ -130,6 +133,9 @@
 WRONG_MEMBER: Final = _refusal(
     'wrong-member', 409, 'The message is for another member identity.'
 )
+MEMBERS_REFUSED: Final = _refusal(
+    'members-refused', 409, 'The control hosts left would be no quorum.'
+)
 DATA_FOLDER_IN_USE: Final = _refusal(
     'data-folder-in-use', 500, 'Another process uses the data folder.'
 )
--- a/packages/trestle-entry/src/trestle_entry/answer_stream.py
+++ b/packages/trestle-entry/src/trestle_entry/answer_stream.py
@@ -10,7 +10,7 @@
 from time import monotonic
 from typing import Final, NamedTuple
 
-from gevent import sleep
+from gevent import Timeout, sleep
 
 from trestle_core.errorcodes import (
     ANSWER_INCOMPLETE,
@@ -40,6 +40,7 @@
 _RESUME_TRIES: Final = 5
 _RESUME_PAUSE_SECONDS: Final = 0.05
 _ACK_TOKENS: Final = 64
+_UNREACHABLE: Final = (ConnectionRefusedError, TimeoutError, Timeout)
 
 
 class AnswerFinish(NamedTuple):
@@ -47,6 +48,7 @@
 
     total: int
     finish_reason: str
+    kv_ticket: str
 
 
 class AnswerStream:
@@ -145,7 +147,9 @@
     def _take_end(self, body: AnswerEnd) -> None:
         if body.total != self.next_token:
             raise _incomplete()
-        self.finish = AnswerFinish(body.total, body.finish_reason)
+        self.finish = AnswerFinish(
+            body.total, body.finish_reason, body.kv_ticket
+        )
         self._send_ack()
 
     def _acknowledge(self) -> None:
@@ -173,9 +177,12 @@
         )
         try:
             self.channel = self.link.open(resume)
-        except LinkDownError:
-            # Counted as a try: the next read fails at once and comes back.
+        except LinkDownError as failure:
             self.context.metrics.count('retries', 'resume-connect')
+            # Nobody answers there: another endpoint goes on. After a reset
+            # the next read fails at once and the resume is tried again.
+            if isinstance(failure.__cause__, _UNREACHABLE):
+                raise error from None
 
 
 def _incomplete() -> TrestleError:
--- a/packages/trestle-links/src/trestle_links/connection.py
+++ b/packages/trestle-links/src/trestle_links/connection.py
@@ -79,10 +79,13 @@
     def receive(self, timeout_seconds: float | None = None) -> Message | None:
         """Return the next message, or None at the end of the channel.
 
-        Raises `CallTimeoutError`, `LinkDownError`, or the peer's error.
+        A channel that has ended answers so at every later call. Raises
+        `CallTimeoutError`, `LinkDownError`, or the peer's error.
         """
+        # The end is delivered once; nothing comes after it to wait for.
+        ended = self.ended.is_set() and self.received.empty()
         try:
-            body = self.received.get(timeout=timeout_seconds)
+            body = None if ended else self.received.get(timeout=timeout_seconds)
         except Empty as error:
             raise CallTimeoutError from error
         if body is None and self.connection.lost.is_set():
