--- a/packages/trestle-entry/src/trestle_entry/places.py
+++ b/packages/trestle-entry/src/trestle_entry/places.py
@@ -18,7 +18,6 @@
     NO_ENDPOINT,
 )
 from trestle_core.errors import TrestleError
-from trestle_core.texts import DEADLINE_UNREACHABLE as DEADLINE_TEXT
 from trestle_core.texts import NO_ENDPOINT as NO_ENDPOINT_TEXT
 from trestle_entry.choosing import Need
 from trestle_entry.entry_context import EntryContext
@@ -132,8 +131,7 @@
         return
     if refusal.code == NO_ENDPOINT or isinstance(refusal, LinkDownError):
         raise TrestleError(NO_ENDPOINT, refusal.message)
-    text = DEADLINE_TEXT.format(deadline_ms=need.ask.left_ms)
-    raise TrestleError(DEADLINE_UNREACHABLE, text)
+    raise TrestleError(DEADLINE_UNREACHABLE)
 
 
 _FINAL_REFUSALS: Final = frozenset(('quarantined', 'bad-request'))
