Bookings under random kills; a keyed call is not refused unread as not-run

Ruled out: asking the register in that case, for its name is that of the service, which only the set tells. So refusals before a key is looked up (unknown route or operation, unreadable or too large body, draining) are may-have-run for a call with a key; the codes of these may carry both verdicts.

The rule that refusals are committed is shown by the model's variants only.

--- a/features/claims.feature
+++ b/features/claims.feature
@@ -99,6 +99,15 @@
     When "entry-2" books "a"
     Then "a" has run 1 times
 
+  Scenario: An entry that knows no set cannot say "not-run"
+    Given a ledger system
+    When "entry-2" books "a"
+    And "entry-1" is cut off from control
+    And "entry-1" is killed and started without control
+    And "entry-1" books "a"
+    Then the answers are "ran, may-have-run"
+    And the last code is "unknown-route"
+
   Scenario Outline: The service fails with "<fault>"
     Given a ledger system
     And the service is on "<fault>" for 0 seconds
--- a/features/steps/claims_steps.py
+++ b/features/steps/claims_steps.py
@@ -112,6 +112,13 @@
     context.bookings.restart(host)
 
 
+@when('"{host}" is killed and started without control')
+def step_kill_alone(context: Context, host: str) -> None:
+    processes = context.bookings.cluster.processes
+    processes.started[host].kill()
+    processes.restart(host).read_address()
+
+
 @when('"{host}" is paused')
 def step_pause(context: Context, host: str) -> None:
     context.bookings.cluster.process(host).pause()
--- a/packages/trestle-core/src/trestle_core/errorcodes.py
+++ b/packages/trestle-core/src/trestle_core/errorcodes.py
@@ -47,15 +47,19 @@
     )
 
 
+# Refusals before the key of a call is looked up: `not-run`, but for a call
+# with a key, of which an earlier send may have run.
+BAD_REQUEST: Final = _in_doubt('bad-request', 400, 'The request is malformed.')
+UNKNOWN_ROUTE: Final = _in_doubt('unknown-route', 404, 'No such route.')
+NOT_FOUND: Final = _in_doubt('not-found', 404, 'No such page or object.')
+BODY_TOO_LARGE: Final = _in_doubt('body-too-large', 413, 'Body over the limit.')
+DRAINING: Final = _in_doubt('draining', 503, 'The process is draining.')
+
 # Refusals: nothing was started.
-BAD_REQUEST: Final = _refusal('bad-request', 400, 'The request is malformed.')
-UNKNOWN_ROUTE: Final = _refusal('unknown-route', 404, 'No such route.')
-NOT_FOUND: Final = _refusal('not-found', 404, 'No such page or object.')
 WRONG_METHOD: Final = _refusal('wrong-method', 405, 'Method not allowed.')
 KEY_CONFLICT: Final = _refusal(
     'key-conflict', 409, 'The key stands for another request body.'
 )
-BODY_TOO_LARGE: Final = _refusal('body-too-large', 413, 'Body over the limit.')
 QUARANTINED: Final = _refusal(
     'quarantined', 422, 'The request crashed engines and is quarantined.'
 )
@@ -65,7 +69,6 @@
     'deadline-unreachable', 503, 'The deadline cannot be met.'
 )
 STALE_NODE: Final = _refusal('stale-node', 503, 'The node lacks fresh state.')
-DRAINING: Final = _refusal('draining', 503, 'The process is draining.')
 WITHDRAWN: Final = _refusal('withdrawn', 503, 'The endpoint is withdrawn.')
 NO_ENDPOINT: Final = _refusal('no-endpoint', 503, 'No endpoint is available.')
 RETRY_BUDGET: Final = _refusal(
--- a/packages/trestle-core/src/trestle_core/errors.py
+++ b/packages/trestle-core/src/trestle_core/errors.py
@@ -26,6 +26,16 @@
         self.verdict = verdict
         self.message = message or code.summary
 
+    def in_doubt(self) -> 'TrestleError':
+        """Return this error as `may-have-run` if its code allows that.
+
+        For a refusal of a key that was not looked up: an earlier send of the
+        key may have run.
+        """
+        if Verdict.MAY_HAVE_RUN not in self.code.verdicts:
+            return self
+        return TrestleError(self.code, self.message, Verdict.MAY_HAVE_RUN)
+
     @classmethod
     def from_wire(cls, code: str, message: str, verdict: Verdict) -> Self:
         """Rebuild an error that a peer sent; unknown codes are internal."""
--- a/packages/trestle-entry/src/trestle_entry/http_server.py
+++ b/packages/trestle-entry/src/trestle_entry/http_server.py
@@ -28,6 +28,7 @@
 from trestle_entry.caller_watch import CallerGoneError
 from trestle_entry.entry_context import EntryContext
 from trestle_entry.http_types import (
+    SERVICES_PATH,
     HttpCall,
     HttpReply,
     error_reply,
@@ -108,7 +109,7 @@
         return read
 
     def _work_page(self, path: str) -> Page | None:
-        if path.startswith('/services/'):
+        if path.startswith(SERVICES_PATH):
             return self.services
         return self.work.get(path)
 
@@ -153,8 +154,8 @@
     def _reply(self, environ: dict[str, Any]) -> HttpReply:
         request_id = uuid4().hex
         try:
-            call = self._read_call(environ, request_id)
-            return self.pages.find(call.method, call.path)(call)
+            call, page = self._accept(environ, request_id)
+            return page(call)
         except CallerGoneError as gone:
             # Nobody reads this answer; the counters still tell of it.
             return error_reply(request_id, gone)
@@ -165,6 +166,15 @@
             failure = TrestleError(INTERNAL, verdict=Verdict.MAY_HAVE_RUN)
             return error_reply(request_id, failure)
 
+    def _accept(
+        self, environ: dict[str, Any], request_id: str
+    ) -> tuple[HttpCall, Page]:
+        try:
+            call = self._read_call(environ, request_id)
+            return call, self.pages.find(call.method, call.path)
+        except TrestleError as error:
+            raise error.in_doubt() if _is_keyed(environ) else error
+
     def _read_call(self, environ: dict[str, Any], request_id: str) -> HttpCall:
         headers = {
             key[5:].replace('_', '-').lower(): value
@@ -201,6 +211,12 @@
     return TrestleError(BODY_TOO_LARGE, f'The limit is {limit} bytes.')
 
 
+def _is_keyed(environ: dict[str, Any]) -> bool:
+    """Tell whether a request may be a resend of a call with a key."""
+    is_call = environ['PATH_INFO'].startswith(SERVICES_PATH)
+    return is_call and bool(environ.get('HTTP_IDEMPOTENCY_KEY'))
+
+
 def _check_method(method: str, expected: str) -> None:
     if method != expected:
         raise TrestleError(WRONG_METHOD, f'Use {expected}.')
--- a/packages/trestle-entry/src/trestle_entry/http_types.py
+++ b/packages/trestle-entry/src/trestle_entry/http_types.py
@@ -12,6 +12,8 @@
 EVENT_STREAM_TYPE: Final = 'text/event-stream'
 TEXT_TYPE: Final = 'text/plain; version=0.0.4'
 STATUS_OK: Final = 200
+SERVICES_PATH: Final = '/services/'
+KEY_HEADER: Final = 'idempotency-key'
 
 _REASONS: Final = {
     200: 'OK',
--- a/packages/trestle-entry/src/trestle_entry/service_pages.py
+++ b/packages/trestle-entry/src/trestle_entry/service_pages.py
@@ -2,7 +2,8 @@
 
 A keyed call that is refused before its attempt is refused through the
 control state, because `not-run` is a statement about its key and an earlier
-send may have run. A call without a key gets a new one, returned in the
+send may have run. Where its register is not known, as for a route that is not
+in the set, the refusal says `may-have-run`. A call without a key gets a new one, returned in the
 answer, so that a plain refusal is true of it.
 """
 
@@ -31,6 +32,7 @@
 )
 from trestle_entry.http_types import (
     JSON_TYPE,
+    KEY_HEADER,
     HttpCall,
     HttpReply,
     body_reply,
@@ -40,7 +42,6 @@
 from trestle_entry.model_pages import Page
 from trestle_entry.request_records import RequestRecord
 
-KEY_HEADER: Final = 'idempotency-key'
 _PATH_PARTS: Final = 4
 _MS_PER_SECOND: Final = 1000
 
@@ -89,9 +90,12 @@
     request: ServiceRequest,
     record: RequestRecord,
 ) -> HttpReply:
-    route = service_route(context, request.route)
-    operation = _operation(context, route, request)
     keyed = bool(request.key)
+    try:
+        route = service_route(context, request.route)
+        operation = _operation(context, route, request)
+    except TrestleError as error:
+        raise error.in_doubt() if keyed else error
     if not keyed:
         request = request._replace(key=uuid4().hex)
     job = _job(request, route, operation)
--- a/testbed/bookings.py
+++ b/testbed/bookings.py
@@ -114,6 +114,14 @@
         for link in CONTROL_LINKS:
             self.cluster.set_link(link, mode, **fields)
 
+    def limit_caller(self, concurrency: int) -> None:
+        """Publish a limit of bookings that an entry runs at once."""
+        route = {**PUBLISHED['routes'][LEDGER]}
+        route['caller_concurrency'] = concurrency
+        named_set = {**PUBLISHED, 'routes': {LEDGER: route}}
+        folder = write_set(self.cluster, named_set, 'limited')
+        self.fleet.operate('publish', folder, '--wait')
+
     def restart(self, name: str) -> None:
         """Start an ended process again and wait until all are ready."""
         self.cluster.processes.restart(name)
