Rollouts of model versions and adapters at the plan's pace

Cause: a new model version in the named set reached no engine. Ruled out: all engines at once (a bad version takes the pool away); a wait for running work before an order that changes nothing (each first publication would drain every engine); a retry of a failed load by time (an operator publishes again). Before: the version of a pool was never loaded. Also: a caller that goes away in mid-stream leaves a record and no traceback. Conclusion: the engine's own state decides whether an order changes anything.

--- a/packages/trestle-control/src/trestle_control/control_app.py
+++ b/packages/trestle-control/src/trestle_control/control_app.py
@@ -10,6 +10,7 @@
 from trestle_control.queries import QueryContext
 from trestle_control.replica import Replica
 from trestle_control.role_manager import RoleManager
+from trestle_control.rollout_manager import RolloutManager
 from trestle_control.status_pages import StatusPages
 from trestle_control.watch_server import WatchServer
 from trestle_core.addresses import write_address_file
@@ -79,6 +80,8 @@
     """Add what runs on every member and acts on the leader only."""
     clock = LeaderClock(machine, replica, settings.answer_retention_ms)
     app.add(start=clock.start, stop=clock.stop)
+    rollouts = RolloutManager(machine, replica, metrics)
+    app.add(start=rollouts.start, stop=rollouts.stop)
     roles = RoleManager.from_config(settings, machine, replica, nodes, metrics)
     app.add(start=roles.start, stop=roles.stop)
     if settings.host_list_url:
--- a/packages/trestle-control/src/trestle_control/endpoint_commands.py
+++ b/packages/trestle-control/src/trestle_control/endpoint_commands.py
@@ -54,6 +54,8 @@
     if before:
         kept = [*past, before.incarnation][-_INCARNATIONS_KEPT:]
         state.past_incarnations[host] = kept
+    # The engine may have restarted as well: what it has loaded is asked anew.
+    state.loaded.pop(host, None)
     story.record([host], 'admitted', 'process start', command.incarnation)
     state.endpoints[host] = EndpointInfo(
         *command, serving=True, cause='admitted'
--- a/packages/trestle-control/src/trestle_control/order_commands.py
+++ b/packages/trestle-control/src/trestle_control/order_commands.py
@@ -78,11 +78,8 @@
     if command.state is OrderState.ISSUED:
         return _refused(BAD_REQUEST)
     state.orders[command.endpoint] = order._replace(state=command.state)
-    if command.state is OrderState.DONE and order.kind == 'set-role':
-        state.wanted_roles[command.endpoint] = order.argument
-        state.endpoints[command.endpoint] = endpoint._replace(
-            engine_role=order.argument
-        )
+    if command.state is OrderState.DONE:
+        _take_effect(state, order)
     story.record(
         [command.endpoint, f'order-{order.fencing}'],
         f'order {command.state.value}',
@@ -92,6 +89,21 @@
     return CommandReply(accepted=True, code='', text='')
 
 
+def _take_effect(state: ControlState, order: Order) -> None:
+    host = order.endpoint
+    label = f'{order.kind} {order.argument}'
+    if order.kind == 'set-role':
+        state.wanted_roles[host] = order.argument
+        state.endpoints[host] = state.endpoints[host]._replace(
+            engine_role=order.argument
+        )
+    elif order.kind == 'load-model':
+        # Another model comes without the adapters of the last one.
+        state.loaded[host] = [label]
+    else:
+        state.loaded.setdefault(host, []).append(label)
+
+
 def _refusal(state: ControlState, command: IssueOrder) -> ErrorCode | None:
     endpoint = state.endpoints.get(command.endpoint)
     if endpoint is None:
--- a/packages/trestle-control/src/trestle_control/queries.py
+++ b/packages/trestle-control/src/trestle_control/queries.py
@@ -11,6 +11,8 @@
 from msgspec.json import decode
 
 from trestle_control.node_table import NodeTable
+from trestle_control.published_set import published_set_reader
+from trestle_control.rollout import rollout_status
 from trestle_control.state import ControlState
 from trestle_links.watch_messages import NodeReport
 
@@ -44,6 +46,7 @@
             for order in state.orders.values()
             if order.state.value == 'issued'
         ],
+        'rollouts': _rollouts(state),
         'quarantined': [
             record.content
             for record in state.contents.values()
@@ -55,6 +58,15 @@
     }
 
 
+def _rollouts(state: ControlState) -> list[Any]:
+    named_set = published_set_reader(state)()
+    pools = named_set.pools if named_set else {}
+    return [
+        _plain(rollout_status(state, name, pool))
+        for name, pool in pools.items()
+    ]
+
+
 def set_query(context: QueryContext, _name: str) -> Any:
     """Return the set in force with its version and digest."""
     current = context.state.current_set
--- /dev/null
+++ b/packages/trestle-control/src/trestle_control/rollout_manager.py
@@ -0,0 +1,95 @@
+"""Runs rollouts on the leader: orders that bring engines to the set in force.
+
+A pool rests for the plan's pause after each order, so that a failing version
+is seen before the next engine is taken away.
+"""
+
+from time import monotonic
+from typing import Final
+
+from gevent import Greenlet, sleep, spawn
+
+from trestle_control.apply import ControlMachine
+from trestle_control.published_set import published_set_reader
+from trestle_control.replica_api import ReplicaApi
+from trestle_control.rollout import next_orders, rollout_status
+from trestle_core.errors import TrestleError
+from trestle_core.logs import part_logger
+from trestle_core.metrics import Metrics
+from trestle_core.namedset import NamedSet
+from trestle_links.fleet_messages import IssueOrder, OrderReply
+
+TICK_SECONDS: Final = 0.5
+_SUBMIT_SECONDS: Final = 3.0
+_MS_PER_SECOND: Final = 1000
+
+_log = part_logger('rollout')
+
+
+class RolloutManager:
+    """The greenlet that issues load orders."""
+
+    def __init__(
+        self, machine: ControlMachine, replica: ReplicaApi, metrics: Metrics
+    ) -> None:
+        """Issue nothing yet."""
+        self.machine = machine
+        self.read_set = published_set_reader(machine.state)
+        self.replica = replica
+        self.metrics = metrics
+        self.rests_until: dict[str, float] = {}
+        self.halts_told: set[int] = set()
+        self.task: Greenlet[..., None] | None = None
+
+    def start(self) -> None:
+        """Start the greenlet."""
+        self.task = spawn(self._run)
+
+    def stop(self) -> None:
+        """Stop the greenlet."""
+        if self.task:
+            self.task.kill()
+
+    def _run(self) -> None:
+        while True:
+            sleep(TICK_SECONDS)
+            named_set = self.read_set()
+            if named_set is None or not self.replica.is_leader:
+                continue
+            try:
+                self._tick(named_set)
+            except TrestleError as error:
+                _log.warning('No load order: {}.', error)
+
+    def _tick(self, named_set: NamedSet) -> None:
+        now = monotonic()
+        for name, pool in named_set.pools.items():
+            self._tell_halt(name, named_set)
+            if now < self.rests_until.get(name, 0):
+                continue
+            # A list: each order that commits changes the state.
+            for command in list(
+                next_orders(self.machine.state, named_set, name)
+            ):
+                self._issue(command)
+                pause = named_set.plans[pool.plan].rollout_pause_ms
+                self.rests_until[name] = now + pause / _MS_PER_SECOND
+
+    def _issue(self, command: IssueOrder) -> None:
+        reply = self.replica.submit(command, _SUBMIT_SECONDS)
+        if isinstance(reply, OrderReply) and reply.accepted:
+            self.metrics.count('load_orders', command.kind)
+            _log.info('{} is to load {}.', command.endpoint, command.argument)
+
+    def _tell_halt(self, name: str, named_set: NamedSet) -> None:
+        status = rollout_status(self.machine.state, name, named_set.pools[name])
+        halted = status.halted
+        if halted and halted.fencing not in self.halts_told:
+            self.halts_told.add(halted.fencing)
+            self.metrics.count('rollouts_halted')
+            _log.error(
+                'Rollout of {} halted: {} failed on {}.',
+                name,
+                halted.argument,
+                halted.endpoint,
+            )
--- a/packages/trestle-control/src/trestle_control/state.py
+++ b/packages/trestle-control/src/trestle_control/state.py
@@ -72,6 +72,7 @@
     past_incarnations: dict[str, list[str]]
     orders: dict[str, Order]
     wanted_roles: dict[str, str]
+    loaded: dict[str, list[str]]
     contents: dict[str, ContentRecord]
     audit: dict[str, list[AuditRecord]]
 
@@ -97,6 +98,8 @@
         self.orders: dict[str, Order] = {}
         # Role that the last finished order gave to an engine.
         self.wanted_roles: dict[str, str] = {}
+        # What finished orders loaded since the admission, as `KIND NAME`.
+        self.loaded: dict[str, list[str]] = {}
         self.contents: dict[str, ContentRecord] = {}
         self.audit: dict[str, list[AuditRecord]] = {}
 
--- a/packages/trestle-endpoint/src/trestle_endpoint/order_run.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/order_run.py
@@ -43,6 +43,15 @@
         self.timeout_seconds = timeout_seconds
         self.incarnation = ''
 
+    def is_in_effect(self) -> bool:
+        """Tell whether the engine is idle of orders and as this one wants."""
+        state = read_state(self.engine)
+        return (
+            state is not None
+            and not _is_busy(state)
+            and has_effect(state, self.order)
+        )
+
     def prepare(self) -> OrderEnd | None:
         """Wait until the engine runs no order; an end means not to send."""
         before = read_quiet_state(self.engine, self.timeout_seconds)
--- a/packages/trestle-endpoint/src/trestle_endpoint/orders.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/orders.py
@@ -37,6 +37,7 @@
     AdmitReply,
     CommandReply,
     Order,
+    OrderState,
     ReportOrder,
 )
 
@@ -101,9 +102,13 @@
             return failed_order(INTERNAL.summary)
 
     def _send(self, order: Order) -> OrderEnd:
+        run = OrderRun(self.parts.engine, order, self.parts.timeout_seconds)
+        if run.is_in_effect():
+            # A rollout asks engines whose loaded model it does not know:
+            # nothing has to end for an order that changes nothing.
+            return OrderEnd(OrderState.DONE, 'it was in effect already')
         if interrupts_engine(order):
             self._wait_quiet()
-        run = OrderRun(self.parts.engine, order, self.parts.timeout_seconds)
         end = run.prepare()
         if end:
             return end
--- a/packages/trestle-entry/src/trestle_entry/model_pages.py
+++ b/packages/trestle-entry/src/trestle_entry/model_pages.py
@@ -16,7 +16,7 @@
     parse_chat,
     parse_completion,
 )
-from trestle_entry.caller_watch import cancel_when_gone
+from trestle_entry.caller_watch import CallerGoneError, cancel_when_gone
 from trestle_entry.completions import (
     Completion,
     completion_job,
@@ -29,6 +29,7 @@
 )
 from trestle_entry.http_types import HttpCall, HttpReply, json_reply
 from trestle_entry.openai_replies import stream_reply, whole_reply
+from trestle_entry.request_records import RequestRecord
 
 Page = Callable[[HttpCall], HttpReply]
 
@@ -119,7 +120,7 @@
     with cancel_when_gone(call.socket):
         first = next(batches, [])
     reply = stream_reply(request, completion, first, batches)
-    events = _closing_stream(call, reply, stack)
+    events = _closing_stream(call, reply, stack, completion.record)
     return reply._replace(body=events)
 
 
@@ -127,6 +128,13 @@
     call: HttpCall,
     reply: HttpReply,
     stack: ExitStack,
+    record: RequestRecord,
 ) -> Iterator[bytes]:
-    with stack, cancel_when_gone(call.socket):
-        yield from reply.body
+    with stack:
+        try:
+            with cancel_when_gone(call.socket):
+                yield from reply.body
+        except CallerGoneError as gone:
+            # The iterators below have cancelled the work already.
+            record.code = gone.code.code
+            record.verdict = gone.verdict
--- a/testbed/firms.py
+++ b/testbed/firms.py
@@ -57,6 +57,18 @@
     return target
 
 
+def medena_set_with_version(folder: Path, version: str) -> Path:
+    """Copy Medena's set with another model version; return its folder."""
+    target = folder / f'set-version-{version}'
+    copytree(MEDENA_SET, target, dirs_exist_ok=True)
+    path = target / 'pools.json'
+    pools = loads(path.read_text(encoding='utf-8'))
+    for pool in pools['pools'].values():
+        pool['version'] = version
+    path.write_text(dumps(pools), encoding='utf-8')
+    return target
+
+
 def publish_when_ready(cluster: Cluster, folder: Path = MEDENA_SET) -> None:
     """Publish a set once the control group answers; wait for every node."""
     cluster.wait_ready(cluster.control_hosts)
