--- a/packages/kingcuptrestle/src/kingcuptrestle/set_cli.py
+++ b/packages/kingcuptrestle/src/kingcuptrestle/set_cli.py
@@ -21,7 +21,9 @@
 from kingcuptrestle.output import print_error, print_json, print_line
 from trestle_core.digests import canonical_json, content_digest
 from trestle_core.errorcodes import VERSION_CONFLICT
+from trestle_core.errors import TrestleError
 from trestle_core.namedset_check import check_set, load_set_folder
+from trestle_core.verdict import Verdict
 from trestle_links.fleet_messages import PublishReply, PublishSet
 
 _POLL_SECONDS: Final = 0.25
@@ -89,8 +91,9 @@
 class Publish(ControlOptions):
     """Publish the named set in a folder as the next version.
 
-    Publishing what is in force already changes nothing, so the command is
-    safe to repeat after a lost answer.
+    Publishing what is in force already changes nothing. After a lost answer,
+    repeat the command with the `--version` that it names: without it, a set
+    that was published meanwhile would be replaced.
     """
 
     folder: Annotated[str, Arg(help='folder of the set')]
@@ -143,9 +146,13 @@
         # The same content again is a resend, not another version.
         unchanged = current['digest'] == digest
         version = current['version'] + (0 if unchanged else 1)
-    reply = session.submit(
-        PublishSet(version, digest, content, session.operator), PublishReply
-    )
+    command = PublishSet(version, digest, content, session.operator)
+    try:
+        reply = session.submit(command, PublishReply)
+    except TrestleError as error:
+        if error.verdict is Verdict.MAY_HAVE_RUN:
+            print_error(f'not known; repeat with --version {version}')
+        raise
     if options.json:
         print_json(reply._asdict())
     if not reply.accepted:
--- a/packages/trestle-links/src/trestle_links/freshness.py
+++ b/packages/trestle-links/src/trestle_links/freshness.py
@@ -3,6 +3,10 @@
 A stamp says how old the control host's state was when the ask arrived. The
 node subtracts that age from the time at which it asked, so neither the delay
 of the answer nor another host's clock makes the view fresher.
+
+Invariant: a view counts as current only from a stamp younger than the node's
+start. The node may have served a newer set before than a lagging control host
+would hand it, or a leader that is cut off and does not know it yet.
 """
 
 from math import inf
@@ -20,10 +24,11 @@
     def __init__(self) -> None:
         """Start with a view that was never current."""
         self.fresh_at = -inf
+        self.started_at = monotonic()
         self.asked: dict[int, float] = {}
 
     def age_seconds(self) -> float:
-        """Return the age of the view; infinity before the first stamp."""
+        """Return the age of the view; infinity before the first that counts."""
         return monotonic() - self.fresh_at
 
     def begin_stream(self) -> None:
@@ -37,6 +42,8 @@
     def take(self, stamp: Stamp) -> None:
         """Take the stamp of an ask on this stream; others do not count."""
         asked_at = self.asked.pop(stamp.number, None)
-        if asked_at is not None:
-            fresh_at = asked_at - stamp.age_ms / _MS_PER_SECOND
+        if asked_at is None:
+            return
+        fresh_at = asked_at - stamp.age_ms / _MS_PER_SECOND
+        if fresh_at >= self.started_at:
             self.fresh_at = max(self.fresh_at, fresh_at)
--- a/testbed/bookings.py
+++ b/testbed/bookings.py
@@ -14,6 +14,14 @@
 LEDGER: Final = 'ledger'
 ENTRIES: Final = ('entry-1', 'entry-2')
 CONTROL_LINKS: Final = tuple(f'entry-1>control-{one}' for one in (1, 2, 3))
+OPERATOR_LINK: Final = 'operator>control-1'
+# Every link between the first control host and the others.
+PEER_LINKS: Final = (
+    'control-1>control-2',
+    'control-1>control-3',
+    'control-2>control-1',
+    'control-3>control-1',
+)
 DISPATCH_LINK: Final = 'entry>ledger-1'
 CALL_SECONDS: Final = 15.0
 LIMIT_SECONDS: Final = 20.0
@@ -58,7 +66,7 @@
         layout = Layout(
             ZONES,
             endpoints,
-            links=(*CONTROL_LINKS, DISPATCH_LINK),
+            links=(*CONTROL_LINKS, *PEER_LINKS, OPERATOR_LINK, DISPATCH_LINK),
             settings=settings,
         )
         cluster = Cluster.from_config(processes, layout)
--- a/testbed/cluster.py
+++ b/testbed/cluster.py
@@ -22,6 +22,7 @@
 PROXY: Final = 'proxy'
 HOST_LIST: Final = 'hosts'
 ANY_ENTRY: Final = 'entry'
+OPERATOR_HOST: Final = 'operator'
 
 
 class Endpoint(NamedTuple):
@@ -215,10 +216,16 @@
                 partial(self.ready, name), READY_LIMIT_SECONDS, f'{name} ready'
             )
 
-    def operate(self, *arguments: str) -> 'CompletedProcess[str]':
-        """Run a command of the operators' program."""
+    def operate(
+        self, *arguments: str, through: Sequence[str] = ()
+    ) -> 'CompletedProcess[str]':
+        """Run a command of the operators' program.
+
+        It tries the control hosts of `through` in order, or else all.
+        """
         control = ','.join(
-            f'@{self.address_file(h)}' for h in self.control_hosts
+            self.route(OPERATOR_HOST, host)
+            for host in through or self.control_hosts
         )
         return run_command(
             [
