--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 PACKAGES := $(wildcard packages/*)
 
-.PHONY: setup demo test format lint types check capacity
+.PHONY: setup demo test format lint types check capacity soak-log bench-log
 
 setup: $(VENV)/.installed
 
@@ -36,3 +36,12 @@
 
 capacity: setup
 	$(BIN)/python -m testbed.capacity
+
+SEED ?= 1
+MINUTES ?= 1
+
+soak-log: setup
+	$(BIN)/python -m testbed.soak_log $(SEED) $(MINUTES)
+
+bench-log: setup
+	$(BIN)/python -m testbed.bench_log
--- a/features/replicated_log.feature
+++ b/features/replicated_log.feature
@@ -18,3 +18,8 @@
     When the leader is stopped while commands are sent
     Then no command was refused for longer than an election
     And every member that runs reads all of them
+
+  Scenario: All members that stop at once wait for nobody
+    Given a group of three members
+    When all members are asked to stop at once
+    Then the leader asked each other voter once and was gone within a second
--- a/features/steps/replicated_log_steps.py
+++ b/features/steps/replicated_log_steps.py
@@ -1,6 +1,7 @@
 """Steps on a group of log members as processes."""
 
 from time import monotonic
+from typing import Any
 
 from behave import given, then, when
 from behave.runner import Context
@@ -10,9 +11,10 @@
 from testbed.processes import poll_until
 
 ELECTION_SECONDS = 0.6
+STOP_SECONDS = 1.0
 
 
-def start_group(context: Context, **settings: object) -> LogGroup:
+def start_group(context: Context, **settings: Any) -> LogGroup:
     """Start a group of three and wait for its leader."""
     group = LogGroup(context.processes, **settings)
     context.group = group
@@ -94,3 +96,25 @@
     for host in HOSTS:
         if context.group.process(host).running():
             check_reads(context, host)
+
+
+@when('all members are asked to stop at once')
+def step_stop_all(context: Context) -> None:
+    group: LogGroup = context.group
+    write(context, context.leader, 5)
+    context.asked_at = monotonic()
+    # The followers are gone before the leader, which counts on them.
+    for host in sorted(HOSTS, key=lambda host: host == context.leader):
+        group.process(host).terminate()
+
+
+@then('the leader asked each other voter once and was gone within a second')
+def step_gone(context: Context) -> None:
+    process = context.group.process(context.leader)
+    assert process.wait() == 0
+    seconds = monotonic() - context.asked_at
+    text = process.log_file.read_text(encoding='utf-8')
+    asks = text.count('does not take over') + text.count('to lead.')
+    print(f'{seconds:.2f} s, {asks} asks')
+    assert asks <= len(HOSTS) - 1, asks
+    assert seconds < STOP_SECONDS, seconds
--- a/packages/trestle-control/src/trestle_control/replica_handover.py
+++ b/packages/trestle-control/src/trestle_control/replica_handover.py
@@ -2,7 +2,8 @@
 
 The leader takes no more commands, waits until a voter holds its whole log,
 and asks it to start an election at once. So a planned stop costs one round
-instead of an election timeout.
+instead of an election timeout. Each voter that answers is asked once; when
+there is none left, as when all members stop, the leader waits for nobody.
 """
 
 from time import monotonic
@@ -28,23 +29,39 @@
     """Let another voter lead, if one is caught up in time."""
     state.handing_over = True
     deadline = monotonic() + _HANDOVER_SECONDS
-    asked = False
-    while state.is_leader and monotonic() < deadline:
-        peer = _caught_up_voter(state)
-        if peer and not asked:
-            asked = _ask_to_lead(state, peer)
+    left = _live_voters(state)
+    while left and state.is_leader and monotonic() < deadline:
+        peer = _caught_up(state, left)
+        if peer:
+            left.remove(peer)
+            if _ask_to_lead(state, peer):
+                _wait_for_election(state)
         sleep(_POLL_SECONDS)
+        left = [peer for peer in _live_voters(state) if peer in left]
 
 
-def _caught_up_voter(state: ReplicaState) -> Peer | None:
-    for peer in state.peers.values():
-        is_live = peer.silent_seconds() < state.election_seconds
-        matches = peer.match_index == state.log.last_index
-        if peer.member.voter and is_live and matches:
+def _live_voters(state: ReplicaState) -> list[Peer]:
+    return [
+        peer
+        for peer in state.peers.values()
+        if peer.member.voter and peer.silent_seconds() < state.election_seconds
+    ]
+
+
+def _caught_up(state: ReplicaState, peers: list[Peer]) -> Peer | None:
+    for peer in peers:
+        if peer.match_index == state.log.last_index:
             return peer
     return None
 
 
+def _wait_for_election(state: ReplicaState) -> None:
+    term = state.term
+    state.roles.wait_until(
+        lambda: not state.leads(term), state.election_seconds
+    )
+
+
 def _ask_to_lead(state: ReplicaState, peer: Peer) -> bool:
     header = header_for(state, peer, state.term)
     try:
--- a/testbed/log_group.py
+++ b/testbed/log_group.py
@@ -8,7 +8,7 @@
 from typing import Any, Final
 
 from testbed.calls import http_call
-from testbed.log_member import PutReply, PutValue, ReadValue, ValueReply
+from testbed.log_member import PutReply, PutValue, ReadValue, Rule, ValueReply
 from testbed.processes import Process, Processes, poll_until
 from trestle_control.status_messages import ReplicaStatus, StatusAsk
 from trestle_core.errors import TrestleError
@@ -30,11 +30,23 @@
 
 
 class LogGroup:
-    """Processes, settings and links of one group of three."""
+    """Processes, settings and links of one group."""
 
-    def __init__(self, processes: Processes, **overrides: Any) -> None:
-        """Prepare a group; `overrides` are settings of every member."""
+    def __init__(
+        self,
+        processes: Processes,
+        hosts: tuple[str, ...] = HOSTS,
+        *,
+        proxied: bool = True,
+        **overrides: Any,
+    ) -> None:
+        """Prepare a group; `overrides` are settings of every member.
+
+        Without the proxy no link can get a fault.
+        """
         self.processes = processes
+        self.hosts = hosts
+        self.proxied = proxied
         self.folder = processes.folder
         self.overrides = overrides
         key = token_bytes(_KEY_BYTES)
@@ -42,13 +54,14 @@
         me = Identity('test', key, Metrics.empty())
         self.links = {
             host: Link.to_address(f'@{self.address_file(host)}', me)
-            for host in HOSTS
+            for host in hosts
         }
         routes = [
             f'--link={source}>{target}=0:@{self.address_file(target)}'
-            for source, target in permutations(HOSTS, 2)
+            for source, target in permutations(hosts, 2)
         ]
-        self.proxy = processes.start_fake(_PROXY, 'fault_proxy', *routes)
+        if proxied:
+            self.proxy = processes.start_fake(_PROXY, 'fault_proxy', *routes)
 
     def address_file(self, host: str) -> Path:
         """Return the file with a member's peer address."""
@@ -68,14 +81,14 @@
 
     def start_all(self) -> None:
         """Start every member."""
-        for host in HOSTS:
+        for host in self.hosts:
             self.start(host)
 
     def start_and_wait(self) -> str:
         """Start every member, wait until all follow; return the leader."""
         self.start_all()
         leader = self.leader()
-        for host in HOSTS:
+        for host in self.hosts:
             self.wait_until_follows(host)
         return leader
 
@@ -99,7 +112,7 @@
 
     def isolate(self, host: str, mode: str = 'drop') -> None:
         """Put a fault on every link between a member and the others."""
-        for source, target in permutations(HOSTS, 2):
+        for source, target in permutations(self.hosts, 2):
             if host in {source, target}:
                 self.set_fault(source, target, mode)
 
@@ -124,11 +137,11 @@
         command = RemoveControlHost(host)
         return self.links[through].call(command, ControlHosts, CALL_SECONDS)
 
-    def leader(self, among: tuple[str, ...] = HOSTS) -> str:
+    def leader(self, among: tuple[str, ...] = ()) -> str:
         """Wait until one of the hosts leads and has committed."""
 
         def find() -> str:
-            for host in among:
+            for host in among or self.hosts:
                 status = self.status(host)
                 if status and status.role == 'leader' and status.commit_index:
                     return host
@@ -137,10 +150,16 @@
         return poll_until(find, LIMIT_SECONDS, 'a leader')
 
     def put(
-        self, host: str, key: str, value: str, seconds: float = CALL_SECONDS
+        self,
+        host: str,
+        key: str,
+        value: str,
+        seconds: float = CALL_SECONDS,
+        rule: Rule = 'put',
     ) -> PutReply:
-        """Set a key through a member."""
-        command = PutValue(key, value, int(seconds * _MS_PER_SECOND))
+        """Change a key through a member."""
+        timeout_ms = int(seconds * _MS_PER_SECOND)
+        command = PutValue(key, value, timeout_ms, rule)
         return self.links[host].call(command, PutReply, seconds + 1)
 
     def read(
@@ -166,19 +185,19 @@
             'host': host,
             'zone': host,
             'key_file': str(self.folder / 'key'),
-            'control': [f'@{self.address_file(one)}' for one in HOSTS],
+            'control': [f'@{self.address_file(one)}' for one in self.hosts],
             'address_file': str(self.address_file(host)),
             'data_folder': str(self.data_folder(host)),
             'bootstrap': True,
             'log_level': 'DEBUG',
             'members': [
                 {'host': one, 'address': self._route(host, one)}
-                for one in HOSTS
+                for one in self.hosts
             ],
             **self.overrides,
         }
 
     def _route(self, source: str, target: str) -> str:
-        if source == target:
+        if source == target or not self.proxied:
             return f'@{self.address_file(target)}'
         return self.proxy.addresses[f'{source}>{target}']
--- a/testbed/log_member.py
+++ b/testbed/log_member.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from sys import argv
 from sys import exit as exit_process
-from typing import Any, Final, NamedTuple
+from typing import Any, Final, Literal, NamedTuple
 
 from msgpack import packb, unpackb
 
@@ -28,16 +28,23 @@
 _REFUSED_STATUS: Final = 3
 _MS_PER_SECOND: Final = 1000
 
+Rule = Literal['put', 'raise', 'append']
+
 _log = part_logger('member')
 
 
 @message(200)
 class PutValue(NamedTuple):
-    """Set a key; `timeout_ms` bounds the wait for the commit."""
+    """Change a key; `timeout_ms` bounds the wait for the commit.
+
+    `rule` says what becomes of the earlier value: `put` replaces it, `raise`
+    keeps the higher number, `append` adds an item and a space.
+    """
 
     key: str
     value: str
     timeout_ms: int
+    rule: Rule = 'put'
 
 
 @message(201)
@@ -74,11 +81,11 @@
         self.contents: dict[str, str] = {}
 
     def apply(self, index: int, command: Message) -> Message:
-        """Set a key."""
+        """Change a key."""
         assert isinstance(command, PutValue)
         replaced = self.contents.get(command.key, '')
-        self.contents[command.key] = command.value
-        return PutReply(index, replaced)
+        self.contents[command.key] = _changed(command, replaced)
+        return PutReply(index, replaced if command.rule == 'put' else '')
 
     def snapshot(self) -> bytes:
         """Return all keys and values."""
@@ -90,6 +97,14 @@
         self.contents = unpackb(packed)
 
 
+def _changed(command: PutValue, earlier: str) -> str:
+    if command.rule == 'append':
+        return f'{earlier}{command.value} '
+    if command.rule == 'raise':
+        return str(max(int(earlier or 0), int(command.value)))
+    return command.value
+
+
 def main() -> None:
     """Run a member until SIGTERM; a refused start exits with status 3."""
     settings = load_settings(argv[1])
