--- a/features/log_storage.feature
+++ b/features/log_storage.feature
@@ -45,3 +45,17 @@
   Scenario: A leader whose applied state lags gives no fresh stamp
     Given a leader whose peers answer while it has not applied
     Then its state is as old as what it applied
+
+  Scenario Outline: A damaged <name> file refuses to start, at any byte
+    Given a data folder with a vote and a snapshot
+    Then a changed byte or a cut anywhere in the <name> file is damage
+
+    Examples:
+      | name     |
+      | vote     |
+      | snapshot |
+
+  Scenario: Malformed requests of a peer change nothing
+    Given a follower with an entry of an earlier term
+    Then malformed entries and snapshots change nothing
+    And a changed peer frame is a message or malformed, and nothing else
--- a/features/steps/log_storage_steps.py
+++ b/features/steps/log_storage_steps.py
@@ -2,7 +2,6 @@
 
 from pathlib import Path
 from time import monotonic
-from typing import Any
 
 from behave import given, then, when
 from behave.runner import Context
@@ -10,9 +9,20 @@
 from hypothesis import given as any_value
 from hypothesis import settings
 from hypothesis import strategies as some
-from msgpack import packb
 
-from testbed.log_member import Dictionary, PutValue
+from testbed.log_fixtures import (
+    BATCH_ENTRIES,
+    NO_CHANNEL,
+    SEGMENT_BYTES,
+    batch_from,
+    group_of,
+    header_of,
+    member_state,
+    open_log,
+    part_of,
+    snapshot_at,
+)
+from testbed.log_member import PutValue
 from trestle_control.control_errors import DamagedLogError, StorageFailedError
 from trestle_control.log_records import (
     EntryKind,
@@ -20,52 +30,24 @@
     pack_entry,
 )
 from trestle_control.log_segments import SegmentLog
-from trestle_control.membership import Member, MemberIdentity, MemberSet
 from trestle_control.peer_calls import refresh_peers
 from trestle_control.read_barrier import freshness_age_seconds
 from trestle_control.replica_follower import append_handler, snapshot_handler
 from trestle_control.replica_log import append_entries
 from trestle_control.replica_messages import (
     AppendAsk,
-    PeerHeader,
-    SnapshotPart,
 )
-from trestle_control.replica_state import ReplicaState, Role
-from trestle_control.snapshots import Snapshot, pack_snapshot
-from trestle_control.vote_file import VoteFile
-from trestle_core.metrics import Metrics
-from trestle_core.settings import ControlSettings, MemberSettings
+from trestle_control.replica_state import Role
+from trestle_control.snapshots import pack_snapshot
 from trestle_links.codec import encode_message
-from trestle_links.link import Identity
 
-SEGMENT_BYTES = 4096
 BATCHES = 8
-BATCH_ENTRIES = 5
-PAYLOAD_BYTES = 150
 SLOW_SECONDS = 0.3
 EXAMPLES = 300
-LEADER = MemberIdentity('plovdiv-b', 'leader')
-# The handlers of the replica answer by their return value.
-NO_CHANNEL: Any = None
 
 block = monkey.get_original('time', 'sleep')
 
 
-def open_log(folder: Path) -> SegmentLog:
-    """Open a log and start its writer."""
-    log = SegmentLog(folder, SEGMENT_BYTES)
-    log.start()
-    return log
-
-
-def batch_from(index: int, term: int = 1) -> list[LogEntry]:
-    """Return a batch of entries that starts at an index."""
-    return [
-        LogEntry(index + number, term, EntryKind.COMMAND, b'x' * PAYLOAD_BYTES)
-        for number in range(BATCH_ENTRIES)
-    ]
-
-
 def write_batch(log: SegmentLog) -> None:
     """Append a batch and wait until it is synced."""
     log.append(batch_from(log.last_index + 1))
@@ -92,58 +74,6 @@
     return False
 
 
-def member_state(folder: Path) -> ReplicaState:
-    """Open one member of a group of three, without links."""
-    hosts = ('plovdiv-a', 'plovdiv-b', 'asenovgrad')
-    listed = [MemberSettings(host, '127.0.0.1:1') for host in hosts]
-    config = ControlSettings(
-        host='plovdiv-a',
-        zone='plovdiv-a',
-        key_file='key',
-        control=['127.0.0.1:1'],
-        data_folder=str(folder),
-        members=listed,
-    )
-    me = Identity('plovdiv-a', b'key', Metrics.empty())
-    log = open_log(folder)
-    votes = VoteFile.open(folder, 'plovdiv-a')
-    state = ReplicaState(config, me, log, votes, Dictionary())
-    votes.store(2, '')
-    return state
-
-
-def group_of(state: ReplicaState) -> MemberSet:
-    """Return a set of three voters with this member in it."""
-    identities = (state.identity, LEADER, MemberIdentity('asenovgrad', 'third'))
-    members = [
-        Member(*identity, '127.0.0.1:1', voter=True) for identity in identities
-    ]
-    return MemberSet('group', members, [])
-
-
-def header_of(state: ReplicaState, term: int) -> PeerHeader:
-    """Return the header of a request of the leader."""
-    return PeerHeader('group', term, LEADER, state.incarnation)
-
-
-def snapshot_at(state: ReplicaState, index: int, value: str) -> Snapshot:
-    """Return a snapshot with one value, random enough to need two parts."""
-    members = encode_message(group_of(state))
-    return Snapshot(index, 1, members, packb({'lot': value}))
-
-
-def part_of(
-    state: ReplicaState, snapshot: Snapshot, begin: int, end: int
-) -> SnapshotPart:
-    """Return some bytes of a snapshot as a part."""
-    packed = pack_snapshot(snapshot)
-    is_end = end >= len(packed)
-    header = header_of(state, 2)
-    return SnapshotPart(
-        header, snapshot.log_index, begin, packed[begin:end], is_end
-    )
-
-
 @given('a log of several batches in several segments')
 def step_write_log(context: Context) -> None:
     log = open_log(context.folder)
--- a/packages/kingcuptrestle/src/kingcuptrestle/fleet_cli.py
+++ b/packages/kingcuptrestle/src/kingcuptrestle/fleet_cli.py
@@ -21,14 +21,6 @@
 )
 
 _MS_PER_SECOND: Final = 1000
-_MEMBER_COLUMNS: Final = (
-    'host',
-    'voter',
-    'reachable',
-    'match_index',
-    'incarnation',
-    'address',
-)
 
 
 def show_status(options: 'Status') -> int:
@@ -46,23 +38,6 @@
     return DONE
 
 
-def show_members(options: 'Members') -> int:
-    """Print the members of the control group."""
-    with control_session(options) as session:
-        replica = session.query('status')['replica']
-    if options.json:
-        print_json(replica)
-        return DONE
-    rows = [
-        [member[column] for column in _MEMBER_COLUMNS]
-        for member in replica['members']
-    ]
-    print_table(_MEMBER_COLUMNS, rows)
-    safe = 'yes' if replica['second_loss_safe'] else 'no'
-    print_line(f'losing one more host is safe: {safe}')
-    return DONE
-
-
 def explain_name(options: 'Explain') -> int:
     """Print the records of a name, oldest first."""
     with control_session(options) as session:
@@ -115,14 +90,6 @@
     json: Annotated[bool, Arg(long='--json', help='print as JSON')] = False
 
 
-@command(name='members', invoke=show_members)
-@dataclass
-class Members(ControlOptions):
-    """Show the control hosts and whether losing another one is safe."""
-
-    json: Annotated[bool, Arg(long='--json', help='print as JSON')] = False
-
-
 @command(name='explain', invoke=explain_name)
 @dataclass
 class Explain(ControlOptions):
--- a/packages/kingcuptrestle/src/kingcuptrestle/operator_cli.py
+++ b/packages/kingcuptrestle/src/kingcuptrestle/operator_cli.py
@@ -12,12 +12,12 @@
 from kingcuptrestle.exit_codes import exit_code_of
 from kingcuptrestle.fleet_cli import (
     Explain,
-    Members,
     Release,
     Restore,
     Status,
     Withdraw,
 )
+from kingcuptrestle.members_cli import Members
 from kingcuptrestle.output import print_error
 from kingcuptrestle.set_cli import Check, Publish, Show
 from kingcuptrestle.settings_cli import SettingsGroup
--- a/packages/trestle-control/src/trestle_control/read_barrier.py
+++ b/packages/trestle-control/src/trestle_control/read_barrier.py
@@ -28,8 +28,10 @@
 _US_PER_SECOND: Final = 1_000_000
 
 
-def confirmed_index(state: ReplicaState, timeout_seconds: float) -> int:
-    """Return a read index on the leader.
+def confirmed_index(
+    state: ReplicaState, timeout_seconds: float, *, urgent: bool = True
+) -> int:
+    """Return a read index on the leader; heartbeats do if not urgent.
 
     Raises `NoQuorumError` when this member does not lead or has no quorum.
     """
@@ -42,8 +44,9 @@
     if not ready or not state.leads(term):
         raise NoQuorumError
     index = state.commit_index
-    for peer in state.peers.values():
-        peer.wake.set()
+    if urgent:
+        for peer in state.peers.values():
+            peer.wake.set()
     state.acks.wait_until(
         lambda: not state.leads(term) or _confirmed(state, started_at),
         started_at + timeout_seconds - monotonic(),
@@ -58,23 +61,25 @@
 ) -> ReadIndexReply:
     """Confirm a read index for another member."""
     asked_at = monotonic()
-    index = confirmed_index(state, ask.timeout_ms / _MS_PER_SECOND)
+    timeout_seconds = ask.timeout_ms / _MS_PER_SECOND
+    index = confirmed_index(state, timeout_seconds, urgent=ask.urgent)
     now = monotonic()
     age_seconds = max(0, asked_at - quorum_acked_at(state, now))
     return ReadIndexReply(index, int(age_seconds * _US_PER_SECOND))
 
 
-def read_barrier(state: ReplicaState, timeout_seconds: float) -> int:
+def read_barrier(
+    state: ReplicaState, timeout_seconds: float, *, urgent: bool = True
+) -> int:
     """Wait until the local state holds everything committed before now.
 
     Raises `NoQuorumError`.
     """
-    started_at = monotonic()
-    deadline = started_at + timeout_seconds
+    deadline = monotonic() + timeout_seconds
     if state.is_leader:
-        index = confirmed_index(state, timeout_seconds)
+        index = confirmed_index(state, timeout_seconds, urgent=urgent)
     else:
-        index = _ask_leader(state, started_at, timeout_seconds)
+        index = _ask_leader(state, timeout_seconds, urgent=urgent)
     if not wait_applied(state, index, deadline - monotonic()):
         raise NoQuorumError
     return index
@@ -96,21 +101,25 @@
 
 
 def run_freshness(state: ReplicaState) -> None:
-    """Ask the leader for a confirmed round again and again."""
+    """Ask the leader for a confirmed round again and again.
+
+    The heartbeats that the leader sends anyway confirm it.
+    """
     while state.running:
         sleep(state.election_seconds / 2)
         if state.is_leader:
             continue
         try:
-            read_barrier(state, state.election_seconds)
+            read_barrier(state, state.election_seconds, urgent=False)
         except TrestleError:
             state.me.metrics.count('replica_freshness_failures')
 
 
 def _ask_leader(
-    state: ReplicaState, started_at: float, timeout_seconds: float
+    state: ReplicaState, timeout_seconds: float, *, urgent: bool
 ) -> int:
-    ask = ReadIndexAsk(int(timeout_seconds * _MS_PER_SECOND))
+    started_at = monotonic()
+    ask = ReadIndexAsk(int(timeout_seconds * _MS_PER_SECOND), urgent)
     try:
         reply = call_leader(state, ask, ReadIndexReply, timeout_seconds)
     except TrestleError as error:
--- a/packages/trestle-control/src/trestle_control/replica_messages.py
+++ b/packages/trestle-control/src/trestle_control/replica_messages.py
@@ -141,9 +141,14 @@
 
 @message(111)
 class ReadIndexAsk(NamedTuple):
-    """Ask the leader for an index that is safe to read at."""
+    """Ask the leader for an index that is safe to read at.
+
+    One that is not `urgent` waits for the next heartbeats instead of a round
+    of its own.
+    """
 
     timeout_ms: int
+    urgent: bool
 
 
 @message(112)
--- a/packages/trestle-links/src/trestle_links/connection.py
+++ b/packages/trestle-links/src/trestle_links/connection.py
@@ -100,7 +100,8 @@
             return
         self.end_sent = True
         self.connection.channels.pop(self.number, None)
-        if not self.connection.lost.is_set():
+        # A peer that has ended the channel keeps nothing of it to end.
+        if not self.ended.is_set() and not self.connection.lost.is_set():
             self.connection.send(encode_frame(self.number, None))
 
     def deliver(self, body: Message | None) -> None:
--- a/testbed/fault_proxy.py
+++ b/testbed/fault_proxy.py
@@ -104,6 +104,7 @@
         self.changed = Event()
         self.connections: set[Connection] = set()
         self.accepted = 0
+        self.read_bytes = 0
 
     def set_fault(self, fault: Fault) -> None:
         """Put a fault into effect for open and new connections."""
@@ -133,6 +134,7 @@
             'mode': self.fault.mode,
             'open': len(self.connections),
             'accepted': self.accepted,
+            'bytes': self.read_bytes,
         }
 
     def wait_for_change(self) -> None:
@@ -208,6 +210,7 @@
         self.tasks.spawn(self.write, direction, chunks, sink)
         content = read(source)
         while content:
+            self.link.read_bytes += len(content)
             chunks.put(Chunk(monotonic() + self.delay(direction), content))
             content = read(source)
         chunks.put(Chunk(monotonic() + self.delay(direction), content))
--- a/testbed/log_group.py
+++ b/testbed/log_group.py
@@ -8,7 +8,14 @@
 from typing import Any, Final
 
 from testbed.calls import http_call
-from testbed.log_member import PutReply, PutValue, ReadValue, Rule, ValueReply
+from testbed.log_member import (
+    Before,
+    PutReply,
+    PutValue,
+    ReadValue,
+    Rule,
+    ValueReply,
+)
 from testbed.processes import Process, Processes, poll_until
 from trestle_control.status_messages import ReplicaStatus, StatusAsk
 from trestle_core.errors import TrestleError
@@ -110,6 +117,12 @@
         body = {'link': f'{source}>{target}', 'mode': mode}
         http_call(self.proxy.addresses['control'], 'POST', '/faults', body)
 
+    def peer_bytes(self) -> int:
+        """Return the bytes that the members have exchanged so far."""
+        control = self.proxy.addresses['control']
+        _, answer = http_call(control, 'GET', '/links')
+        return sum(link['bytes'] for link in answer['links'].values())
+
     def isolate(self, host: str, mode: str = 'drop') -> None:
         """Put a fault on every link between a member and the others."""
         for source, target in permutations(self.hosts, 2):
@@ -156,10 +169,11 @@
         value: str,
         seconds: float = CALL_SECONDS,
         rule: Rule = 'put',
+        before: Before = 'nothing',
     ) -> PutReply:
         """Change a key through a member."""
         timeout_ms = int(seconds * _MS_PER_SECOND)
-        command = PutValue(key, value, timeout_ms, rule)
+        command = PutValue(key, value, timeout_ms, rule, before)
         return self.links[host].call(command, PutReply, seconds + 1)
 
     def read(
--- a/testbed/log_member.py
+++ b/testbed/log_member.py
@@ -13,6 +13,7 @@
 from msgpack import packb, unpackb
 
 from trestle_control.replica import Replica
+from trestle_control.replica_handover import hand_over
 from trestle_core.addresses import write_address_file
 from trestle_core.errors import TrestleError
 from trestle_core.lifecycle import Application
@@ -29,6 +30,7 @@
 _MS_PER_SECOND: Final = 1000
 
 Rule = Literal['put', 'raise', 'append']
+Before = Literal['nothing', 'read-round', 'hand-over']
 
 _log = part_logger('member')
 
@@ -38,13 +40,15 @@
     """Change a key; `timeout_ms` bounds the wait for the commit.
 
     `rule` says what becomes of the earlier value: `put` replaces it, `raise`
-    keeps the higher number, `append` adds an item and a space.
+    keeps the higher number, `append` adds an item and a space. `before` says
+    what the member does first: a read round, or handing leadership over.
     """
 
     key: str
     value: str
     timeout_ms: int
     rule: Rule = 'put'
+    before: Before = 'nothing'
 
 
 @message(201)
@@ -146,7 +150,13 @@
 
 def _handlers(replica: Replica, machine: Dictionary) -> dict[type[Any], Any]:
     def put_value(command: PutValue, _: Channel) -> Message:
-        return replica.submit(command, command.timeout_ms / _MS_PER_SECOND)
+        timeout_seconds = command.timeout_ms / _MS_PER_SECOND
+        if command.before == 'read-round':
+            replica.read_barrier(timeout_seconds)
+        elif command.before == 'hand-over' and replica.is_leader:
+            hand_over(replica.state)
+            replica.state.handing_over = False
+        return replica.submit(command, timeout_seconds)
 
     def read_value(ask: ReadValue, _: Channel) -> Message:
         if not ask.local:
