The commit index alone waits 5 ms for the next command's entries

A peer has one request in flight. After each commit the leader sent the new commit index at once, so the next command of a sequential client waited for that round. Now entries and reads go at once and a commit index alone waits 5 ms or rides on them.

--- a/packages/trestle-control/src/trestle_control/peers.py
+++ b/packages/trestle-control/src/trestle_control/peers.py
@@ -26,6 +26,12 @@
         self.acked_at = -inf
         self.led_term = 0
         self.wake = Event()
+        self.urgent = Event()
+
+    def send_at_once(self) -> None:
+        """Wake the sender for entries or a read that somebody waits for."""
+        self.urgent.set()
+        self.wake.set()
 
     def start_term(self, last_index: int) -> None:
         """Forget the progress of an earlier term."""
--- a/packages/trestle-control/src/trestle_control/read_barrier.py
+++ b/packages/trestle-control/src/trestle_control/read_barrier.py
@@ -46,7 +46,7 @@
     index = state.commit_index
     if urgent:
         for peer in state.peers.values():
-            peer.wake.set()
+            peer.send_at_once()
     state.acks.wait_until(
         lambda: not state.leads(term) or _confirmed(state, started_at),
         started_at + timeout_seconds - monotonic(),
--- a/packages/trestle-control/src/trestle_control/replica_leader.py
+++ b/packages/trestle-control/src/trestle_control/replica_leader.py
@@ -62,7 +62,7 @@
     if kind is EntryKind.MEMBERS:
         _start_peers(state, state.term)
     for peer in state.peers.values():
-        peer.wake.set()
+        peer.send_at_once()
     return index
 
 
--- a/packages/trestle-control/src/trestle_control/replica_peers.py
+++ b/packages/trestle-control/src/trestle_control/replica_peers.py
@@ -29,6 +29,7 @@
 
 _BATCH_BYTES: Final = 1024 * 1024
 _PART_BYTES: Final = 512 * 1024
+_COMMIT_DELAY_SECONDS: Final = 0.005
 
 _log = part_logger('replica')
 
@@ -52,8 +53,16 @@
         if peer.match_index > matched and state.leads(term):
             on_progress(state)
         if peer.next_index in {next_index, state.log.last_index + 1}:
-            peer.wake.wait(state.heartbeat_seconds)
+            _wait_for_work(state, peer)
         peer.wake.clear()
+        peer.urgent.clear()
+
+
+def _wait_for_work(state: ReplicaState, peer: Peer) -> None:
+    # A new commit index alone waits a little: the entries of the next command
+    # would have to wait until its round is over, and can carry it.
+    if peer.wake.wait(state.heartbeat_seconds):
+        peer.urgent.wait(_COMMIT_DELAY_SECONDS)
 
 
 def _still_leads(state: ReplicaState, peer: Peer, term: int) -> bool:
