--- a/packages/trestle-core/src/trestle_core/settings.py
+++ b/packages/trestle-core/src/trestle_core/settings.py
@@ -99,6 +99,13 @@
         Milliseconds,
         Meta(description='longest time from arrival to dispatch, ms'),
     ] = 30_000
+    drain_notice_ms: Annotated[
+        Milliseconds,
+        Meta(
+            description='time at a stop for the balancer to see that the '
+            'entry is not ready, while requests are still taken, ms',
+        ),
+    ] = 3000
 
 
 class MemberSettings(Struct, frozen=True, forbid_unknown_fields=True):
--- a/packages/trestle-entry/src/trestle_entry/entry_app.py
+++ b/packages/trestle-entry/src/trestle_entry/entry_app.py
@@ -96,12 +96,17 @@
 
 
 def _drain(server: HttpServer) -> Callable[[], None]:
-    """Return the drain hook: readiness off, then wait for started work."""
+    """Return the drain hook: readiness off, then wait for started work.
+
+    Requests are taken until the balancer had time to see the readiness.
+    """
+    settings = server.context.settings
 
     def drain() -> None:
+        deadline = monotonic() + settings.drain_ms / _MS_PER_SECOND
+        server.drain_state.ready = False
+        sleep(settings.drain_notice_ms / _MS_PER_SECOND)
         server.drain_state.draining = True
-        limit = server.context.settings.drain_ms / _MS_PER_SECOND
-        deadline = monotonic() + limit
         while server.context.inflight.total and monotonic() < deadline:
             sleep(_DRAIN_POLL_SECONDS)
 
--- a/packages/trestle-entry/src/trestle_entry/probe_pages.py
+++ b/packages/trestle-entry/src/trestle_entry/probe_pages.py
@@ -15,17 +15,27 @@
 
 
 class DrainState:
-    """Whether the process takes new requests."""
+    """Whether the process is ready and whether it takes new requests.
+
+    A planned stop first turns readiness off: the balancer sees that late, so
+    requests are taken for a while longer.
+    """
 
     def __init__(self) -> None:
-        """Take requests."""
+        """Be ready and take requests."""
+        self.ready = True
         self.draining = False
 
     def check(self) -> None:
-        """Raise `draining` once a planned stop has begun."""
+        """Raise `draining` once requests are not taken any more."""
         if self.draining:
             raise TrestleError(DRAINING, DRAINING_TEXT)
 
+    def check_ready(self) -> None:
+        """Raise `draining` once a planned stop has begun."""
+        if not self.ready:
+            raise TrestleError(DRAINING, DRAINING_TEXT)
+
 
 def health_page(_call: HttpCall) -> HttpReply:
     """Answer that the process runs."""
@@ -36,7 +46,7 @@
     """Return the readiness page: 503 when draining, stale or without a set."""
 
     def page(_call: HttpCall) -> HttpReply:
-        drain.check()
+        drain.check_ready()
         check_fresh(context)
         view = context.control.view
         return json_reply(
--- a/testbed/cluster.py
+++ b/testbed/cluster.py
@@ -52,6 +52,8 @@
     entries: int = 2
     links: tuple[str, ...] = ()
     host_lag_seconds: float = 1
+    # Most tests have no balancer that would have to see a planned stop.
+    drain_notice_ms: int = 10
     # More settings by role or by host; a host's go before its role's.
     settings: Mapping[str, JsonObject] = {}
 
@@ -78,7 +80,8 @@
         for host in cluster.control_hosts:
             cluster.start_control(host)
         for host in cluster.entry_hosts:
-            cluster.start_daemon(host, 'entry', {})
+            notice = {'drain_notice_ms': layout.drain_notice_ms}
+            cluster.start_daemon(host, 'entry', notice)
         for endpoint in layout.endpoints:
             cluster.start_endpoint(endpoint)
         return cluster
