A key stands for its operation too; chat content in parts

Cause: the register compared only the body, so a release with the key and the body of a reservation got the reservation's answer and never ran. Ruled out: the operation in the register's name (a resend to another operation would then run beside the first). Before: the new scenario ended in an error (the release was answered 200 with the reservation's receipt). Also: OpenAI clients may send a message's content as a list of text parts. Conclusion: a resend is the same operation with the same body.

--- a/features/steps/system_steps.py
+++ b/features/steps/system_steps.py
@@ -102,11 +102,21 @@
 
 @when('a trader reserves lot {lot:d} with key "{key}"')
 def step_reserve(context: Context, lot: int, key: str) -> None:
+    book(context, 'reserve', lot, key)
+
+
+@when('a trader releases lot {lot:d} with key "{key}"')
+def step_release(context: Context, lot: int, key: str) -> None:
+    book(context, 'release', lot, key)
+
+
+def book(context: Context, operation: str, lot: int, key: str) -> None:
+    """Send a keyed call and keep its answer."""
     body = f'{{"lot": {lot}}}'.encode()
     status, verdict, answer = send(
         context.cluster.http_address('entry-1'),
         'POST',
-        '/services/order-desk/reserve',
+        f'/services/order-desk/{operation}',
         body,
         {'Idempotency-Key': key, 'Caller': 'trader'},
     )
--- a/features/whole_path.feature
+++ b/features/whole_path.feature
@@ -21,6 +21,12 @@
     Then the last answer has status 409, code "key-conflict" and verdict "not-run"
     And the desks have run key "lot-7" once
 
+  Scenario: A key with another operation is refused
+    When a trader reserves lot 7 with key "lot-7"
+    And a trader releases lot 7 with key "lot-7"
+    Then the last answer has status 409, code "key-conflict" and verdict "not-run"
+    And the desks have run key "lot-7" once
+
   Scenario: Bad requests get clear errors
     When a caller sends these requests
       | method | path                       | body                              | status | code          |
--- a/packages/trestle-entry/src/trestle_entry/caller_requests.py
+++ b/packages/trestle-entry/src/trestle_entry/caller_requests.py
@@ -6,7 +6,7 @@
 """
 
 from time import monotonic
-from typing import Annotated, Any, NamedTuple, TypeVar
+from typing import Annotated, Any, Literal, NamedTuple, TypeVar
 
 from msgspec import Meta, Struct, ValidationError, field
 from msgspec.json import Decoder
@@ -23,11 +23,25 @@
 PositiveTokens = Annotated[int, Meta(ge=1)]
 
 
+class TextPart(Struct, frozen=True):
+    """One part of a message; parts of other types are refused."""
+
+    text: str
+    type: Literal['text'] = 'text'
+
+
 class ChatMessage(Struct, frozen=True):
-    """One message of a chat."""
+    """One message of a chat, its content whole or in parts."""
 
     role: str
-    content: str
+    content: str | list[TextPart]
+
+    def line(self) -> str:
+        """Return the message as a line of the prompt."""
+        content = self.content
+        if not isinstance(content, str):
+            content = ''.join(part.text for part in content)
+        return f'{self.role}: {content}'
 
 
 class ChatBody(Struct, frozen=True):
@@ -89,9 +103,7 @@
 def parse_chat(body: bytes, request_id: str, caller: str) -> ModelRequest:
     """Parse a chat body; raises `TrestleError` with `bad-request`."""
     chat = _decode(_chat_decoder, body)
-    prompt = '\n'.join(
-        f'{message.role}: {message.content}' for message in chat.messages
-    )
+    prompt = '\n'.join(message.line() for message in chat.messages)
     max_tokens = chat.max_completion_tokens or chat.max_tokens
     return _model_request(
         CompletionBody(
--- a/packages/trestle-entry/src/trestle_entry/claimed_calls.py
+++ b/packages/trestle-entry/src/trestle_entry/claimed_calls.py
@@ -97,7 +97,7 @@
 def _open_attempt(context: EntryContext, call: ClaimedCall) -> AttemptOpened:
     command = OpenAttempt(
         call.claim_key,
-        content_digest(call.job.request.body),
+        _call_digest(call),
         call.job.request.request_id,
     )
     opened = submit_command(context, call, command, AttemptOpened)
@@ -107,6 +107,12 @@
     return opened
 
 
+def _call_digest(call: ClaimedCall) -> str:
+    # A key that is sent with another operation is no resend.
+    request = call.job.request
+    return content_digest(request.operation.encode() + b'\n' + request.body)
+
+
 def _claim_and_run(
     context: EntryContext,
     call: ClaimedCall,
--- a/testbed/steady_callers.py
+++ b/testbed/steady_callers.py
@@ -98,7 +98,8 @@
 
     def stop(self) -> None:
         """End every task."""
-        for task in [*self.tasks, self.watch]:
+        tasks = [*self.tasks, self.watch]
+        for task in tasks:
             if task:
                 task.kill()
 
