Background work of a process is the application's, not each part's

Cause: five parts of the control process each kept a greenlet with the same start and stop. Ruled out: a base class (behaviour that varies is a function here). Conclusion: a part offers run; the application owns its life.

--- a/packages/trestle-control/src/trestle_control/control_app.py
+++ b/packages/trestle-control/src/trestle_control/control_app.py
@@ -64,7 +64,8 @@
     )
     app.add(start=replica.start, stop=replica.stop)
     _add_pages(app, settings, metrics, replica)
-    app.add(start=relay.start, stop=relay.stop)
+    app.add(stop=relay.close)
+    app.add_task(relay.run)
     _add_leader_tasks(app, settings, machine, replica, nodes, metrics)
     return app
 
@@ -79,14 +80,14 @@
 ) -> None:
     """Add what runs on every member and acts on the leader only."""
     clock = LeaderClock(machine, replica, settings.answer_retention_ms)
-    app.add(start=clock.start, stop=clock.stop)
+    app.add_task(clock.run)
     rollouts = RolloutManager(machine, replica, metrics)
-    app.add(start=rollouts.start, stop=rollouts.stop)
+    app.add_task(rollouts.run)
     roles = RoleManager.from_config(settings, machine, replica, nodes, metrics)
-    app.add(start=roles.start, stop=roles.stop)
+    app.add_task(roles.run)
     if settings.host_list_url:
         hosts = HostListReader.from_config(settings, machine, replica, metrics)
-        app.add(start=hosts.start, stop=hosts.stop)
+        app.add_task(hosts.run)
 
 
 def _add_servers(
--- a/packages/trestle-control/src/trestle_control/host_list.py
+++ b/packages/trestle-control/src/trestle_control/host_list.py
@@ -10,7 +10,7 @@
 from typing import Final, Literal, Self
 from urllib.parse import urlsplit
 
-from gevent import Greenlet, sleep, spawn
+from gevent import sleep
 from geventhttpclient import HTTPClient
 from msgspec import Struct
 from msgspec.json import decode
@@ -93,7 +93,6 @@
         self.replica = replica
         self.metrics = metrics
         self.live_reads: Counter[str] = Counter()
-        self.task: Greenlet[..., None] | None = None
 
     @classmethod
     def from_config(
@@ -112,16 +111,8 @@
             metrics,
         )
 
-    def start(self) -> None:
-        """Start the greenlet."""
-        self.task = spawn(self._run)
-
-    def stop(self) -> None:
-        """Stop the greenlet."""
-        if self.task:
-            self.task.kill()
-
-    def _run(self) -> None:
+    def run(self) -> None:
+        """Follow the list while this host leads, for ever."""
         while True:
             if self.replica.is_leader:
                 self._follow_list()
--- a/packages/trestle-control/src/trestle_control/leader_clock.py
+++ b/packages/trestle-control/src/trestle_control/leader_clock.py
@@ -8,7 +8,7 @@
 from time import monotonic, time
 from typing import Final
 
-from gevent import Greenlet, sleep, spawn
+from gevent import sleep
 
 from trestle_control.apply import ControlMachine
 from trestle_control.replica_api import ReplicaApi
@@ -35,18 +35,9 @@
         self.replica = replica
         self.outcome_retention_ms = outcome_retention_ms
         self.measured_from: float | None = None
-        self.task: Greenlet[..., None] | None = None
 
-    def start(self) -> None:
-        """Start the greenlet."""
-        self.task = spawn(self._run)
-
-    def stop(self) -> None:
-        """Stop the greenlet."""
-        if self.task:
-            self.task.kill()
-
-    def _run(self) -> None:
+    def run(self) -> None:
+        """Advance the clock while this host leads, for ever."""
         while True:
             if not self.replica.is_leader:
                 self.measured_from = None
--- a/packages/trestle-control/src/trestle_control/node_table.py
+++ b/packages/trestle-control/src/trestle_control/node_table.py
@@ -8,7 +8,7 @@
 from time import monotonic
 from typing import Final, NamedTuple
 
-from gevent import Greenlet, joinall, sleep, spawn
+from gevent import joinall, sleep, spawn
 
 from trestle_core.errors import TrestleError
 from trestle_core.settings import ControlSettings
@@ -73,7 +73,6 @@
         self.table = table
         self.addresses = addresses
         self.links = LinkPool(me)
-        self.task: Greenlet[..., None] | None = None
 
     @classmethod
     def from_config(
@@ -99,17 +98,12 @@
             self.table.note(report, made_at, is_own=False)
         return Done()
 
-    def start(self) -> None:
-        """Send once a second."""
-        self.task = spawn(self._run)
-
-    def stop(self) -> None:
-        """Stop sending."""
-        if self.task:
-            self.task.kill()
+    def close(self) -> None:
+        """Close the links to the other hosts."""
         self.links.close()
 
-    def _run(self) -> None:
+    def run(self) -> None:
+        """Send once a second, for ever."""
         while True:
             sleep(RELAY_SECONDS)
             reports = NodeReports(self.table.own_reports())
--- a/packages/trestle-control/src/trestle_control/role_manager.py
+++ b/packages/trestle-control/src/trestle_control/role_manager.py
@@ -16,7 +16,7 @@
 from time import monotonic
 from typing import Final, Self
 
-from gevent import Greenlet, sleep, spawn
+from gevent import sleep
 
 from trestle_control.apply import ControlMachine
 from trestle_control.demand_estimate import Load, PoolDemand, TokenCounters
@@ -91,7 +91,6 @@
         self.demands: dict[str, PoolDemand] = {}
         self.changes: dict[str, PoolChange] = {}
         self.ticked_at = monotonic()
-        self.task: Greenlet[..., None] | None = None
 
     @classmethod
     def from_config(
@@ -106,16 +105,8 @@
         propose = POLICIES[settings.role_policy]
         return cls(propose, machine, replica, nodes, metrics)
 
-    def start(self) -> None:
-        """Start the greenlet."""
-        self.task = spawn(self._run)
-
-    def stop(self) -> None:
-        """Stop the greenlet."""
-        if self.task:
-            self.task.kill()
-
-    def _run(self) -> None:
+    def run(self) -> None:
+        """Observe, and decide while this host leads, for ever."""
         while True:
             sleep(TICK_SECONDS)
             try:
--- a/packages/trestle-control/src/trestle_control/rollout_manager.py
+++ b/packages/trestle-control/src/trestle_control/rollout_manager.py
@@ -7,7 +7,7 @@
 from time import monotonic
 from typing import Final
 
-from gevent import Greenlet, sleep, spawn
+from gevent import sleep
 
 from trestle_control.apply import ControlMachine
 from trestle_control.published_set import published_set_reader
@@ -39,18 +39,9 @@
         self.metrics = metrics
         self.rests_until: dict[str, float] = {}
         self.halts_told: set[int] = set()
-        self.task: Greenlet[..., None] | None = None
 
-    def start(self) -> None:
-        """Start the greenlet."""
-        self.task = spawn(self._run)
-
-    def stop(self) -> None:
-        """Stop the greenlet."""
-        if self.task:
-            self.task.kill()
-
-    def _run(self) -> None:
+    def run(self) -> None:
+        """Issue load orders while this host leads, for ever."""
         while True:
             sleep(TICK_SECONDS)
             named_set = self.read_set()
--- a/packages/trestle-core/src/trestle_core/lifecycle.py
+++ b/packages/trestle-core/src/trestle_core/lifecycle.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from signal import SIGINT, SIGTERM
 
-from gevent import joinall, signal_handler, spawn
+from gevent import Greenlet, joinall, killall, signal_handler, spawn
 from gevent.event import Event
 
 from trestle_core.logs import part_logger
@@ -45,6 +45,18 @@
         if stop:
             self.stop_hooks.append(stop)
 
+    def add_task(self, work: Hook) -> None:
+        """Run a function in a greenlet from the start until the stop."""
+        tasks: list[Greenlet[..., None]] = []
+
+        def start() -> None:
+            tasks.append(spawn(work))
+
+        def stop() -> None:
+            killall(tasks)
+
+        self.add(start=start, stop=stop)
+
     def run(self) -> None:
         """Start every part, wait for SIGTERM or SIGINT, drain and stop."""
         signal_handler(SIGTERM, self.stop_asked.set)
