System soak: every kind of fault from one seed, judged by the records

Cause: faults of one kind at a time do not show what two of them do together. Before: soaks of the log and of bookings only.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 PACKAGES := $(wildcard packages/*)
 
-.PHONY: setup demo test format lint types check capacity soak soak-log soak-claims bench-log
+.PHONY: setup demo test format lint types check capacity soak soak-log soak-claims soak-system bench-log
 
 setup: $(VENV)/.installed
 
@@ -40,7 +40,10 @@
 SEED ?= 1
 MINUTES ?= 1
 
-soak: soak-log soak-claims
+soak: soak-log soak-claims soak-system
+
+soak-system: setup
+	$(BIN)/python -m testbed.soak_system --seed $(SEED) --minutes $(MINUTES)
 
 soak-claims: setup
 	$(BIN)/python -m testbed.soak_claims --seed $(SEED) --minutes $(MINUTES)
--- a/testbed/soak_claims.py
+++ b/testbed/soak_claims.py
@@ -189,11 +189,16 @@
         return runs
 
 
-def faults_of(key: str, sends: list[Sent], runs: list[float]) -> Iterator[str]:
+def faults_of(
+    key: str,
+    sends: list[Sent],
+    runs: list[float],
+    operation: str = 'book',
+) -> Iterator[str]:
     """Yield every rule that the answers of a key break."""
     if len(runs) > 1:
         yield f'{key}: executed {len(runs)} times'
-    receipt = expected_receipt('book', key, {'sacks': SACKS})
+    receipt = expected_receipt(operation, key, {'sacks': SACKS})
     for sent in sends:
         verdict = sent.answer.verdict
         if verdict == 'ran' and not (runs and receipt in sent.answer.text):
