--- a/testbed/bench_log.py
+++ b/testbed/bench_log.py
@@ -10,43 +10,33 @@
 
 monkey.patch_all()
 
-from collections.abc import Iterator
-from contextlib import contextmanager
 from json import dumps
 from os import cpu_count, getloadavg
-from pathlib import Path
-from statistics import median
 from sys import stdout
-from tempfile import TemporaryDirectory
 from time import monotonic
 from typing import Any, Final, NamedTuple
 
 from gevent import joinall, sleep, spawn
 from hdrh.histogram import HdrHistogram
 
+from testbed.bench_log_recovery import measure_catch_up, measure_recovery
 from testbed.capacity import cpu_seconds
-from testbed.log_group import HOSTS, LIMIT_SECONDS, LogGroup
+from testbed.log_group import HOSTS, LogGroup, running_group
 from testbed.log_member import Before
-from testbed.processes import ROOT, Process, Processes, poll_until
-from testbed.slopes import Point, Slope, fit
-from trestle_core.errors import TrestleError
+from testbed.processes import ROOT
 
 CLIENT_COUNTS: Final = (1, 16, 128)
 ROUNDS: Final[tuple[Before, ...]] = ('nothing', 'read-round')
-WINDOW_SECONDS: Final = 5.0
+SAMPLES: Final = 3
+WINDOW_SECONDS: Final = 3.0
+RATE: Final = 'commands_per_second'
 IDLE_SECONDS: Final = 10.0
 VALUE_BYTES: Final = 100
-BEHIND_COUNTS: Final = (1000, 2000, 4000, 8000)
-KILLS: Final = 10
-WRITERS: Final = 32
-SEGMENT_BYTES: Final = 32_768
-MANY_ENTRIES: Final = 1_000_000
 FIVE_HOSTS: Final = (*HOSTS, 'pazardzhik', 'kochi-a')
 RESULT: Final = ROOT / 'bench' / 'log.json'
 _HIGHEST_US: Final = 60_000_000
 _US_PER_SECOND: Final = 1_000_000
 _DIGITS: Final = 3
-_SHORT_SECONDS: Final = 0.2
 
 Row = dict[str, Any]
 
@@ -58,20 +48,6 @@
     before: Before
 
 
-@contextmanager
-def running_group(
-    hosts: tuple[str, ...] = HOSTS, **options: Any
-) -> Iterator[tuple[LogGroup, str]]:
-    """Run a group; yield it and its leader."""
-    with TemporaryDirectory() as folder, Processes(Path(folder)) as processes:
-        overrides = {'log_level': 'INFO', **options}
-        group = LogGroup(processes, hosts, **overrides)
-        try:
-            yield group, group.start_and_wait()
-        finally:
-            group.close()
-
-
 def measure_commands(load: Load) -> Row:
     """Measure commands per second, latency and processor time."""
     with running_group(proxied=False) as (group, leader):
@@ -83,7 +59,7 @@
     commands = histogram.get_total_count()
     return {
         **load._asdict(),
-        'commands_per_second': round(commands / WINDOW_SECONDS, 1),
+        RATE: round(commands / WINDOW_SECONDS, 1),
         **latencies(histogram),
         **{
             f'{role}_cpu_us_per_command': round(
@@ -95,6 +71,27 @@
     }
 
 
+def measure_all_commands() -> list[Row]:
+    """Measure each load several times, in turn; return the median rows.
+
+    The machine is shared: what else runs changes from minute to minute.
+    """
+    samples = [
+        [show(measure_commands(load)) for load in loads()]
+        for _ in range(SAMPLES)
+    ]
+    return [median_row(list(rows)) for rows in zip(*samples, strict=True)]
+
+
+def median_row(rows: list[Row]) -> Row:
+    """Return the row of the median rate, with all rates."""
+    rows = sorted(rows, key=lambda row: row[RATE])
+    return {
+        **rows[len(rows) // 2],
+        'rates': [row[RATE] for row in rows],
+    }
+
+
 def send_for(
     group: LogGroup, leader: str, load: Load, seconds: float
 ) -> HdrHistogram:
@@ -173,106 +170,6 @@
     }
 
 
-def measure_catch_up(*, by_snapshot: bool) -> Slope:
-    """Measure how long a started follower takes, by what it lacks."""
-    name = 'snapshot of objects' if by_snapshot else 'entries'
-    points = [
-        Point(behind, catch_up_seconds(behind, by_snapshot=by_snapshot))
-        for behind in BEHIND_COUNTS
-    ]
-    return fit(f'catch-up by {name}, from the process start', 's', points)
-
-
-def catch_up_seconds(behind: int, *, by_snapshot: bool) -> float:
-    """Return seconds from a follower's start until it has applied all."""
-    # The follower lacks more than the entries kept behind a snapshot.
-    every = behind - 1 if by_snapshot else MANY_ENTRIES
-    with running_group(
-        proxied=False, snapshot_entries=every, segment_bytes=SEGMENT_BYTES
-    ) as (group, leader):
-        follower = next(host for host in HOSTS if host != leader)
-        group.process(follower).kill()
-        fill(group, leader, behind)
-        last_index = settled_index(group, leader, by_snapshot=by_snapshot)
-        started_at = monotonic()
-        group.start(follower)
-
-        def has_all() -> bool:
-            own = group.status(follower)
-            return own is not None and own.applied_index >= last_index
-
-        poll_until(has_all, LIMIT_SECONDS, 'catch-up')
-        elapsed = monotonic() - started_at
-        if by_snapshot:
-            wait_for_line(group.process(follower), 'Installed snapshot')
-        return elapsed
-
-
-def wait_for_line(process: Process, text: str) -> None:
-    """Wait until a process has logged a text."""
-
-    def is_logged() -> bool:
-        return text in process.log_file.read_text(encoding='utf-8')
-
-    poll_until(is_logged, 1, text)
-
-
-def settled_index(group: LogGroup, leader: str, *, by_snapshot: bool) -> int:
-    """Return the leader's last index, after its snapshot if it takes one."""
-
-    def find() -> int:
-        status = group.status(leader)
-        if status and bool(status.snapshot_index) is by_snapshot:
-            return status.commit_index
-        return 0
-
-    return poll_until(find, LIMIT_SECONDS, 'the snapshot')
-
-
-def fill(group: LogGroup, leader: str, commands: int) -> None:
-    """Set so many keys."""
-
-    def send(first: int) -> None:
-        for number in range(first, commands, WRITERS):
-            group.put(leader, f'lot-{number}', 'x' * VALUE_BYTES)
-
-    tasks = [spawn(send, first) for first in range(WRITERS)]
-    joinall(tasks, raise_error=True)
-
-
-def measure_recovery() -> Row:
-    """Measure the time from the leader's kill to the next command."""
-    seconds = []
-    with running_group(proxied=False) as (group, leader):
-        for _ in range(KILLS):
-            follower = next(host for host in HOSTS if host != leader)
-            group.process(leader).kill()
-            killed_at = monotonic()
-            while not is_acknowledged(group, follower):
-                sleep(0.01)
-            seconds.append(round(monotonic() - killed_at, 3))
-            group.start(leader)
-            leader = group.leader()
-            for host in HOSTS:
-                group.wait_until_follows(host)
-    return {
-        'kills': KILLS,
-        'median_seconds': median(seconds),
-        'max_seconds': max(seconds),
-        'seconds': seconds,
-        'load': getloadavg()[0],
-    }
-
-
-def is_acknowledged(group: LogGroup, host: str) -> bool:
-    """Try a command through a member."""
-    try:
-        group.put(host, 'lot', 'x', seconds=_SHORT_SECONDS)
-    except TrestleError:
-        return False
-    return True
-
-
 def loads() -> list[Load]:
     """Return the loads to compare, those of a kind side by side."""
     pairs = [
@@ -293,7 +190,7 @@
     results = {
         'cores': cpu_count(),
         'load_at_start': getloadavg(),
-        'commands': [show(measure_commands(load)) for load in loads()],
+        'commands': measure_all_commands(),
         'bytes': [show(measure_bytes(clients)) for clients in CLIENT_COUNTS],
         'idle': [show(measure_idle(hosts)) for hosts in (HOSTS, FIVE_HOSTS)],
         'recovery': show(measure_recovery()),
--- a/testbed/log_group.py
+++ b/testbed/log_group.py
@@ -1,10 +1,13 @@
 """A group of `testbed.log_member` processes behind the fault proxy."""
 
+from collections.abc import Iterator
+from contextlib import contextmanager
 from itertools import permutations
 from json import dumps
 from pathlib import Path
 from secrets import token_bytes
 from sys import executable
+from tempfile import TemporaryDirectory
 from typing import Any, Final
 
 from testbed.calls import http_call
@@ -215,3 +218,17 @@
         if source == target or not self.proxied:
             return f'@{self.address_file(target)}'
         return self.proxy.addresses[f'{source}>{target}']
+
+
+@contextmanager
+def running_group(
+    hosts: tuple[str, ...] = HOSTS, **options: Any
+) -> Iterator[tuple[LogGroup, str]]:
+    """Run a group; yield it and its leader."""
+    with TemporaryDirectory() as folder, Processes(Path(folder)) as processes:
+        overrides = {'log_level': 'INFO', **options}
+        group = LogGroup(processes, hosts, **overrides)
+        try:
+            yield group, group.start_and_wait()
+        finally:
+            group.close()
