Control hosts without a vote relay for good

docs/CAPACITY.md counts on 13 control hosts of which a few vote. It needed no other mechanism: a learner already had the log, the freshness and the forwarding. Heartbeats to learners come every half election timeout, since no election waits for them.

features/relays.feature: entries and endpoints that know only a relay get their set, run claims and answer; the relay's death stops nothing, and relay plus one voter of three accept nothing.

Changes of the member set have a module of their own.

--- a/packages/kingcuptrestle/src/kingcuptrestle/members_cli.py
+++ b/packages/kingcuptrestle/src/kingcuptrestle/members_cli.py
@@ -53,7 +53,9 @@
         host, _, address = options.add.partition('=')
         if not host or not address:
             raise TrestleError(BAD_REQUEST, '--add takes HOST=ADDRESS.')
-        session.submit(AddControlHost(host, address), ControlHosts)
+        session.submit(
+            AddControlHost(host, address, not options.relay), ControlHosts
+        )
     if options.remove:
         session.submit(RemoveControlHost(options.remove), ControlHosts)
 
@@ -64,11 +66,15 @@
     """Show the control hosts and whether losing another one is safe.
 
     With --add or --remove it changes the hosts first. A host that is added
-    becomes a learner when its process runs, and then a voter.
+    becomes a learner when its process runs, and then a voter; with --relay
+    it stays a learner, which serves nodes and counts for no quorum.
     """
 
     add: Annotated[
         str, Arg(long='--add', help='HOST=ADDRESS: let a host join')
     ] = ''
+    relay: Annotated[
+        bool, Arg(long='--relay', help='the added host never votes')
+    ] = False
     remove: Annotated[str, Arg(long='--remove', help='take a host out')] = ''
     json: Annotated[bool, Arg(long='--json', help='print as JSON')] = False
--- a/packages/trestle-control/src/trestle_control/replica_formation.py
+++ b/packages/trestle-control/src/trestle_control/replica_formation.py
@@ -102,19 +102,29 @@
     unanimous = hosts == {reply.identity.host for reply in replies}
     if not unanimous or any(reply.group for reply in replies):
         return
-    formers = [reply.identity.host for reply in replies if reply.forms]
-    if not formers or min(formers) != state.settings.host:
-        return
-    addresses = {entry.host: entry.address for entry in state.settings.members}
-    members = [
-        Member(*reply.identity, addresses[reply.identity.host], voter=True)
+    listed = {
+        entry.host: ListedHost(entry.host, entry.address, entry.votes)
+        for entry in state.settings.members
+    }
+    formers = [
+        reply.identity.host
         for reply in replies
+        if reply.forms and listed[reply.identity.host].votes
     ]
-    listed = sorted(ListedHost(*item) for item in addresses.items())
-    member_set = MemberSet(uuid4().hex, members, listed)
+    if not formers or min(formers) != state.settings.host:
+        return
+    members = [_first_member(reply.identity, listed) for reply in replies]
+    member_set = MemberSet(uuid4().hex, members, sorted(listed.values()))
     payload = encode_message(member_set)
     with state.log_lock:
         if state.log.last_index:
             return
         append_entries(state, [LogEntry(1, 0, EntryKind.MEMBERS, payload)])
     _log.info('Forms the group of {}.', ', '.join(sorted(hosts)))
+
+
+def _first_member(
+    identity: MemberIdentity, listed: dict[str, ListedHost]
+) -> Member:
+    own = listed[identity.host]
+    return Member(*identity, own.address, voter=own.votes)
--- a/packages/trestle-control/src/trestle_control/replica_leader.py
+++ b/packages/trestle-control/src/trestle_control/replica_leader.py
@@ -17,10 +17,10 @@
 from trestle_control.membership import (
     Member,
     MemberSet,
-    next_member_set,
     quorum_size,
     voters_of,
 )
+from trestle_control.membership_changes import next_member_set
 from trestle_control.peer_calls import (
     quorum_acked_at,
     quorum_match_index,
--- a/packages/trestle-control/src/trestle_control/replica_members.py
+++ b/packages/trestle-control/src/trestle_control/replica_members.py
@@ -16,10 +16,10 @@
     NotLeaderError,
 )
 from trestle_control.membership import (
+    ListedHost,
     MemberSet,
-    with_host,
-    without_host,
 )
+from trestle_control.membership_changes import with_host, without_host
 from trestle_control.replica_forward import call_leader
 from trestle_control.replica_leader import (
     has_committed_own_term,
@@ -48,7 +48,8 @@
     """Let a host join; a follower sends the command on to the leader."""
     if not state.is_leader:
         return call_leader(state, ask, ControlHosts, CHANGE_SECONDS)
-    return _change(state, lambda current: with_host(current, *ask))
+    listed = ListedHost(*ask)
+    return _change(state, lambda current: with_host(current, listed))
 
 
 def remove_host_handler(
--- a/packages/trestle-control/src/trestle_control/replica_peers.py
+++ b/packages/trestle-control/src/trestle_control/replica_peers.py
@@ -61,7 +61,13 @@
 def _wait_for_work(state: ReplicaState, peer: Peer) -> None:
     # A new commit index alone waits a little: the entries of the next command
     # would have to wait until its round is over, and can carry it.
-    if peer.wake.wait(state.heartbeat_seconds):
+    # Nobody's election waits for the heartbeats of a learner.
+    longest_seconds = (
+        state.heartbeat_seconds
+        if peer.member.voter
+        else state.election_seconds / 2
+    )
+    if peer.wake.wait(longest_seconds):
         peer.urgent.wait(_COMMIT_DELAY_SECONDS)
 
 
--- a/packages/trestle-control/src/trestle_control/replica_status.py
+++ b/packages/trestle-control/src/trestle_control/replica_status.py
@@ -1,6 +1,6 @@
 """The status of the group as one member sees it."""
 
-from trestle_control.membership import Member, quorum_size
+from trestle_control.membership import Member, is_to_vote, quorum_size
 from trestle_control.replica_forward import call_leader
 from trestle_control.replica_state import ReplicaState
 from trestle_control.status_messages import (
@@ -76,13 +76,19 @@
     settled = state.commit_index >= state.members_index
     if not state.is_leader or not settled:
         return False
-    if any(not member.voter for member in members):
+    is_changing = any(
+        is_to_vote(state.members, member) and not member.voter
+        for member in state.members.members
+    )
+    if is_changing:
         return False
     # Every committed entry is on a quorum of the set in force, so on one of
     # any quorum that is left; a voter that lags gets it from there.
     following = [
         member
         for member in members
-        if member.reachable and member.match_index >= state.members_index
+        if member.voter
+        and member.reachable
+        and member.match_index >= state.members_index
     ]
     return len(following) - 1 >= quorum_size(state.members)
--- a/packages/trestle-core/src/trestle_core/settings.py
+++ b/packages/trestle-core/src/trestle_core/settings.py
@@ -106,6 +106,9 @@
 
     host: Annotated[Name, Meta(description='name of the control host')]
     address: Annotated[AddressText, Meta(description='its peer address')]
+    votes: Annotated[
+        bool, Meta(description='false: it only relays, as a learner for good')
+    ] = True
 
 
 class ControlSettings(
--- a/packages/trestle-links/src/trestle_links/member_messages.py
+++ b/packages/trestle-links/src/trestle_links/member_messages.py
@@ -9,11 +9,13 @@
 class AddControlHost(NamedTuple):
     """Let a host join the group; its process becomes a learner, then voter.
 
-    Again with another address it changes the address.
+    Again with another address it changes the address. A host that does not
+    vote stays a learner.
     """
 
     host: str
     address: str
+    votes: bool = True
 
 
 @message(116)
--- a/testbed/log_group.py
+++ b/testbed/log_group.py
@@ -48,15 +48,17 @@
         hosts: tuple[str, ...] = HOSTS,
         *,
         proxied: bool = True,
+        learners: tuple[str, ...] = (),
         **overrides: Any,
     ) -> None:
         """Prepare a group; `overrides` are settings of every member.
 
-        Without the proxy no link can get a fault.
+        Without the proxy no link can get a fault; `learners` never vote.
         """
         self.processes = processes
         self.hosts = hosts
         self.proxied = proxied
+        self.learners = learners
         self.folder = processes.folder
         self.overrides = overrides
         key = token_bytes(_KEY_BYTES)
@@ -208,7 +210,11 @@
             'bootstrap': True,
             'log_level': 'DEBUG',
             'members': [
-                {'host': one, 'address': self._route(host, one)}
+                {
+                    'host': one,
+                    'address': self._route(host, one),
+                    'votes': one not in self.learners,
+                }
                 for one in self.hosts
             ],
             **self.overrides,
