--- a/testbed/cluster.py
+++ b/testbed/cluster.py
@@ -21,6 +21,8 @@
 KEY_BYTES: Final = 24
 PROXY: Final = 'proxy'
 HOST_LIST: Final = 'hosts'
+ANY_ENTRY: Final = 'entry'
+OPERATOR_HOST: Final = 'operator'
 
 
 class Endpoint(NamedTuple):
@@ -39,7 +41,11 @@
 
 
 class Layout(NamedTuple):
-    """What to start; links are `SOURCE>TARGET` pairs behind the proxy."""
+    """What to start; links are `SOURCE>TARGET` pairs behind the proxy.
+
+    A link `entry>HOST` carries what all entries send to an endpoint process,
+    which then advertises the proxy's address.
+    """
 
     zones: tuple[str, ...]
     endpoints: tuple[Endpoint, ...]
@@ -47,6 +53,8 @@
     entries: int = 2
     links: tuple[str, ...] = ()
     host_lag_seconds: float = 1
+    # Most tests have no balancer that would have to see a planned stop.
+    drain_notice_ms: int = 10
     # More settings by role or by host; a host's go before its role's.
     settings: Mapping[str, JsonObject] = {}
 
@@ -73,7 +81,8 @@
         for host in cluster.control_hosts:
             cluster.start_control(host)
         for host in cluster.entry_hosts:
-            cluster.start_daemon(host, 'entry', {})
+            notice = {'drain_notice_ms': layout.drain_notice_ms}
+            cluster.start_daemon(host, 'entry', notice)
         for endpoint in layout.endpoints:
             cluster.start_endpoint(endpoint)
         return cluster
@@ -120,6 +129,8 @@
 
     def start_endpoint(self, endpoint: Endpoint) -> Process:
         """Start the process of the system beside an engine or service."""
+        link = f'{ANY_ENTRY}>{endpoint.host}'
+        advertised = link in self.layout.links
         return self.start_daemon(
             endpoint.host,
             'endpoint',
@@ -128,6 +139,9 @@
                 'target_kind': endpoint.kind,
                 'target': endpoint.target,
                 'target_url': self.route(endpoint.host, endpoint.backend),
+                'advertise': self.route(ANY_ENTRY, endpoint.host)
+                if advertised
+                else '',
             },
         )
 
@@ -205,10 +219,16 @@
                 partial(self.ready, name), READY_LIMIT_SECONDS, f'{name} ready'
             )
 
-    def operate(self, *arguments: str) -> 'CompletedProcess[str]':
-        """Run a command of the operators' program."""
+    def operate(
+        self, *arguments: str, through: Sequence[str] = ()
+    ) -> 'CompletedProcess[str]':
+        """Run a command of the operators' program.
+
+        It tries the control hosts of `through` in order, or else all.
+        """
         control = ','.join(
-            f'@{self.address_file(h)}' for h in self.control_hosts
+            self.route(OPERATOR_HOST, host)
+            for host in through or self.control_hosts
         )
         return run_command(
             [
