The soak's case runs until its counts are reached, not for a time

In a run beside five other features on the busy machine 12 s gave 76 to 186 keys and the case's count of 200 failed, with no wrong answer in any. The count stays; the run now goes on until 300 keys and 4 kills.

--- a/features/claims_soak.feature
+++ b/features/claims_soak.feature
@@ -3,9 +3,9 @@
   `make soak` runs the same for longer.
 
   Scenario Outline: A short run from a fixed seed
-    When bookings are sent for 12 seconds under kills from seed <seed>
+    When 300 keys are booked under at least 4 kills from seed <seed>
     Then no answer is wrong by the execution files
-    And hundreds of keys ran and hundreds of sends were refused
+    And at least 200 keys ran and at least 200 sends were refused
 
     Examples:
       | seed |
--- a/features/steps/claims_soak_steps.py
+++ b/features/steps/claims_soak_steps.py
@@ -3,18 +3,17 @@
 from behave import then, when
 from behave.runner import Context
 
-from testbed.soak_claims import run_soak
-
-HUNDREDS = 200
+from testbed.soak_claims import SoakGoal, run_soak
 
 
 @when(
-    'bookings are sent for {seconds:d} seconds under kills from seed {seed:d}'
+    '{keys:d} keys are booked under at least {kills:d} kills from seed {seed:d}'
 )
-def step_soak(context: Context, seconds: int, seed: int) -> None:
+def step_soak(context: Context, keys: int, kills: int, seed: int) -> None:
     folder = context.folder / 'soak'
     folder.mkdir()
-    context.report = run_soak(folder, seed, seconds)
+    goal = SoakGoal(keys=keys, kills=kills)
+    context.report = run_soak(folder, seed, goal)
     print(context.report)
 
 
@@ -23,9 +22,8 @@
     assert not context.report.violations, context.report
 
 
-@then('hundreds of keys ran and hundreds of sends were refused')
-def step_enough(context: Context) -> None:
+@then('at least {ran:d} keys ran and at least {refused:d} sends were refused')
+def step_enough(context: Context, ran: int, refused: int) -> None:
     report = context.report
-    assert report.executions > HUNDREDS, report
-    assert report.sends['not-run'] > HUNDREDS, report
-    assert report.kills.total() > 2, report
+    assert report.executions >= ran, report
+    assert report.sends['not-run'] >= refused, report
--- a/testbed/soak_claims.py
+++ b/testbed/soak_claims.py
@@ -29,6 +29,7 @@
 from testbed.fake_service import expected_receipt
 from testbed.processes import Processes
 
+SECONDS_PER_MINUTE: Final = 60
 WORKERS: Final = 6
 SENDS: Final = 16
 # Below the number of workers: many sends are refused as `not-run`.
@@ -57,6 +58,14 @@
     answer: Answer
 
 
+class SoakGoal(NamedTuple):
+    """A run goes on until it has reached all of these."""
+
+    seconds: float = 0
+    keys: int = 0
+    kills: int = 0
+
+
 class SoakReport(NamedTuple):
     """What a run did, and every rule that it saw broken."""
 
@@ -71,25 +80,34 @@
 class Soak:
     """One run: its random choices and everything that was sent."""
 
-    def __init__(self, bookings: Bookings, seed: int, seconds: float) -> None:
+    def __init__(self, bookings: Bookings, seed: int, goal: SoakGoal) -> None:
         self.bookings = bookings
         self.seed = seed
-        self.until = monotonic() + seconds
+        self.goal = goal
+        self.until = monotonic() + goal.seconds
         self.sent: dict[str, list[Sent]] = {}
         self.kills: Counter[str] = Counter()
 
     def run(self) -> SoakReport:
-        """Send and kill until the time is over, then judge."""
+        """Send and kill until the goal is reached, then judge."""
         tasks = [spawn(self.send_keys, one) for one in range(WORKERS)]
         self.kill_at_random()
         joinall(tasks, raise_error=True)
         return self.judge()
 
+    def goes_on(self) -> bool:
+        """Tell whether the goal is not reached yet."""
+        return (
+            monotonic() < self.until
+            or len(self.sent) < self.goal.keys
+            or self.kills.total() < self.goal.kills
+        )
+
     def send_keys(self, worker: int) -> None:
         """Send one key after another."""
         random = Random(f'{self.seed} {worker}')
         number = 0
-        while monotonic() < self.until:
+        while self.goes_on():
             number += 1
             key = f'{self.seed}-{worker}-{number}'
             self.sent[key] = []
@@ -126,7 +144,7 @@
         """Kill and restart one process after another."""
         random = Random(self.seed)
         processes = self.bookings.cluster.processes
-        while monotonic() < self.until:
+        while self.goes_on():
             sleep(random.uniform(*PAUSE_SECONDS))
             victim = random.choice(VICTIMS)
             processes.started[victim].kill()
@@ -193,14 +211,14 @@
     return ENTRIES[1 - ENTRIES.index(entry)]
 
 
-def run_soak(folder: Path, seed: int, seconds: float) -> SoakReport:
+def run_soak(folder: Path, seed: int, goal: SoakGoal) -> SoakReport:
     """Start a system in a folder and run bookings on it."""
     with Processes(folder) as processes:
         bookings = Bookings.from_config(processes, 2)
         bookings.limit_caller(CALLER_CONCURRENCY)
         bookings.set_service('delay', seconds=SERVICE_SECONDS)
         try:
-            return Soak(bookings, seed, seconds).run()
+            return Soak(bookings, seed, goal).run()
         finally:
             bookings.close()
 
@@ -208,8 +226,9 @@
 def main() -> int:
     """Run the soak and print its report."""
     options = parse(Options)
+    goal = SoakGoal(seconds=options.minutes * SECONDS_PER_MINUTE)
     with TemporaryDirectory(prefix='trestle-') as folder:
-        report = run_soak(Path(folder), options.seed, options.minutes * 60)
+        report = run_soak(Path(folder), options.seed, goal)
     for name, figure in report._asdict().items():
         stdout.write(f'{name}: {figure}\n')
     return int(bool(report.violations))
