--- /dev/null
+++ b/features/steps/documents_steps.py
@@ -0,0 +1,26 @@
+"""Steps on the documents."""
+
+from behave import then
+from behave.runner import Context
+
+from testbed.processes import ROOT
+from trestle_core.errorcodes import ERROR_CODES
+
+PAGES = ROOT / 'docs' / 'operators' / 'errors'
+
+
+@then('each code of the registry has a page with its status and verdicts')
+def step_pages(context: Context) -> None:
+    for code, entry in ERROR_CODES.items():
+        text = (PAGES / f'{code}.md').read_text(encoding='utf-8')
+        assert f'HTTP status: {entry.status}\n' in text, code
+        told = text.partition('Verdict: ')[2].partition('\n')[0]
+        verdicts = {f'`{one.value}`' for one in entry.verdicts}
+        assert set(told.split(' or ')) == verdicts, (code, told)
+        for heading in ('## Meaning', '## What to do'):
+            assert text.partition(f'{heading}\n')[2].strip(), (code, heading)
+
+
+@then('no page is for a code that is not in the registry')
+def step_no_more(context: Context) -> None:
+    assert {page.stem for page in PAGES.iterdir()} == set(ERROR_CODES)
