--- a/features/documents.feature
+++ b/features/documents.feature
@@ -3,3 +3,6 @@
   Scenario: Each error code has its page
     Then each code of the registry has a page with its status and verdicts
     And no page is for a code that is not in the registry
+
+  Scenario: The page of the settings is made from their types
+    Then the page of the settings is what the code makes
--- a/features/steps/documents_steps.py
+++ b/features/steps/documents_steps.py
@@ -4,6 +4,7 @@
 from behave.runner import Context
 
 from testbed.processes import ROOT
+from testbed.settings_page import PAGE, page_text
 from trestle_core.errorcodes import ERROR_CODES
 
 PAGES = ROOT / 'docs' / 'operators' / 'errors'
@@ -24,3 +25,8 @@
 @then('no page is for a code that is not in the registry')
 def step_no_more(context: Context) -> None:
     assert {page.stem for page in PAGES.iterdir()} == set(ERROR_CODES)
+
+
+@then('the page of the settings is what the code makes')
+def step_settings(context: Context) -> None:
+    assert PAGE.read_text(encoding='utf-8') == page_text()
--- a/packages/kingcuptrestle/src/kingcuptrestle/settings_cli.py
+++ b/packages/kingcuptrestle/src/kingcuptrestle/settings_cli.py
@@ -43,11 +43,14 @@
     return INVALID_INPUT if findings else DONE
 
 
+def described_fields(role: str) -> list[SettingField]:
+    """Return the fields that a role's settings may hold."""
+    return [_describe(entry) for entry in fields(SETTINGS_TYPES[role])]
+
+
 def show_fields(options: 'ShowFields') -> int:
     """Print the fields of a role with defaults and units."""
-    described = [
-        _describe(entry) for entry in fields(SETTINGS_TYPES[options.role])
-    ]
+    described = described_fields(options.role)
     if options.json:
         print_json([entry._asdict() for entry in described])
         return DONE
