Crash-causing requests: two engines at most, and innocents stay whole

Ruled out: a rule in the control state that quarantines only a lone suspect (it would spare the crasher when two suspects ran side by side); one home engine for each content at all times (popular contents would queue). Conclusion: the bound holds for two entries; with more of them each may have one copy of a content on its first engine when no crash has named it yet.

--- a/packages/trestle-endpoint/src/trestle_endpoint/completions.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/completions.py
@@ -186,7 +186,10 @@
             places.leave(work)
 
     def _run_checked(self, run: EngineRun) -> None:
-        # The quarantine may have come while the work waited.
+        # The quarantine may have come while the work waited, and a crash
+        # just before it may still bring one.
+        if self.contents.is_suspect(run.work.content):
+            self.contents.wait_settled()
         if self.contents.is_quarantined(run.work.content):
             raise TrestleError(QUARANTINED, QUARANTINED_TEXT)
         run.run()
--- a/packages/trestle-endpoint/src/trestle_endpoint/contents.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/contents.py
@@ -8,7 +8,8 @@
 from collections.abc import Callable
 from typing import Any, Final, Protocol, TypeVar
 
-from gevent import sleep, spawn
+from gevent import Timeout, sleep, spawn
+from gevent.event import Event
 
 from trestle_core.errors import TrestleError
 from trestle_core.logs import part_logger
@@ -23,6 +24,8 @@
 
 _SUBMIT_SECONDS: Final = 5.0
 _RETRY_SECONDS: Final = 0.5
+_VIEW_SECONDS: Final = 2.0
+_VIEW_POLL_SECONDS: Final = 0.01
 
 Reply = TypeVar('Reply')
 
@@ -53,6 +56,10 @@
         self.submit = submit
         self.suspects = suspects
         self.quarantined = quarantined
+        # Crashes whose effect on the view is not known yet.
+        self.open_reports = 0
+        self.settled = Event()
+        self.settled.set()
 
     def is_suspect(self, content: str) -> bool:
         """Tell whether a content ran on an engine that crashed."""
@@ -70,7 +77,13 @@
             contents=[running.content for running in crash.running],
             request_ids=[running.request_id for running in crash.running],
         )
-        spawn(submit_until_done, self.submit, report, CrashReply)
+        self.open_reports += 1
+        self.settled.clear()
+        spawn(self._report, report)
+
+    def wait_settled(self) -> None:
+        """Wait until no crash here could still quarantine a content."""
+        self.settled.wait()
 
     def note_finished(self, content: str, request_id: str) -> None:
         """Clear a suspect whose answer finished."""
@@ -82,6 +95,15 @@
                 CommandReply,
             )
 
+    def _report(self, report: ReportCrash) -> None:
+        reply = submit_until_done(self.submit, report, CrashReply)
+        with Timeout(_VIEW_SECONDS, exception=False):
+            while not self.quarantined().issuperset(reply.quarantined):
+                sleep(_VIEW_POLL_SECONDS)
+        self.open_reports -= 1
+        if not self.open_reports:
+            self.settled.set()
+
 
 def submit_until_done(
     submit: Submit, command: Message, reply_type: type[Any]
--- a/packages/trestle-endpoint/src/trestle_endpoint/engine_load.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/engine_load.py
@@ -65,7 +65,8 @@
         self.state: EngineState | None = None
         self.is_up = False
         self.running: dict[str, RunningContent] = {}
-        self.past: set[str] = set()
+        # Incarnations whose end was seen; what began later is not its loss.
+        self.ended: set[str] = set()
         self.checking = RLock()
 
     def begin(self, engine_id: str, request_id: str, content: str) -> None:
@@ -110,9 +111,9 @@
     def _take_state(self, state: EngineState, sign: float) -> None:
         earlier = self.state
         if earlier and earlier.incarnation != state.incarnation:
-            self.past.add(earlier.incarnation)
             self.load = None
             self._report_crash(earlier.incarnation, sign)
+        self.ended.discard(state.incarnation)
         self.state = state
         self.is_up = True
 
@@ -125,6 +126,9 @@
             self._report_crash(self.state.incarnation, sign)
 
     def _report_crash(self, incarnation: str, sign: float) -> None:
+        if incarnation in self.ended:
+            return
+        self.ended.add(incarnation)
         lost = {
             engine_id: running
             for engine_id, running in self.running.items()
--- a/packages/trestle-entry/src/trestle_entry/completions.py
+++ b/packages/trestle-entry/src/trestle_entry/completions.py
@@ -13,12 +13,18 @@
 from time import monotonic
 from typing import Final, NamedTuple
 
-from trestle_core.errorcodes import RETRY_BUDGET
+from trestle_core.errorcodes import (
+    ENGINE_CRASHED,
+    QUARANTINED,
+    RETRY_BUDGET,
+)
 from trestle_core.errors import TrestleError
 from trestle_core.namedset import EnginePool, ModelRoute
+from trestle_core.texts import QUARANTINED as QUARANTINED_TEXT
 from trestle_core.verdict import Verdict
 from trestle_entry.answer_stream import AnswerFinish, AnswerStream
 from trestle_entry.caller_requests import ModelRequest
+from trestle_entry.content_gate import wait_for_report
 from trestle_entry.entry_context import EntryContext, named_set_of
 from trestle_entry.permit_asks import Place
 from trestle_entry.places import PlaceNeed, obtain_place
@@ -74,6 +80,8 @@
         self.kv_ticket = ''
         # Set when a KV transfer failed: the rest runs on one engine.
         self.kv_failed = False
+        # The last failure of an attempt that may have run.
+        self.doubt: TrestleError | None = None
 
     def phase(self) -> str:
         """Return the phase that comes next: prefill, decode or mixed.
@@ -97,6 +105,7 @@
         """Return what the rest of the answer needs from an endpoint."""
         job = self.job
         latest = job.finish_by if self.delivered else job.first_token_by
+        suspects = {job.request.content} & context.control.view.suspects
         ask = PermitAsk(
             request_id=job.request.request_id,
             caller=job.request.caller,
@@ -108,10 +117,10 @@
             pieces=job.request.pieces,
             left_ms=0,
             set_version=0,
-            suspect=job.request.content in context.control.view.suspects,
+            suspect=bool(suspects),
             phase=self.phase(),
         )
-        return PlaceNeed(ask, latest, self.failed_hosts)
+        return PlaceNeed(ask, latest, self.failed_hosts, ''.join(suspects))
 
     def dispatch_for(self, place: Place) -> DispatchCompletion:
         """Return the message that starts the rest of the answer."""
@@ -166,15 +175,35 @@
 
     Raises `TrestleError`. Closing the iterator cancels the work.
     """
-    budget = context.budgets.of(completion.job.request.route)
-    budget.deposit(completion.job.route.retry_percent)
-    while completion.finish is None:
-        need = completion.place_need(context)
-        place = obtain_place(context, need, completion.record)
-        try:
-            yield from _run_attempt(context, completion, place)
-        except TrestleError as error:
-            _prepare_retry(context, completion, place, error)
+    job = completion.job
+    budget = context.budgets.of(job.request.route)
+    budget.deposit(job.route.retry_percent)
+    content = job.request.content
+    copy = context.gate.enter(content, job.first_token_by)
+    try:
+        while completion.finish is None:
+            yield from _try_once(context, completion)
+    except TrestleError:
+        if completion.doubt is None:
+            raise
+        # A later refusal can't undo what an earlier attempt left in doubt.
+        raise completion.doubt from None
+    finally:
+        context.gate.leave(content, copy)
+
+
+def _try_once(
+    context: EntryContext, completion: Completion
+) -> Iterator[list[str]]:
+    # The quarantine may have come while an equal request ran.
+    if completion.job.request.content in context.control.view.quarantined:
+        raise TrestleError(QUARANTINED, QUARANTINED_TEXT)
+    need = completion.place_need(context)
+    place = obtain_place(context, need, completion.record)
+    try:
+        yield from _run_attempt(context, completion, place)
+    except TrestleError as error:
+        _prepare_retry(context, completion, place, error)
 
 
 def _run_attempt(
@@ -198,6 +227,8 @@
     estimate.inflight += 1
     try:
         for tokens in stream.batches():
+            if tokens:
+                context.gate.prove(completion.job.request.content)
             _count_tokens(completion, len(tokens))
             yield tokens
     finally:
@@ -248,6 +279,8 @@
     completion.record.note('failed', endpoint=host, code=error.code.code)
     context.estimates.refused(host)
     completion.failed_hosts |= {host}
+    if error.verdict is Verdict.MAY_HAVE_RUN:
+        completion.doubt = error
     if error.code.code not in _RETRIABLE:
         raise error
     if completion.kv_ticket:
@@ -260,3 +293,7 @@
         context.metrics.count('refusals_of_retry', RETRY_BUDGET.code)
         raise error
     context.metrics.count('retries', error.code.code)
+    if error.code is ENGINE_CRASHED:
+        content = completion.job.request.content
+        context.gate.doubt(content)
+        wait_for_report(context.control.view, content)
--- a/packages/trestle-entry/src/trestle_entry/entry_app.py
+++ b/packages/trestle-entry/src/trestle_entry/entry_app.py
@@ -24,6 +24,7 @@
     choose_of_two,
     choose_round_robin,
 )
+from trestle_entry.content_gate import ContentGate
 from trestle_entry.entry_context import EntryContext, Inflight, WaitingRooms
 from trestle_entry.estimates import Estimates
 from trestle_entry.http_server import HttpServer
@@ -77,6 +78,7 @@
         inflight=Inflight(),
         records=RequestRecords(metrics),
         offered=OfferedWork(control.figures, estimates),
+        gate=ContentGate(metrics),
     )
 
 
--- a/packages/trestle-entry/src/trestle_entry/entry_context.py
+++ b/packages/trestle-entry/src/trestle_entry/entry_context.py
@@ -10,6 +10,7 @@
 from trestle_core.settings import EntrySettings
 from trestle_core.texts import UNKNOWN_ROUTE as UNKNOWN_ROUTE_TEXT
 from trestle_entry.choosing import Choose
+from trestle_entry.content_gate import ContentGate
 from trestle_entry.estimates import Estimates
 from trestle_entry.offered_work import OfferedWork
 from trestle_entry.request_records import RequestRecords
@@ -71,6 +72,7 @@
     inflight: Inflight
     records: RequestRecords
     offered: OfferedWork
+    gate: ContentGate
 
 
 def named_set_of(context: EntryContext) -> NamedSet:
--- a/packages/trestle-entry/src/trestle_entry/places.py
+++ b/packages/trestle-entry/src/trestle_entry/places.py
@@ -13,6 +13,7 @@
 from time import monotonic
 from typing import Final, NamedTuple
 
+from trestle_core.digests import rendezvous_score
 from trestle_core.errorcodes import (
     DEADLINE_UNREACHABLE,
     NO_ENDPOINT,
@@ -43,12 +44,14 @@
 class PlaceNeed(NamedTuple):
     """What a request needs; `latest` is monotonic seconds of its deadline.
 
-    `avoid` holds hosts that failed this request before.
+    `avoid` holds hosts that failed this request before; `suspect` is the
+    content if it ran on an engine that crashed.
     """
 
     ask: PermitAsk
     latest: float
     avoid: frozenset[str] = frozenset()
+    suspect: str = ''
 
 
 def obtain_place(
@@ -94,16 +97,45 @@
     record: RequestRecord,
 ) -> tuple[Place | None, TrestleError]:
     candidates = _candidates(context, need)
+    if need.suspect:
+        return _ask_for_suspect(context, need, candidates, record)
     chosen = context.choose(candidates, Need(need.ask.target, need.ask.pieces))
     if not chosen:
         text = NO_ENDPOINT_TEXT.format(target=need.ask.target)
         return None, TrestleError(NO_ENDPOINT, text)
+    return best_grant(context, _ask_now(context, need), chosen, record)
+
+
+def _ask_for_suspect(
+    context: EntryContext,
+    need: PlaceNeed,
+    candidates: list[EndpointInfo],
+    record: RequestRecord,
+) -> tuple[Place | None, TrestleError]:
+    """Ask one endpoint after another, in the same order in every entry.
+
+    So copies of a suspect meet at one endpoint, which runs one at a time.
+    """
+    refusal = TrestleError(NO_ENDPOINT)
+    ordered = sorted(
+        candidates,
+        key=lambda info: rendezvous_score(need.suspect, info.host),
+        reverse=True,
+    )
+    for info in ordered:
+        ask = _ask_now(context, need)
+        place, refusal = best_grant(context, ask, [info], record)
+        if place:
+            return place, refusal
+    return None, refusal
+
+
+def _ask_now(context: EntryContext, need: PlaceNeed) -> PermitAsk:
     left_ms = int((need.latest - monotonic()) * _MS_PER_SECOND)
-    ask = need.ask._replace(
+    return need.ask._replace(
         left_ms=max(0, left_ms),
         set_version=context.control.view.set_version,
     )
-    return best_grant(context, ask, chosen, record)
 
 
 def _candidates(context: EntryContext, need: PlaceNeed) -> list[EndpointInfo]:
@@ -116,6 +148,8 @@
         context.settings.zone,
         context.settings.subset_size,
     )
+    if need.suspect:
+        return subset
     # A host that failed this request is asked again only if none is left.
     return [info for info in subset if info.host not in need.avoid] or subset
 
--- a/testbed/steady_callers.py
+++ b/testbed/steady_callers.py
@@ -8,7 +8,7 @@
 from itertools import count
 from typing import Final, NamedTuple
 
-from gevent import Greenlet, sleep, spawn
+from gevent import Greenlet, killall, sleep, spawn
 
 from testbed.callers import (
     Answer,
@@ -98,9 +98,9 @@
 
     def stop(self) -> None:
         """End every task."""
-        for task in [*self.tasks, self.watch]:
-            if task:
-                task.kill()
+        killall(self.tasks)
+        if self.watch:
+            self.watch.kill()
 
     def run(self, kind: Kind) -> None:
         """Send one request after another."""
