ReportEngine: the control state takes what an engine is after a restart

Cause: an engine that restarted came up with its old version or role while the control state showed what the last order had given it, so neither the rollout nor the role policy repaired it. Ruled out: clearing the loaded state at a crash (a load order for each restart, needed or not); a report without the last fencing number (one that was late would undo the effect of an order). Also: Fleet.issue waits while a rollout's order is outstanding and wait_order looks at the very order it issued. Conclusion: repair stays with the log's orders; a process only reports.

--- a/features/endpoint_orders.feature
+++ b/features/endpoint_orders.feature
@@ -12,6 +12,8 @@
     Then every answer is whole
     And its order is done and it has the role "decode"
     And every endpoint serves again
+    When its engine is killed and started again with its old role
+    Then the control state shows its role as "mixed"
     And no engine had a conflict or a cut request
 
   Scenario Outline: An order is ended by the log after <fault>
--- a/features/rollout.feature
+++ b/features/rollout.feature
@@ -19,3 +19,12 @@
     When orders work again
     And model version "1" is published
     Then the rollout is done within 20 s
+
+  Scenario: An engine that restarts with the old version is loaded again
+    When model version "2" is published
+    Then all 3 readers have loaded version "2" within 30 s
+    When the engine of "reader-2" is killed and started again
+    Then all 3 readers have loaded version "2" within 20 s
+    And "reader-2" was loaded with version "2" by 2 orders
+    And explain of "reader-2" tells that its engine came up with version "1"
+    And a report by another process of "reader-2" is refused
--- a/features/steps/orders_steps.py
+++ b/features/steps/orders_steps.py
@@ -81,6 +81,25 @@
     step_role(context, context.host, role)
 
 
+@when('its engine is killed and started again with its old role')
+def step_restart_engine(context: Context) -> None:
+    name = f'{context.host}.engine'
+    context.fleet.cluster.process(name).kill()
+    context.fleet.restart(name)
+
+
+@then('the control state shows its role as "{role}"')
+def step_shown_role(context: Context, role: str) -> None:
+    fleet: Fleet = context.fleet
+    poll_until(
+        lambda: (
+            fleet.query('endpoints', context.host)[0]['engine_role'] == role
+        ),
+        LIMIT_SECONDS,
+        f'the role {role}',
+    )
+
+
 @when('in the middle of it comes {fault}')
 def step_fault(context: Context, fault: str) -> None:
     context.fleet.wait_order_runs(HOST)
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -15,7 +15,10 @@
     medena_set_with_version,
     publish_when_ready,
 )
+from testbed.fleet import CALL_SECONDS, Fleet
 from testbed.processes import poll_until
+from trestle_links.engine_messages import ReportEngine
+from trestle_links.fleet_messages import CommandReply
 
 READ_TOKENS = 40
 
@@ -115,6 +118,57 @@
     assert len(begun) == amount, begun
 
 
+@when('the engine of "{host}" is killed and started again')
+def step_restart(context: Context, host: str) -> None:
+    context.cluster.process(f'{host}.engine').kill()
+    context.processes.restart(f'{host}.engine')
+    poll_until(
+        lambda: explained(context, host, 'engine reported', '/1, was load-'),
+        20,
+        'the report of the restarted engine',
+    )
+
+
+@then('"{host}" was loaded with version "{version}" by {count:d} orders')
+def step_loaded_by(
+    context: Context, host: str, version: str, count: int
+) -> None:
+    begun = [
+        line
+        for line in orders(context, host)
+        if line['argument'].endswith(f'/{version}')
+    ]
+    assert len(begun) == count, begun
+    assert not any(line['conflict'] or line['cut'] for line in begun), begun
+
+
+@then(
+    'explain of "{host}" tells that its engine came up with version "{version}"'
+)
+def step_came_up(context: Context, host: str, version: str) -> None:
+    assert explained(context, host, 'engine reported', f'/{version}, was load-')
+
+
+@then('a report by another process of "{host}" is refused')
+def step_foreign_report(context: Context, host: str) -> None:
+    fleet = Fleet(context.cluster)
+    context.add_cleanup(fleet.close)
+    report = ReportEngine(host, 'other', 'engine', 'decode', [], 0)
+    reply = fleet.control.call(report, CommandReply, CALL_SECONDS)
+    assert (reply.accepted, reply.code) == (False, 'withdrawn'), reply
+    (endpoint,) = fleet.query('endpoints', host)
+    assert endpoint['engine_role'] == 'mixed', endpoint
+
+
+def explained(context: Context, host: str, kind: str, detail: str) -> bool:
+    """Tell whether the story of a host has such a record."""
+    told = context.cluster.operate('explain', host, '--json')
+    return any(
+        record['kind'] == kind and detail in record['detail']
+        for record in loads(told.stdout)['records']
+    )
+
+
 @then('the rollout is done within {limit:d} s')
 def step_done(context: Context, limit: int) -> None:
     def is_done() -> bool:
--- a/packages/trestle-control/src/trestle_control/apply.py
+++ b/packages/trestle-control/src/trestle_control/apply.py
@@ -27,6 +27,7 @@
     restore_endpoint,
     withdraw_endpoint,
 )
+from trestle_control.engine_commands import report_engine
 from trestle_control.order_commands import issue_order, report_order
 from trestle_control.set_commands import publish_set
 from trestle_control.state import ControlState
@@ -41,6 +42,7 @@
     ReleaseClaim,
 )
 from trestle_links.codec import Message
+from trestle_links.engine_messages import ReportEngine
 from trestle_links.fleet_messages import (
     AdmitEndpoint,
     ClearSuspect,
@@ -82,6 +84,7 @@
     RestoreEndpoint: restore_endpoint,
     IssueOrder: issue_order,
     ReportOrder: report_order,
+    ReportEngine: report_engine,
     ReportCrash: report_crash,
     ClearSuspect: clear_suspect,
     ReleaseContent: release_content,
--- a/packages/trestle-control/src/trestle_control/state.py
+++ b/packages/trestle-control/src/trestle_control/state.py
@@ -98,7 +98,8 @@
         self.orders: dict[str, Order] = {}
         # Role that the last finished order gave to an engine.
         self.wanted_roles: dict[str, str] = {}
-        # What finished orders loaded since the admission, as `KIND NAME`.
+        # What the engine reported at its start or orders loaded since, as
+        # `KIND NAME`.
         self.loaded: dict[str, list[str]] = {}
         self.contents: dict[str, ContentRecord] = {}
         self.audit: dict[str, list[AuditRecord]] = {}
--- a/packages/trestle-control/src/trestle_control/watch_deltas.py
+++ b/packages/trestle-control/src/trestle_control/watch_deltas.py
@@ -5,6 +5,7 @@
 
 from trestle_control.state import ControlState
 from trestle_links.codec import Message
+from trestle_links.engine_messages import ReportEngine
 from trestle_links.fleet_messages import (
     AdmitEndpoint,
     ClearSuspect,
@@ -171,6 +172,7 @@
     WithdrawEndpoint: _endpoint_changed,
     RestoreEndpoint: _endpoint_changed,
     ReportOrder: _endpoint_changed,
+    ReportEngine: _endpoint_changed,
     IssueOrder: _order_issued,
     ReportCrash: _contents_changed,
     ClearSuspect: _contents_changed,
--- a/packages/trestle-endpoint/src/trestle_endpoint/contents.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/contents.py
@@ -6,9 +6,10 @@
 """
 
 from collections.abc import Callable
+from time import monotonic
 from typing import Any, Final, Protocol, TypeVar
 
-from gevent import Timeout, sleep, spawn
+from gevent import sleep, spawn
 from gevent.event import Event
 
 from trestle_core.errors import TrestleError
@@ -97,9 +98,11 @@
 
     def _report(self, report: ReportCrash) -> None:
         reply = submit_until_done(self.submit, report, CrashReply)
-        with Timeout(_VIEW_SECONDS, exception=False):
-            while not self.quarantined().issuperset(reply.quarantined):
-                sleep(_VIEW_POLL_SECONDS)
+        limit = monotonic() + _VIEW_SECONDS
+        while monotonic() < limit:
+            if self.quarantined().issuperset(reply.quarantined):
+                break
+            sleep(_VIEW_POLL_SECONDS)
         self.open_reports -= 1
         if not self.open_reports:
             self.settled.set()
--- a/packages/trestle-endpoint/src/trestle_endpoint/engine_target.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/engine_target.py
@@ -2,12 +2,15 @@
 
 from typing import Final
 
+from gevent import spawn
+
 from trestle_core.addresses import resolve_address
 from trestle_endpoint.completions import Completions
 from trestle_endpoint.endpoint_core import EndpointCore, Target
 from trestle_endpoint.engine_adapter import engine_over_http
 from trestle_endpoint.engine_interface import EngineAdapter
 from trestle_endpoint.engine_load import EngineWatch
+from trestle_endpoint.engine_report import EngineReporter
 from trestle_endpoint.engine_run import EngineParts
 from trestle_endpoint.order_gate import OrderGate
 from trestle_endpoint.orders import (
@@ -46,6 +49,14 @@
     gate = OrderGate(core.settings.host, core.state, core.metrics)
     core.control.on_order.append(gate.offer)
 
+    reporter = EngineReporter(
+        watch,
+        gate,
+        core.control.submit,
+        core.permits.incarnation,
+        core.metrics,
+    )
+
     def is_quiet() -> bool:
         core.permits.expire()
         admitted = core.permits.outstanding or core.permits.used
@@ -62,6 +73,7 @@
             timeout_seconds=core.settings.order_timeout_ms / _MS_PER_SECOND,
             metrics=core.metrics,
         )
+        spawn(reporter.run)
         Orders(order_parts, gate).run()
 
     def on_admitted(reply: AdmitReply) -> None:
--- a/testbed/control_stub.py
+++ b/testbed/control_stub.py
@@ -14,6 +14,7 @@
 from trestle_links.claim_messages import ClaimReply, RecordOutcome
 from trestle_links.codec import Message
 from trestle_links.connection import Channel, LinkDownError
+from trestle_links.engine_messages import ReportEngine
 from trestle_links.fleet_messages import (
     AdmitEndpoint,
     AdmitReply,
@@ -64,6 +65,7 @@
                 ReportCrash: self.report_crash,
                 ClearSuspect: self.accept,
                 ReportOrder: self.accept,
+                ReportEngine: self.accept,
             },
         )
 
--- a/testbed/fleet.py
+++ b/testbed/fleet.py
@@ -12,6 +12,7 @@
 from testbed.cluster import Cluster, Endpoint, Layout
 from testbed.processes import Processes, poll_until
 from testbed.serving import JsonObject
+from trestle_core.errorcodes import ORDER_OUTSTANDING
 from trestle_core.metrics import Metrics
 from trestle_links.control_calls import ControlCaller
 from trestle_links.fleet_messages import IssueOrder, OrderReply
@@ -25,6 +26,7 @@
 LIMIT_SECONDS: Final = 30.0
 CALL_SECONDS: Final = 5.0
 ORDER_TIMEOUT_MS: Final = 4000
+ENDS: Final = {'order done': 'done', 'order failed': 'failed'}
 PUBLISHED: Final[JsonObject] = {
     'plans': {'goodput-first': {}},
     'pools': {
@@ -65,6 +67,8 @@
         ]
         me = Identity('test', key, Metrics.empty())
         self.control = ControlCaller(addresses, me)
+        # Fencing numbers of the orders issued here last, by host.
+        self.issued: dict[str, int] = {}
 
     @classmethod
     def from_config(
@@ -119,16 +123,28 @@
     def issue(self, host: str, kind: str, argument: str) -> int:
         """Issue an order and return its fencing number."""
         command = IssueOrder(host, kind, argument, 'test')
-        reply = self.control.call(command, OrderReply, CALL_SECONDS)
-        assert reply.accepted and reply.order, reply
+
+        def issued() -> OrderReply | None:
+            reply = self.control.call(command, OrderReply, CALL_SECONDS)
+            if reply.code == ORDER_OUTSTANDING.code:
+                # A rollout asks a process that started anew for its model.
+                return None
+            assert reply.accepted and reply.order, reply
+            return reply
+
+        reply = poll_until(issued, LIMIT_SECONDS, f'an order for {host}')
+        assert reply and reply.order
+        self.issued[host] = reply.order.fencing
         return reply.order.fencing
 
     def wait_order(self, host: str) -> str:
-        """Wait until the last order of a host has ended; return its state."""
+        """Wait for the end of the order issued last here; return its state."""
+        name = f'order-{self.issued[host]}'
 
         def ended() -> str:
-            state = str(self.query('order', host)['state'])
-            return '' if state == 'issued' else state
+            records = self.query('explain', name)['records']
+            kinds = [str(record['kind']) for record in records]
+            return next((ENDS[kind] for kind in kinds if kind in ENDS), '')
 
         return poll_until(ended, LIMIT_SECONDS, f'the order of {host}')
 
