--- a/testbed/log_member.py
+++ b/testbed/log_member.py
@@ -8,11 +8,12 @@
 from pathlib import Path
 from sys import argv
 from sys import exit as exit_process
-from typing import Any, Final, NamedTuple
+from typing import Any, Final, Literal, NamedTuple
 
 from msgpack import packb, unpackb
 
 from trestle_control.replica import Replica
+from trestle_control.replica_handover import hand_over
 from trestle_core.addresses import write_address_file
 from trestle_core.errors import TrestleError
 from trestle_core.lifecycle import Application
@@ -28,16 +29,26 @@
 _REFUSED_STATUS: Final = 3
 _MS_PER_SECOND: Final = 1000
 
+Rule = Literal['put', 'raise', 'append']
+Before = Literal['nothing', 'read-round', 'hand-over']
+
 _log = part_logger('member')
 
 
 @message(200)
 class PutValue(NamedTuple):
-    """Set a key; `timeout_ms` bounds the wait for the commit."""
+    """Change a key; `timeout_ms` bounds the wait for the commit.
+
+    `rule` says what becomes of the earlier value: `put` replaces it, `raise`
+    keeps the higher number, `append` adds an item and a space. `before` says
+    what the member does first: a read round, or handing leadership over.
+    """
 
     key: str
     value: str
     timeout_ms: int
+    rule: Rule = 'put'
+    before: Before = 'nothing'
 
 
 @message(201)
@@ -74,11 +85,11 @@
         self.contents: dict[str, str] = {}
 
     def apply(self, index: int, command: Message) -> Message:
-        """Set a key."""
+        """Change a key."""
         assert isinstance(command, PutValue)
         replaced = self.contents.get(command.key, '')
-        self.contents[command.key] = command.value
-        return PutReply(index, replaced)
+        self.contents[command.key] = _changed(command, replaced)
+        return PutReply(index, replaced if command.rule == 'put' else '')
 
     def snapshot(self) -> bytes:
         """Return all keys and values."""
@@ -90,6 +101,14 @@
         self.contents = unpackb(packed)
 
 
+def _changed(command: PutValue, earlier: str) -> str:
+    if command.rule == 'append':
+        return f'{earlier}{command.value} '
+    if command.rule == 'raise':
+        return str(max(int(earlier or 0), int(command.value)))
+    return command.value
+
+
 def main() -> None:
     """Run a member until SIGTERM; a refused start exits with status 3."""
     settings = load_settings(argv[1])
@@ -131,7 +150,13 @@
 
 def _handlers(replica: Replica, machine: Dictionary) -> dict[type[Any], Any]:
     def put_value(command: PutValue, _: Channel) -> Message:
-        return replica.submit(command, command.timeout_ms / _MS_PER_SECOND)
+        timeout_seconds = command.timeout_ms / _MS_PER_SECOND
+        if command.before == 'read-round':
+            replica.read_barrier(timeout_seconds)
+        elif command.before == 'hand-over' and replica.is_leader:
+            hand_over(replica.state)
+            replica.state.handing_over = False
+        return replica.submit(command, timeout_seconds)
 
     def read_value(ask: ReadValue, _: Channel) -> Message:
         if not ask.local:
