--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -104,6 +104,8 @@
 @then('the rollout is halted within {limit:d} s')
 def step_halted(context: Context, limit: int) -> None:
     poll_until(lambda: rollout(context)['halted'], limit, 'halted rollout')
+    shown = context.cluster.operate('status').stdout
+    assert 'engines, halted by order' in shown, shown
     sleep(2)
 
 
--- a/packages/kingcuptrestle/src/kingcuptrestle/fleet_cli.py
+++ b/packages/kingcuptrestle/src/kingcuptrestle/fleet_cli.py
@@ -152,10 +152,23 @@
             f'order {order["fencing"]} outstanding on {order["endpoint"]}: '
             f'{order["kind"]} {order["argument"]}'
         )
+    for rollout in answer['rollouts']:
+        print_line(_rollout_line(rollout))
     for content in answer['quarantined']:
         print_line(f'quarantined: {content}')
 
 
+def _rollout_line(rollout: dict[str, Any]) -> str:
+    line = (
+        f'rollout of {rollout["pool"]}: version {rollout["version"]} on '
+        f'{rollout["done"]} of {rollout["engines"]} engines'
+    )
+    halted = rollout['halted']
+    if halted:
+        line += f', halted by order {halted["fencing"]} on {halted["endpoint"]}'
+    return line
+
+
 def _print_endpoints(endpoints: list[dict[str, Any]]) -> None:
     rows = [
         (
