Prompts that share a beginning are read once by an engine

Cause: an engine looks into its prefix cache when a prompt begins. The reads of one document come within a second of each other, so they began together and each read the whole document. A prompt whose next piece is being read for another one now waits for that one at its endpoint; work behind it goes on. A grant counts those pieces as matched, so the endpoint that reads a document predicts little time for its next reader.

--- a/packages/trestle-endpoint/src/trestle_endpoint/engine_run.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/engine_run.py
@@ -184,6 +184,8 @@
             return
         self.work.prefilled = True
         self.parts.cache.note_dispatched(self.work.demand.pieces)
+        # Prompts with the same beginning may start now.
+        self.parts.places.admit()
         self.first_token_at = monotonic()
         seconds = self.first_token_at - self.began
         self.parts.estimate.learn_first_token(self.backlog_tokens, seconds)
--- a/packages/trestle-endpoint/src/trestle_endpoint/grants.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/grants.py
@@ -6,7 +6,7 @@
 refused here, as not run, before anyone waits for it.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final, NamedTuple
 
 from trestle_core.digests import PIECE_TOKENS
@@ -21,7 +21,7 @@
 from trestle_core.texts import DEADLINE_UNREACHABLE as UNREACHABLE_TEXT
 from trestle_core.texts import NO_ENDPOINT as NO_ENDPOINT_TEXT
 from trestle_endpoint.admission_state import AdmissionState
-from trestle_endpoint.permits import Demand, PermitTable
+from trestle_endpoint.permits import Demand, PermitTable, Work
 from trestle_endpoint.places import Places
 from trestle_endpoint.wait_estimate import WaitEstimate, occupancy
 from trestle_links.permit_messages import PermitAsk, PermitGrant
@@ -72,13 +72,13 @@
         raise TrestleError(NO_ENDPOINT, text)
     parts.permits.expire()
     _check_room(parts, ask)
-    matched = parts.matched_pieces(ask.pieces)
+    cached = parts.matched_pieces(ask.pieces)
+    running = parts.places.running.values()
+    others = _works_to_come(parts)
+    matched = _matched_in_time(ask.pieces, cached, (*running, *others))
     demand = _demand_from(ask, matched, parts.pool())
-    outstanding = parts.permits.outstanding.values()
-    waiting = [waiter.work for waiter in parts.places.waiting]
-    ahead = occupancy(
-        ask.priority, parts.places.running.values(), (*outstanding, *waiting)
-    )
+    demand = demand._replace(cached_pieces=cached)
+    ahead = occupancy(ask.priority, running, others)
     seconds = parts.estimate.first_token_seconds(
         demand, ahead, long_limit(parts.pool())
     )
@@ -115,6 +115,30 @@
         raise TrestleError(OVERLOADED, 'Too many outcomes wait for a commit.')
 
 
+def _works_to_come(parts: GrantParts) -> list[Work]:
+    waiting = [waiter.work for waiter in parts.places.waiting]
+    return [*parts.permits.outstanding.values(), *waiting]
+
+
+def _matched_in_time(
+    pieces: list[str], cached: int, works: Iterable[Work]
+) -> int:
+    """Count the leading pieces that are cached or that others read first."""
+    if cached == len(pieces):
+        return cached
+    coming = {
+        piece
+        for work in works
+        if not work.prefilled
+        for piece in work.demand.pieces
+    }
+    for piece in pieces[cached:]:
+        if piece not in coming:
+            break
+        cached += 1
+    return cached
+
+
 def _demand_from(
     ask: PermitAsk, matched: int, pool: EnginePool | None
 ) -> Demand:
--- a/packages/trestle-endpoint/src/trestle_endpoint/permits.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/permits.py
@@ -35,7 +35,8 @@
 class Demand(NamedTuple):
     """What a permit was asked for.
 
-    `prefill_tokens` are those that no cached prefix covers.
+    `cached_pieces` are those that the engine held at the grant.
+    `prefill_tokens` are those that neither they nor the prompts ahead cover.
     """
 
     request_id: str
@@ -45,6 +46,12 @@
     is_long: bool = False
     suspect: bool = False
     phase: str = 'mixed'
+    cached_pieces: int = 0
+
+    def missing_piece(self) -> str:
+        """Return the first piece that the engine lacked, empty if none."""
+        missing = self.pieces[self.cached_pieces :]
+        return missing[0] if missing else ''
 
 
 class Work:
--- a/packages/trestle-endpoint/src/trestle_endpoint/places.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/places.py
@@ -3,8 +3,10 @@
 Work enters after its permit was used and leaves when it ends. The target
 gets at most `max_running` at once, the engine at most a number of long
 prompts, and at most one suspect content, so that the next crash names its
-cause. Work that must wait for one of these does not hold up the work behind
-it.
+cause. A prompt whose next piece is being read for another one waits for it:
+an engine looks into its prefix cache only when a prompt begins, so two that
+begin together read the same document twice. Work that must wait for one of
+these does not hold up the work behind it.
 """
 
 from bisect import insort
@@ -94,8 +96,17 @@
             )
             if long_running >= self.limits.long_prompts():
                 return False
+        if self._is_being_read(work.demand.missing_piece()):
+            return False
         return not (self._is_suspect(work) and self._suspect_runs())
 
+    def _is_being_read(self, piece: str) -> bool:
+        return any(
+            piece in other.demand.pieces
+            for other in self.running.values()
+            if not other.prefilled
+        )
+
     def _suspect_runs(self) -> bool:
         return any(map(self._is_suspect, self.running.values()))
 
--- a/testbed/firm_workloads.py
+++ b/testbed/firm_workloads.py
@@ -97,7 +97,7 @@
             output_tokens=(32, 64),
             reads=4,
             deadline_seconds=8,
-            rates=(9, 2),
+            rates=(10, 4),
         ),
         ModelClass(
             'lot-verdicts',
@@ -108,7 +108,7 @@
             output_tokens=(12, 32),
             reads=0,
             deadline_seconds=2.5,
-            rates=(8, 40),
+            rates=(8, 24),
         ),
     ),
     operations=(
