A place is granted only if the whole answer can end in time

Cause: a grant compared the predicted first token with the deadline, and not the 1 to 2 seconds that the answer takes after it, so answers came a second late and their engine time was lost. The ask now carries the time to the deadline of the whole answer and its expected length.

--- a/packages/trestle-endpoint/src/trestle_endpoint/grants.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/grants.py
@@ -83,7 +83,13 @@
         demand, ahead, long_limit(parts.pool())
     )
     first_token_ms = round(seconds * _MS_PER_SECOND)
-    if first_token_ms > ask.left_ms:
+    answer_ms = _MS_PER_SECOND * parts.estimate.answer_seconds(
+        ask.output_tokens
+    )
+    if (
+        first_token_ms > ask.left_ms
+        or first_token_ms + answer_ms > ask.finish_ms
+    ):
         text = UNREACHABLE_TEXT.format(deadline_ms=ask.left_ms)
         raise TrestleError(DEADLINE_UNREACHABLE, text)
     work = parts.permits.issue(demand)
--- a/packages/trestle-endpoint/src/trestle_endpoint/wait_estimate.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/wait_estimate.py
@@ -41,6 +41,7 @@
         self.prefill_rate = _FIRST_PREFILL_TOKENS_PER_SECOND
         self.fixed_seconds = _FIRST_FIXED_SECONDS
         self.stream_rate = _FIRST_STREAM_RATE
+        self.seconds_per_token = 1 / _FIRST_STREAM_RATE
         self.run_seconds = _FIRST_RUN_SECONDS
         self.long_run_seconds = _FIRST_RUN_SECONDS
 
@@ -78,12 +79,17 @@
         if tokens < _LEAST_STREAM_TOKENS or seconds <= 0:
             return
         rate = tokens / seconds
+        self.seconds_per_token = _moved(self.seconds_per_token, 1 / rate)
         if rate > self.stream_rate:
             self.stream_rate = _moved(self.stream_rate, rate)
         else:
             change = rate - self.stream_rate
             self.stream_rate += _SLOWER_WEIGHT * change
 
+    def answer_seconds(self, tokens: int) -> float:
+        """Predict the time from the first token to the last one."""
+        return max(0, tokens - 1) * self.seconds_per_token
+
     def decode_rate(self) -> float:
         """Return the tokens per second of a full batch of streams."""
         return self.stream_rate * self.max_running
--- a/packages/trestle-entry/src/trestle_entry/completions.py
+++ b/packages/trestle-entry/src/trestle_entry/completions.py
@@ -104,14 +104,19 @@
             target=job.route.pool,
             priority=job.route.priority,
             prompt_tokens=0 if self.kv_ticket else job.request.prompt_tokens,
-            output_tokens=self.output_tokens() - self.delivered,
+            output_tokens=self._expected_tokens(context),
             pieces=job.request.pieces,
             left_ms=0,
             set_version=0,
             suspect=job.request.content in context.control.view.suspects,
             phase=self.phase(),
         )
-        return PlaceNeed(ask, latest, self.failed_hosts)
+        return PlaceNeed(ask, latest, self.failed_hosts, job.finish_by)
+
+    def _expected_tokens(self, context: EntryContext) -> int:
+        # `max_tokens` is a bound, often far above what an answer takes.
+        expected = context.offered.expected_tokens(self.job.request)
+        return max(0, min(expected, self.output_tokens()) - self.delivered)
 
     def dispatch_for(self, place: Place) -> DispatchCompletion:
         """Return the message that starts the rest of the answer."""
--- a/packages/trestle-entry/src/trestle_entry/offered_work.py
+++ b/packages/trestle-entry/src/trestle_entry/offered_work.py
@@ -34,6 +34,10 @@
         self._grow(_PREFILL_FIGURE + pool, prefill)
         self._grow(_DECODE_FIGURE + pool, decode)
 
+    def expected_tokens(self, request: ModelRequest) -> int:
+        """Return the likely length of an answer; 0 before one was whole."""
+        return int(request.max_tokens * self.used_share.get(request.route, 0))
+
     def learn(self, request: ModelRequest, tokens: int) -> None:
         """Take in the length of a whole answer."""
         used = tokens / request.max_tokens
--- a/packages/trestle-entry/src/trestle_entry/places.py
+++ b/packages/trestle-entry/src/trestle_entry/places.py
@@ -9,6 +9,7 @@
 left to expire at its endpoint; none is used twice.
 """
 
+from math import inf
 from random import uniform
 from time import monotonic
 from typing import Final, NamedTuple
@@ -33,22 +34,23 @@
 
 _BACKOFF_SECONDS: Final = 0.01
 _MAX_BACKOFF_SECONDS: Final = 0.2
-_SECOND_GRANT_SECONDS: Final = 0.02
-_RETURN_SECONDS: Final = 1.0
 _MS_PER_SECOND: Final = 1000
+_LONGEST_SECONDS: Final = 86_400.0
 _PREFILL_TOKENS_PER_SECOND: Final = 8000.0
 _OUTPUT_TOKENS_PER_SECOND: Final = 400.0
 
 
 class PlaceNeed(NamedTuple):
-    """What a request needs; `latest` is monotonic seconds of its deadline.
+    """What a request needs; times are monotonic seconds.
 
+    A place is of use until `latest`; the answer must end by `finish_by`.
     `avoid` holds hosts that failed this request before.
     """
 
     ask: PermitAsk
     latest: float
     avoid: frozenset[str] = frozenset()
+    finish_by: float = inf
 
 
 def obtain_place(
@@ -98,14 +100,19 @@
     if not chosen:
         text = NO_ENDPOINT_TEXT.format(target=need.ask.target)
         return None, TrestleError(NO_ENDPOINT, text)
-    left_ms = int((need.latest - monotonic()) * _MS_PER_SECOND)
     ask = need.ask._replace(
-        left_ms=max(0, left_ms),
+        left_ms=_left_ms(need.latest),
+        finish_ms=_left_ms(need.finish_by),
         set_version=context.control.view.set_version,
     )
     return best_grant(context, ask, chosen, record)
 
 
+def _left_ms(moment: float) -> int:
+    left_seconds = min(moment - monotonic(), _LONGEST_SECONDS)
+    return max(0, int(left_seconds * _MS_PER_SECOND))
+
+
 def _candidates(context: EntryContext, need: PlaceNeed) -> list[EndpointInfo]:
     endpoints = context.control.view.endpoints_of(need.ask.target)
     # A phase that no engine is there for runs on any engine.
--- a/packages/trestle-links/src/trestle_links/permit_messages.py
+++ b/packages/trestle-links/src/trestle_links/permit_messages.py
@@ -34,8 +34,10 @@
 
 @message(10)
 class PermitAsk(NamedTuple):
-    """Ask for a place; `left_ms` is the time to the deadline.
+    """Ask for a place; `left_ms` is the time to the first token's deadline.
 
+    `finish_ms` is the time to the deadline of the whole answer, which is
+    expected to have `output_tokens`, 0 when that is not known.
     `pieces` are digests of the leading pieces of the prompt. `set_version`
     is the version of the named set that the asking node has in force.
     `suspect` marks content that ran on an engine that crashed.
@@ -53,6 +55,7 @@
     set_version: int
     suspect: bool = False
     phase: str = 'mixed'
+    finish_ms: int = 3_600_000
 
 
 @message(11)
