Engine time counts in the choice of a place; holders known at dispatch

Cause: the entry took the grant with the earliest first token, and so moved a second reader of a document to an idle engine that read it anew. Engine time for the prompt now counts beside the wait: both places are in time anyway. The holder of a prefix is noted at the dispatch and not at the end, for the next reader comes while the first one is still under way.

--- a/packages/trestle-endpoint/src/trestle_endpoint/grants.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/grants.py
@@ -100,6 +100,9 @@
         queued=ahead.queued,
         matched_pieces=matched,
         set_version=parts.set_version(),
+        prefill_ms=round(
+            demand.prefill_tokens / parts.estimate.prefill_rate * _MS_PER_SECOND
+        ),
     )
 
 
--- a/packages/trestle-entry/src/trestle_entry/completions.py
+++ b/packages/trestle-entry/src/trestle_entry/completions.py
@@ -199,6 +199,9 @@
         completion.dispatch_for(place),
         completion.job.finish_by,
     )
+    # From now on, not from the end: the next read of a document often comes
+    # while the first one is still under way.
+    context.estimates.served(host, completion.job.request.pieces)
     estimate = context.estimates.of(host)
     estimate.inflight += 1
     try:
@@ -208,7 +211,6 @@
     finally:
         estimate.inflight -= 1
         context.rooms.of(completion.job.route.pool).place_freed()
-    context.estimates.served(host, completion.job.request.pieces)
     record.note('finish', endpoint=host)
     assert stream.finish is not None
     _take_finish(context, completion, stream.finish)
--- a/packages/trestle-entry/src/trestle_entry/permit_asks.py
+++ b/packages/trestle-entry/src/trestle_entry/permit_asks.py
@@ -1,7 +1,7 @@
 """Asking endpoints for permits, side by side.
 
-The grant with the lowest predicted time to the first token is kept; every
-other grant is returned, also one that comes after the choice.
+The grant of least cost, in time to the first token and in engine time, is
+kept; every other grant is returned, also one that comes after the choice.
 """
 
 from typing import Final, NamedTuple
@@ -73,12 +73,18 @@
     if not grants:
         refusal = refusals[0] if refusals else TrestleError(OVERLOADED)
         return None, refusal
-    grants.sort(key=lambda place: place.grant.first_token_ms)
+    grants.sort(key=_cost_ms)
     for spare in grants[1:]:
         spawn(return_permit, context, spare)
     return grants[0], TrestleError(OVERLOADED)
 
 
+def _cost_ms(place: Place) -> int:
+    # All granted places are in time. The engine's time for the prompt counts
+    # twice, as it delays whoever comes next: a cached prefix is worth a wait.
+    return place.grant.first_token_ms + place.grant.prefill_ms
+
+
 def _ask_all(
     context: EntryContext,
     ask: PermitAsk,
--- a/packages/trestle-links/src/trestle_links/permit_messages.py
+++ b/packages/trestle-links/src/trestle_links/permit_messages.py
@@ -63,7 +63,8 @@
     """A granted permit with the figures that it rests on.
 
     `first_token_ms` is the predicted time to the first token after dispatch
-    and `matched_pieces` the length of the cached prefix.
+    and `matched_pieces` the length of the cached prefix. `prefill_ms` is the
+    engine's time for the rest of the prompt: what a place costs all others.
     """
 
     permit: Permit
@@ -72,6 +73,7 @@
     queued: int
     matched_pieces: int
     set_version: int
+    prefill_ms: int = 0
 
 
 @message(12)
