Three refusals for the deadline are final; reading time is averaged

A request whose deadline no asked endpoint could meet asked on until it came: 6 asks for each request. Time only passes while it waits, so three such rounds are the last word. The prefill estimate averages seconds for a token instead of tokens per second: a mean of rates is ruled by the fast ones, and an engine that became slow was believed fast for many prompts.

--- a/packages/trestle-endpoint/src/trestle_endpoint/wait_estimate.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/wait_estimate.py
@@ -38,13 +38,18 @@
     def __init__(self, max_running: int) -> None:
         """Start from cautious rates."""
         self.max_running = max_running
-        self.prefill_rate = _FIRST_PREFILL_TOKENS_PER_SECOND
+        self.prefill_seconds_per_token = 1 / _FIRST_PREFILL_TOKENS_PER_SECOND
         self.fixed_seconds = _FIRST_FIXED_SECONDS
         self.stream_rate = _FIRST_STREAM_RATE
         self.seconds_per_token = 1 / _FIRST_STREAM_RATE
         self.run_seconds = _FIRST_RUN_SECONDS
         self.long_run_seconds = _FIRST_RUN_SECONDS
 
+    @property
+    def prefill_rate(self) -> float:
+        """Prompt tokens per second."""
+        return 1 / self.prefill_seconds_per_token
+
     def first_token_seconds(
         self, demand: Demand, ahead: Occupancy, long_limit: int
     ) -> float:
@@ -62,7 +67,11 @@
             self.fixed_seconds = _moved(self.fixed_seconds, seconds)
             return
         reading = max(seconds - self.fixed_seconds, seconds / 2, 0.001)
-        self.prefill_rate = _moved(self.prefill_rate, tokens / reading)
+        # Times are averaged, not rates: an engine that became slow shows at
+        # once, for a mean of rates is ruled by the fast ones.
+        self.prefill_seconds_per_token = _moved(
+            self.prefill_seconds_per_token, reading / tokens
+        )
 
     def learn_run(self, demand: Demand, seconds: float) -> None:
         """Take in how long a place was held."""
--- a/packages/trestle-entry/src/trestle_entry/places.py
+++ b/packages/trestle-entry/src/trestle_entry/places.py
@@ -35,6 +35,9 @@
 _BACKOFF_SECONDS: Final = 0.01
 _MAX_BACKOFF_SECONDS: Final = 0.2
 _MS_PER_SECOND: Final = 1000
+# So many rounds of asks whose answer would come too late are the last word:
+# time only passes while a request waits for better news.
+_TOO_LATE_ROUNDS: Final = 3
 _LONGEST_SECONDS: Final = 86_400.0
 _PREFILL_TOKENS_PER_SECOND: Final = 8000.0
 _OUTPUT_TOKENS_PER_SECOND: Final = 400.0
@@ -66,11 +69,15 @@
     start = room.shares.charge(need.ask.caller, _cost_seconds(need.ask))
     effective = need.latest + room.shares.excess(start)
     backoff = _BACKOFF_SECONDS
+    too_late = 0
     while True:
         place, refusal = _ask_in_turn(context, need, effective, record)
         if place:
             room.granted(start)
             return place
+        too_late += refusal.code == DEADLINE_UNREACHABLE
+        if too_late == _TOO_LATE_ROUNDS:
+            raise refusal
         _check_deadline(need, refusal)
         room.pause(min(backoff, need.latest - monotonic()))
         backoff = min(_MAX_BACKOFF_SECONDS, backoff * uniform(1, 2))
