--- a/packages/trestle-entry/src/trestle_entry/completions.py
+++ b/packages/trestle-entry/src/trestle_entry/completions.py
@@ -10,6 +10,7 @@
 """
 
 from collections.abc import Iterator
+from math import inf
 from time import monotonic
 from typing import Final, NamedTuple
 
@@ -111,7 +112,10 @@
             suspect=job.request.content in context.control.view.suspects,
             phase=self.phase(),
         )
-        return PlaceNeed(ask, latest, self.failed_hosts, job.finish_by)
+        # A bound on the length is no reason to refuse a request.
+        known = context.offered.knows(job.request.route)
+        finish_by = job.finish_by if known else inf
+        return PlaceNeed(ask, latest, self.failed_hosts, finish_by)
 
     def _expected_tokens(self, context: EntryContext) -> int:
         # `max_tokens` is a bound, often far above what an answer takes.
--- a/packages/trestle-entry/src/trestle_entry/offered_work.py
+++ b/packages/trestle-entry/src/trestle_entry/offered_work.py
@@ -35,8 +35,12 @@
         self._grow(_DECODE_FIGURE + pool, decode)
 
     def expected_tokens(self, request: ModelRequest) -> int:
-        """Return the likely length of an answer; 0 before one was whole."""
-        return int(request.max_tokens * self.used_share.get(request.route, 0))
+        """Return the likely length of an answer, its bound at first."""
+        return int(request.max_tokens * self.used_share.get(request.route, 1))
+
+    def knows(self, route: str) -> bool:
+        """Tell whether a whole answer of the route has been seen."""
+        return route in self.used_share
 
     def learn(self, request: ModelRequest, tokens: int) -> None:
         """Take in the length of a whole answer."""
--- a/packages/trestle-links/src/trestle_links/permit_messages.py
+++ b/packages/trestle-links/src/trestle_links/permit_messages.py
@@ -37,7 +37,7 @@
     """Ask for a place; `left_ms` is the time to the first token's deadline.
 
     `finish_ms` is the time to the deadline of the whole answer, which is
-    expected to have `output_tokens`, 0 when that is not known.
+    expected to have `output_tokens`.
     `pieces` are digests of the leading pieces of the prompt. `set_version`
     is the version of the named set that the asking node has in force.
     `suspect` marks content that ran on an engine that crashed.
