Waits are believed by priority; short prompts avoid engines that read

Cause: a belief about an endpoint was the last prediction for any request, so a read of seconds made an engine look busy to a query that goes before it, and the prediction counted the asking prompt's own reading. Beliefs are now kept by priority and without that. An engine that reads a long prompt has longer steps for everyone: its fixed part is learned apart.

--- a/packages/trestle-endpoint/src/trestle_endpoint/calls.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/calls.py
@@ -28,7 +28,7 @@
 from trestle_endpoint.permits import PermitTable, Work
 from trestle_endpoint.places import Places
 from trestle_endpoint.service_adapter import ServiceAdapter, ServiceCall
-from trestle_endpoint.wait_estimate import WaitEstimate
+from trestle_endpoint.wait_estimate import NOTHING_AHEAD, WaitEstimate
 from trestle_links.answer_messages import CallAnswer, DispatchCall
 from trestle_links.claim_messages import (
     ClaimKey,
@@ -120,7 +120,7 @@
             self._learn(work, monotonic() - began)
 
     def _learn(self, work: Work, seconds: float) -> None:
-        self.parts.estimate.learn_first_token(0, seconds)
+        self.parts.estimate.learn_first_token(NOTHING_AHEAD, seconds)
         self.parts.estimate.learn_run(work.demand, seconds)
         self.parts.metrics.observe_seconds('service_call', seconds)
 
--- a/packages/trestle-endpoint/src/trestle_endpoint/engine_run.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/engine_run.py
@@ -32,7 +32,11 @@
 from trestle_endpoint.permits import Work
 from trestle_endpoint.places import Places
 from trestle_endpoint.prefix_cache import PrefixCache
-from trestle_endpoint.wait_estimate import WaitEstimate, occupancy
+from trestle_endpoint.wait_estimate import (
+    NOTHING_AHEAD,
+    WaitEstimate,
+    occupancy,
+)
 from trestle_links.answer_messages import AnswerEnd, DispatchCompletion
 
 _AFTER_FINISH_SECONDS: Final = 0.5
@@ -75,7 +79,7 @@
         self.sent = False
         self.began = monotonic()
         self.first_token_at = 0.0
-        self.backlog_tokens = 0
+        self.ahead = NOTHING_AHEAD
         self.next_token = dispatch.resume_from
 
     def run(self) -> None:
@@ -99,8 +103,8 @@
     def _note_begin(self) -> None:
         parts = self.parts
         priority = self.work.demand.priority
-        ahead = occupancy(priority, parts.places.running.values(), ())
-        self.backlog_tokens = ahead.prefill_tokens
+        # This work itself is among those that run.
+        self.ahead = occupancy(priority, parts.places.running.values(), ())
         self.began = monotonic()
         parts.watch.begin(
             self.engine_id,
@@ -188,7 +192,7 @@
         self.parts.places.admit()
         self.first_token_at = monotonic()
         seconds = self.first_token_at - self.began
-        self.parts.estimate.learn_first_token(self.backlog_tokens, seconds)
+        self.parts.estimate.learn_first_token(self.ahead, seconds)
         self.parts.metrics.observe_seconds('engine_first_token', seconds)
 
     def _finish(self, finish: EngineToken) -> None:
--- a/packages/trestle-endpoint/src/trestle_endpoint/wait_estimate.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/wait_estimate.py
@@ -15,6 +15,7 @@
 _FIRST_PREFILL_TOKENS_PER_SECOND: Final = 20_000.0
 _FIRST_RUN_SECONDS: Final = 1.0
 _FIRST_FIXED_SECONDS: Final = 0.02
+_FIRST_FIXED_READING_SECONDS: Final = 0.06
 _FIRST_STREAM_RATE: Final = 25.0
 # Streams shorter than this measure the batching of frames.
 _LEAST_STREAM_TOKENS: Final = 4
@@ -24,12 +25,20 @@
 
 
 class Occupancy(NamedTuple):
-    """The work ahead of a demand, counted where it waits."""
+    """The work ahead of a demand, counted where it waits.
+
+    `reading` tells whether the engine reads some prompt, however urgent: its
+    steps are longer then, for everyone.
+    """
 
     prefill_tokens: int
     running: int
     queued: int
     long_prompts: int
+    reading: bool = False
+
+
+NOTHING_AHEAD: Final = Occupancy(0, 0, 0, 0)
 
 
 class WaitEstimate:
@@ -40,6 +49,7 @@
         self.max_running = max_running
         self.prefill_seconds_per_token = 1 / _FIRST_PREFILL_TOKENS_PER_SECOND
         self.fixed_seconds = _FIRST_FIXED_SECONDS
+        self.fixed_reading_seconds = _FIRST_FIXED_READING_SECONDS
         self.stream_rate = _FIRST_STREAM_RATE
         self.seconds_per_token = 1 / _FIRST_STREAM_RATE
         self.run_seconds = _FIRST_RUN_SECONDS
@@ -56,17 +66,18 @@
         """Predict the time from dispatch to the first token."""
         tokens = ahead.prefill_tokens + demand.prefill_tokens
         return (
-            self.fixed_seconds
+            self._fixed(ahead)
             + tokens / self.prefill_rate
             + self._place_seconds(demand, ahead, long_limit)
         )
 
-    def learn_first_token(self, tokens: int, seconds: float) -> None:
-        """Take in a first token that came after so many prompt tokens."""
+    def learn_first_token(self, ahead: Occupancy, seconds: float) -> None:
+        """Take in a first token that came after the work ahead."""
+        tokens = ahead.prefill_tokens
         if tokens < _LEAST_LEARNED_TOKENS:
-            self.fixed_seconds = _moved(self.fixed_seconds, seconds)
+            self._learn_fixed(ahead, seconds)
             return
-        reading = max(seconds - self.fixed_seconds, seconds / 2, 0.001)
+        reading = max(seconds - self._fixed(ahead), seconds / 2, 0.001)
         # Times are averaged, not rates: an engine that became slow shows at
         # once, for a mean of rates is ruled by the fast ones.
         self.prefill_seconds_per_token = _moved(
@@ -103,6 +114,18 @@
         """Return the tokens per second of a full batch of streams."""
         return self.stream_rate * self.max_running
 
+    def _fixed(self, ahead: Occupancy) -> float:
+        if ahead.reading:
+            return self.fixed_reading_seconds
+        return self.fixed_seconds
+
+    def _learn_fixed(self, ahead: Occupancy, seconds: float) -> None:
+        moved = _moved(self._fixed(ahead), seconds)
+        if ahead.reading:
+            self.fixed_reading_seconds = moved
+        else:
+            self.fixed_seconds = moved
+
     def _place_seconds(
         self, demand: Demand, ahead: Occupancy, long_limit: int
     ) -> float:
@@ -133,7 +156,12 @@
         if work.demand.priority <= priority and not work.prefilled
     )
     long_prompts = sum(work.demand.is_long for work in (*running, *ahead))
-    return Occupancy(tokens, len(running), len(ahead), long_prompts)
+    reading = any(
+        work.demand.prefill_tokens > _LEAST_LEARNED_TOKENS
+        for work in running
+        if not work.prefilled
+    )
+    return Occupancy(tokens, len(running), len(ahead), long_prompts, reading)
 
 
 def _moved(average: float, sample: float) -> float:
--- a/packages/trestle-entry/src/trestle_entry/choosing.py
+++ b/packages/trestle-entry/src/trestle_entry/choosing.py
@@ -20,8 +20,8 @@
 class Need(NamedTuple):
     """What a policy may look at in a request."""
 
-    target: str
     pieces: list[str]
+    priority: int
 
 
 Choose = Callable[[list[EndpointInfo], Need], list[EndpointInfo]]
@@ -30,13 +30,13 @@
 def choose_by_permits(estimates: Estimates, zone: str) -> Choose:
     """Return our policy: prefix affinity and lowest estimated wait."""
 
-    def wait_ms(info: EndpointInfo) -> float:
-        distance = 0 if info.zone == zone else _ZONE_MS
-        return estimates.of(info.host).wait() + distance
-
     def choose(
         candidates: list[EndpointInfo], need: Need
     ) -> list[EndpointInfo]:
+        def wait_ms(info: EndpointInfo) -> float:
+            distance = 0 if info.zone == zone else _ZONE_MS
+            return estimates.of(info.host).wait(need.priority) + distance
+
         by_wait = sorted(candidates, key=wait_ms)
         near = _affine(candidates, need, estimates)
         if near is None:
--- a/packages/trestle-entry/src/trestle_entry/completions.py
+++ b/packages/trestle-entry/src/trestle_entry/completions.py
@@ -257,7 +257,7 @@
     """Return when another endpoint may be tried; raise otherwise."""
     host = place.endpoint.host
     completion.record.note('failed', endpoint=host, code=error.code.code)
-    context.estimates.refused(host)
+    context.estimates.refused(host, completion.job.route.priority)
     completion.failed_hosts |= {host}
     if error.code.code not in _RETRIABLE:
         raise error
--- a/packages/trestle-entry/src/trestle_entry/estimates.py
+++ b/packages/trestle-entry/src/trestle_entry/estimates.py
@@ -7,7 +7,7 @@
 
 from collections import OrderedDict
 from time import monotonic
-from typing import Final
+from typing import Final, NamedTuple
 
 _FADE_SECONDS: Final = 2.0
 _REFUSED_MS: Final = 2000.0
@@ -15,25 +15,38 @@
 _PIECES_KEPT: Final = 20_000
 
 
+class Belief(NamedTuple):
+    """A wait in milliseconds, known at a monotonic time."""
+
+    wait_ms: float
+    known_at: float
+
+
 class EndpointEstimate:
-    """The believed wait at one endpoint, in milliseconds."""
+    """The believed waits at one endpoint, by the priority of who asks.
+
+    Endpoints honour priorities, so a wait of one priority tells nothing
+    about that of a more urgent one.
+    """
 
     def __init__(self) -> None:
         """Believe that an unknown endpoint is idle."""
-        self.wait_ms = 0.0
-        self.known_at = monotonic()
+        self.beliefs: dict[int, Belief] = {}
         self.inflight = 0
 
-    def wait(self) -> float:
+    def wait(self, priority: int) -> float:
         """Return the wait in milliseconds, faded by the age of the belief."""
-        age = monotonic() - self.known_at
+        own_ms = self.inflight * _DISPATCH_MS
+        belief = self.beliefs.get(priority)
+        if belief is None:
+            return own_ms
+        age = monotonic() - belief.known_at
         fade = max(0.0, 1 - age / _FADE_SECONDS)
-        return self.wait_ms * fade + self.inflight * _DISPATCH_MS
+        return belief.wait_ms * fade + own_ms
 
-    def learn(self, wait_ms: float) -> None:
+    def learn(self, priority: int, wait_ms: float) -> None:
         """Take the figure of a fresh answer."""
-        self.wait_ms = wait_ms
-        self.known_at = monotonic()
+        self.beliefs[priority] = Belief(wait_ms, monotonic())
 
 
 class Estimates:
@@ -52,9 +65,9 @@
             self.by_host[host] = estimate
         return estimate
 
-    def refused(self, host: str) -> None:
+    def refused(self, host: str, priority: int) -> None:
         """Take note of a refusal or of no answer."""
-        self.of(host).learn(_REFUSED_MS)
+        self.of(host).learn(priority, _REFUSED_MS)
 
     def served(self, host: str, pieces: list[str]) -> None:
         """Take note of the host that now holds the pieces of a prompt."""
--- a/packages/trestle-entry/src/trestle_entry/permit_asks.py
+++ b/packages/trestle-entry/src/trestle_entry/permit_asks.py
@@ -145,10 +145,12 @@
     try:
         grant = link.call(ask, PermitGrant, timeout_seconds)
     except TrestleError as refusal:
-        context.estimates.refused(endpoint.host)
+        context.estimates.refused(endpoint.host, ask.priority)
         context.metrics.count('permit_refusals', refusal.code.code)
         return AskResult(endpoint, None, refusal)
-    estimate.learn(grant.first_token_ms)
+    # Without the time of this very prompt: the next one is another.
+    wait_ms = grant.first_token_ms - grant.prefill_ms
+    estimate.learn(ask.priority, wait_ms)
     if grant.set_version > context.control.view.set_version:
         spawn(_fetch_set, context, endpoint)
     return AskResult(endpoint, grant, None)
--- a/packages/trestle-entry/src/trestle_entry/places.py
+++ b/packages/trestle-entry/src/trestle_entry/places.py
@@ -103,7 +103,9 @@
     record: RequestRecord,
 ) -> tuple[Place | None, TrestleError]:
     candidates = _candidates(context, need)
-    chosen = context.choose(candidates, Need(need.ask.target, need.ask.pieces))
+    chosen = context.choose(
+        candidates, Need(need.ask.pieces, need.ask.priority)
+    )
     if not chosen:
         text = NO_ENDPOINT_TEXT.format(target=need.ask.target)
         return None, TrestleError(NO_ENDPOINT, text)
