--- a/testbed/firm_workloads.py
+++ b/testbed/firm_workloads.py
@@ -108,7 +108,7 @@
             output_tokens=(12, 32),
             reads=0,
             deadline_seconds=2.5,
-            rates=(8, 24),
+            rates=(4, 12),
         ),
     ),
     operations=(
