--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 PACKAGES := $(wildcard packages/*)
 
-.PHONY: setup demo test bench bench-path format lint types check
+.PHONY: setup demo test bench bench-path format lint types check capacity soak-log bench-log
 
 setup: $(VENV)/.installed
 
@@ -40,3 +40,15 @@
 
 types: setup
 	$(BIN)/mypy packages testbed features
+
+capacity: setup
+	$(BIN)/python -m testbed.capacity
+
+SEED ?= 1
+MINUTES ?= 1
+
+soak-log: setup
+	$(BIN)/python -m testbed.soak_log $(SEED) $(MINUTES)
+
+bench-log: setup
+	$(BIN)/python -m testbed.bench_log
--- a/features/steps/replicated_log_steps.py
+++ b/features/steps/replicated_log_steps.py
@@ -1,6 +1,7 @@
 """Steps on a group of log members as processes."""
 
 from time import monotonic
+from typing import Any
 
 from behave import given, then, when
 from behave.runner import Context
@@ -10,31 +11,19 @@
 from testbed.processes import poll_until
 
 ELECTION_SECONDS = 0.6
+STOP_SECONDS = 1.0
 
 
-def start_group(context: Context, **settings: object) -> LogGroup:
+def start_group(context: Context, **settings: Any) -> LogGroup:
     """Start a group of three and wait for its leader."""
     group = LogGroup(context.processes, **settings)
     context.group = group
     context.add_cleanup(group.close)
     context.written = {}
-    group.start_all()
-    context.leader = group.leader()
-    for host in HOSTS:
-        wait_until_follows(group, host)
+    context.leader = group.start_and_wait()
     return group
 
 
-def wait_until_follows(group: LogGroup, host: str) -> None:
-    """Wait until a member knows a leader."""
-
-    def follows() -> bool:
-        status = group.status(host)
-        return bool(status and status.leader)
-
-    poll_until(follows, LIMIT_SECONDS, f'{host} follows a leader')
-
-
 def write(context: Context, host: str, count: int) -> None:
     """Send commands through a member and note those acknowledged."""
     for _ in range(count):
@@ -45,7 +34,7 @@
 
 def check_reads(context: Context, host: str) -> None:
     """Check that a member reads every acknowledged value."""
-    wait_until_follows(context.group, host)
+    context.group.wait_until_follows(host)
     for key, expected in context.written.items():
         reply = context.group.read(host, key)
         assert reply.value == expected, (host, key, reply)
@@ -107,3 +96,25 @@
     for host in HOSTS:
         if context.group.process(host).running():
             check_reads(context, host)
+
+
+@when('all members are asked to stop at once')
+def step_stop_all(context: Context) -> None:
+    group: LogGroup = context.group
+    write(context, context.leader, 5)
+    context.asked_at = monotonic()
+    # The followers are gone before the leader, which counts on them.
+    for host in sorted(HOSTS, key=lambda host: host == context.leader):
+        group.process(host).terminate()
+
+
+@then('the leader asked each other voter once and was gone within a second')
+def step_gone(context: Context) -> None:
+    process = context.group.process(context.leader)
+    assert process.wait() == 0
+    seconds = monotonic() - context.asked_at
+    text = process.log_file.read_text(encoding='utf-8')
+    asks = text.count('does not take over') + text.count('to lead.')
+    print(f'{seconds:.2f} s, {asks} asks')
+    assert asks <= len(HOSTS) - 1, asks
+    assert seconds < STOP_SECONDS, seconds
--- a/packages/trestle-control/src/trestle_control/claim_commands.py
+++ b/packages/trestle-control/src/trestle_control/claim_commands.py
@@ -5,10 +5,12 @@
 
 * an attempt number is never given twice, also after a register was dropped;
 * a claim is written once, by an attempt above the refusal mark;
-* a refusal commits only while no claim stands and bars all opened attempts;
-* a release needs the permit of the claim and no outcome, and bars the
-  attempts up to the one that claimed, so that a commit delivered again
-  cannot claim for a permit that is gone;
+* a refusal commits only while no claim stands and bars all opened attempts,
+  also when its own attempt is barred already: attempts opened since then
+  would else run after its `not-run`;
+* a release needs the permit of the claim and no outcome; it bars nobody, so
+  the attempt may claim again. A commit delivered again may then claim for
+  the permit that is gone; whoever follows that claim releases it;
 * an outcome is written once.
 
 Whoever answers `not-run` to a caller has committed a refusal first.
@@ -21,7 +23,8 @@
 from typing import Final
 
 from trestle_control.audit import Story
-from trestle_control.state import ControlState, Register
+from trestle_control.registers import Register
+from trestle_control.state import ControlState
 from trestle_core.verdict import Verdict
 from trestle_links.claim_messages import (
     AttemptOpened,
@@ -86,10 +89,8 @@
         return _forgotten(command.attempt, Permit('', '', 0))
     if register.claim:
         return ClaimReply(accepted=False, claim=register.claim)
-    if command.attempt > register.refused:
-        # A resend finds its attempt barred and leaves the mark.
-        register = register._replace(refused=register.opened)
-        _write(state, command.claim_key, register)
+    register = register._replace(refused=register.opened)
+    _write(state, command.claim_key, register)
     return ClaimReply(accepted=True, claim=None)
 
 
@@ -105,7 +106,7 @@
         return ClaimReply(accepted=True, claim=None)
     if claim.permit != command.permit or claim.outcome:
         return ClaimReply(accepted=False, claim=claim)
-    _free(state, command.claim_key, register, claim)
+    _write(state, command.claim_key, register._replace(claim=None))
     return ClaimReply(accepted=True, claim=None)
 
 
@@ -122,7 +123,7 @@
     if claim.outcome:
         return ClaimReply(claim.outcome == command.outcome, claim)
     if command.outcome.verdict is Verdict.NOT_RUN:
-        _free(state, command.claim_key, register, claim)
+        _write(state, command.claim_key, register._replace(claim=None))
         return ClaimReply(accepted=True, claim=None)
     claim = claim._replace(outcome=command.outcome)
     _write(state, command.claim_key, register._replace(claim=claim))
@@ -132,30 +133,26 @@
 def drop_expired(state: ControlState, retention_ms: int) -> None:
     """Drop registers untouched for the retention, but no open claim."""
     oldest_ms = state.clock_ms - retention_ms
-    expired = takewhile(
-        lambda entry: entry[1].touched_ms < oldest_ms,
-        list(state.registers.items()),
+    # Listed before the first change, but only as far as it is expired.
+    expired = list(
+        takewhile(
+            lambda entry: entry[1].touched_ms < oldest_ms,
+            state.registers.entries(),
+        )
     )
     for claim_key, register in expired:
         if register.claim and register.claim.outcome is None:
             _write(state, claim_key, register)
             continue
         state.attempt_floor = max(state.attempt_floor, register.opened)
-        state.registers.pop(claim_key)
+        state.registers.drop(claim_key)
 
 
 def _write(
     state: ControlState, claim_key: ClaimKey, register: Register
 ) -> None:
-    state.registers.pop(claim_key, None)
-    state.registers[claim_key] = register._replace(touched_ms=state.clock_ms)
-
-
-def _free(
-    state: ControlState, claim_key: ClaimKey, register: Register, claim: Claim
-) -> None:
-    refused = max(register.refused, claim.attempt)
-    _write(state, claim_key, register._replace(claim=None, refused=refused))
+    touched = register._replace(touched_ms=state.clock_ms)
+    state.registers.write(claim_key, touched)
 
 
 def _forgotten(attempt: int, permit: Permit) -> ClaimReply:
--- a/packages/trestle-control/src/trestle_control/peers.py
+++ b/packages/trestle-control/src/trestle_control/peers.py
@@ -23,16 +23,20 @@
         self.link = link
         self.next_index = 1
         self.match_index = 0
-        self.sent_commit_index = 0
         self.acked_at = -inf
         self.led_term = 0
         self.wake = Event()
+        self.urgent = Event()
+
+    def send_at_once(self) -> None:
+        """Wake the sender for entries or a read that somebody waits for."""
+        self.urgent.set()
+        self.wake.set()
 
     def start_term(self, last_index: int) -> None:
         """Forget the progress of an earlier term."""
         self.next_index = last_index + 1
         self.match_index = 0
-        self.sent_commit_index = 0
         self.acked_at = -inf
 
     def silent_seconds(self) -> float:
--- /dev/null
+++ b/packages/trestle-control/src/trestle_control/replica_handover.py
@@ -0,0 +1,73 @@
+"""Handing leadership over before a planned stop.
+
+The leader takes no more commands, waits until a voter holds its whole log,
+and asks it to start an election at once. So a planned stop costs one round
+instead of an election timeout. Each voter that answers is asked once; when
+there is none left, as when all members stop, the leader waits for nobody.
+"""
+
+from time import monotonic
+from typing import Final
+
+from gevent import sleep
+
+from trestle_control.peer_calls import call_peer, header_for
+from trestle_control.peers import Peer
+from trestle_control.replica_messages import LeadNow
+from trestle_control.replica_state import ReplicaState
+from trestle_core.errors import TrestleError
+from trestle_core.logs import part_logger
+from trestle_links.link_messages import Done
+
+_HANDOVER_SECONDS: Final = 2.0
+_POLL_SECONDS: Final = 0.01
+
+_log = part_logger('replica')
+
+
+def hand_over(state: ReplicaState) -> None:
+    """Let another voter lead, if one is caught up in time."""
+    state.handing_over = True
+    deadline = monotonic() + _HANDOVER_SECONDS
+    left = _live_voters(state)
+    while left and state.is_leader and monotonic() < deadline:
+        peer = _caught_up(state, left)
+        if peer:
+            left.remove(peer)
+            if _ask_to_lead(state, peer):
+                _wait_for_election(state)
+        sleep(_POLL_SECONDS)
+        left = [peer for peer in _live_voters(state) if peer in left]
+
+
+def _live_voters(state: ReplicaState) -> list[Peer]:
+    return [
+        peer
+        for peer in state.peers.values()
+        if peer.member.voter and peer.silent_seconds() < state.election_seconds
+    ]
+
+
+def _caught_up(state: ReplicaState, peers: list[Peer]) -> Peer | None:
+    for peer in peers:
+        if peer.match_index == state.log.last_index:
+            return peer
+    return None
+
+
+def _wait_for_election(state: ReplicaState) -> None:
+    term = state.term
+    state.roles.wait_until(
+        lambda: not state.leads(term), state.election_seconds
+    )
+
+
+def _ask_to_lead(state: ReplicaState, peer: Peer) -> bool:
+    header = header_for(state, peer, state.term)
+    try:
+        call_peer(state, peer, LeadNow(header), Done)
+    except TrestleError as error:
+        _log.info('{} does not take over: {}.', peer.member.host, error.message)
+        return False
+    _log.info('Asked {} to lead.', peer.member.host)
+    return True
