Both entries ask the same two endpoints for a prefix

Cause: entries do not tell each other who reads a document. One entry placed the first read on the engine of least wait, and the other one asked the rendezvous engine and another, found neither reading it, and had it read again. A prompt with whole pieces now asks the known holder and the first of the rendezvous order, without a holder the first two; the engine of least wait comes in once these have refused.

--- a/packages/trestle-entry/src/trestle_entry/choosing.py
+++ b/packages/trestle-entry/src/trestle_entry/choosing.py
@@ -22,6 +22,8 @@
 
     pieces: list[str]
     priority: int
+    # Set when endpoints have refused this request before.
+    refused: bool = False
 
 
 Choose = Callable[[list[EndpointInfo], Need], list[EndpointInfo]]
@@ -37,12 +39,15 @@
             distance = 0 if info.zone == zone else _ZONE_MS
             return estimates.of(info.host).wait(need.priority) + distance
 
-        by_wait = sorted(candidates, key=wait_ms)
-        near = _affine(candidates, need, estimates)
-        if near is None:
-            return by_wait[:2]
-        others = [info for info in by_wait if info.host != near.host]
-        return [near, *others[:1]]
+        ranked = sorted(candidates, key=wait_ms)
+        if need.pieces:
+            near = _affine(candidates, need, estimates)
+            # Once these have refused, whoever is free reads the prompt anew.
+            kept = near[:1] if need.refused else near[:2]
+            hosts = {info.host for info in kept}
+            others = [info for info in ranked if info.host not in hosts]
+            ranked = [*kept, *others]
+        return ranked[:2]
 
     return choose
 
@@ -51,21 +56,22 @@
     candidates: list[EndpointInfo],
     need: Need,
     estimates: Estimates,
-) -> EndpointInfo | None:
-    if not need.pieces:
-        return None
+) -> list[EndpointInfo]:
+    """Order by affinity: the known holder, then by rendezvous hashing.
+
+    Entries do not tell each other who reads what. But all of them ask the
+    same two endpoints for a prefix, so the second entry finds the engine on
+    which the first one placed it, and the load still has two choices.
+    """
     holder = estimates.holder(need.pieces)
-    for info in candidates:
-        if info.host == holder:
-            return info
     # The deepest piece, not the first: prompts that begin with one standing
     # document would all go to one engine.
     deepest = need.pieces[-1]
-    return max(
-        candidates,
-        key=lambda info: rendezvous_score(deepest, info.host),
-        default=None,
-    )
+
+    def affinity(info: EndpointInfo) -> tuple[bool, int]:
+        return info.host == holder, rendezvous_score(deepest, info.host)
+
+    return sorted(candidates, key=affinity, reverse=True)
 
 
 def choose_at_random(random: Random) -> Choose:
--- a/packages/trestle-entry/src/trestle_entry/places.py
+++ b/packages/trestle-entry/src/trestle_entry/places.py
@@ -46,6 +46,7 @@
     """What a request needs; times are monotonic seconds.
 
     A place is of use until `latest`; the answer must end by `finish_by`.
+    `refused` tells that endpoints were asked in vain before.
     `avoid` holds hosts that failed this request before.
     """
 
@@ -53,6 +54,7 @@
     latest: float
     avoid: frozenset[str] = frozenset()
     finish_by: float = inf
+    refused: bool = False
 
 
 def obtain_place(
@@ -78,6 +80,7 @@
         if too_late == _TOO_LATE_ROUNDS:
             raise refusal
         _check_deadline(need, refusal)
+        need = need._replace(refused=True)
         room.pause(min(backoff, need.latest - monotonic()))
         backoff = min(_MAX_BACKOFF_SECONDS, backoff * uniform(1, 2))
 
@@ -103,7 +106,7 @@
 ) -> tuple[Place | None, TrestleError]:
     candidates = _candidates(context, need)
     chosen = context.choose(
-        candidates, Need(need.ask.pieces, need.ask.priority)
+        candidates, Need(need.ask.pieces, need.ask.priority, need.refused)
     )
     if not chosen:
         text = NO_ENDPOINT_TEXT.format(target=need.ask.target)
