--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 PACKAGES := $(wildcard packages/*)
 
-.PHONY: setup demo test bench bench-path format lint types check capacity soak-log bench-log
+.PHONY: setup demo test bench bench-path format lint types check capacity soak-log bench-log soak soak-claims
 
 setup: $(VENV)/.installed
 
@@ -47,6 +47,11 @@
 SEED ?= 1
 MINUTES ?= 1
 
+soak: soak-log soak-claims
+
+soak-claims: setup
+	$(BIN)/python -m testbed.soak_claims --seed $(SEED) --minutes $(MINUTES)
+
 soak-log: setup
 	$(BIN)/python -m testbed.soak_log $(SEED) $(MINUTES)
 
