--- a/packages/trestle-entry/src/trestle_entry/entry_app.py
+++ b/packages/trestle-entry/src/trestle_entry/entry_app.py
@@ -9,7 +9,7 @@
 from time import monotonic
 from typing import Final
 
-from gevent import sleep, spawn
+from gevent import sleep
 
 from trestle_core.addresses import write_address_file
 from trestle_core.lifecycle import Application
@@ -55,12 +55,9 @@
         write_address_file(settings.http_address_file, address)
         _log.info('Callers connect to {}.', address)
 
-    def poll_loads() -> None:
-        if settings.routing in LOAD_POLICIES:
-            spawn(loads.poll, context)
-
     app.add(start=context.control.start, stop=context.control.stop)
-    app.add(start=poll_loads)
+    if settings.routing in LOAD_POLICIES:
+        app.add_task(lambda: loads.poll(context))
     app.add(stop=context.links.close)
     app.add(start=start_server, drain=_drain(server), stop=server.stop)
     return app
