--- a/packages/trestle-entry/src/trestle_entry/completions.py
+++ b/packages/trestle-entry/src/trestle_entry/completions.py
@@ -10,6 +10,7 @@
 """
 
 from collections.abc import Iterator
+from math import inf
 from time import monotonic
 from typing import Final, NamedTuple
 
@@ -113,14 +114,28 @@
             target=job.route.pool,
             priority=job.route.priority,
             prompt_tokens=0 if self.kv_ticket else job.request.prompt_tokens,
-            output_tokens=self.output_tokens() - self.delivered,
+            output_tokens=self._expected_tokens(context),
             pieces=job.request.pieces,
             left_ms=0,
             set_version=0,
             suspect=bool(suspects),
             phase=self.phase(),
         )
-        return PlaceNeed(ask, latest, self.failed_hosts, ''.join(suspects))
+        # A bound on the length is no reason to refuse a request.
+        known = context.offered.knows(job.request.route)
+        finish_by = job.finish_by if known else inf
+        return PlaceNeed(
+            ask=ask,
+            latest=latest,
+            avoid=self.failed_hosts,
+            suspect=''.join(suspects),
+            finish_by=finish_by,
+        )
+
+    def _expected_tokens(self, context: EntryContext) -> int:
+        # `max_tokens` is a bound, often far above what an answer takes.
+        expected = context.offered.expected_tokens(self.job.request)
+        return max(0, min(expected, self.output_tokens()) - self.delivered)
 
     def dispatch_for(self, place: Place) -> DispatchCompletion:
         """Return the message that starts the rest of the answer."""
@@ -223,6 +238,9 @@
         completion.dispatch_for(place),
         completion.job.finish_by,
     )
+    # From now on, not from the end: the next read of a document often comes
+    # while the first one is still under way.
+    context.estimates.served(host, completion.job.request.pieces)
     estimate = context.estimates.of(host)
     estimate.inflight += 1
     try:
@@ -234,7 +252,6 @@
     finally:
         estimate.inflight -= 1
         context.rooms.of(completion.job.route.pool).place_freed()
-    context.estimates.served(host, completion.job.request.pieces)
     record.note('finish', endpoint=host)
     assert stream.finish is not None
     _take_finish(context, completion, stream.finish)
@@ -277,7 +294,7 @@
     """Return when another endpoint may be tried; raise otherwise."""
     host = place.endpoint.host
     completion.record.note('failed', endpoint=host, code=error.code.code)
-    context.estimates.refused(host)
+    context.estimates.refused(host, completion.job.route.priority)
     completion.failed_hosts |= {host}
     if error.verdict is Verdict.MAY_HAVE_RUN:
         completion.doubt = error
--- a/packages/trestle-entry/src/trestle_entry/places.py
+++ b/packages/trestle-entry/src/trestle_entry/places.py
@@ -9,6 +9,7 @@
 left to expire at its endpoint; none is used twice.
 """
 
+from math import inf
 from random import uniform
 from time import monotonic
 from typing import Final, NamedTuple
@@ -33,24 +34,30 @@
 
 _BACKOFF_SECONDS: Final = 0.01
 _MAX_BACKOFF_SECONDS: Final = 0.2
-_SECOND_GRANT_SECONDS: Final = 0.02
-_RETURN_SECONDS: Final = 1.0
 _MS_PER_SECOND: Final = 1000
+# So many rounds of asks whose answer would come too late are the last word:
+# time only passes while a request waits for better news.
+_TOO_LATE_ROUNDS: Final = 3
+_LONGEST_SECONDS: Final = 86_400.0
 _PREFILL_TOKENS_PER_SECOND: Final = 8000.0
 _OUTPUT_TOKENS_PER_SECOND: Final = 400.0
 
 
 class PlaceNeed(NamedTuple):
-    """What a request needs; `latest` is monotonic seconds of its deadline.
+    """What a request needs; times are monotonic seconds.
 
+    A place is of use until `latest`; the answer must end by `finish_by`.
     `avoid` holds hosts that failed this request before; `suspect` is the
-    content if it ran on an engine that crashed.
+    content if it ran on an engine that crashed. `refused` tells that
+    endpoints were asked in vain before.
     """
 
     ask: PermitAsk
     latest: float
     avoid: frozenset[str] = frozenset()
     suspect: str = ''
+    finish_by: float = inf
+    refused: bool = False
 
 
 def obtain_place(
@@ -66,12 +73,17 @@
     start = room.shares.charge(need.ask.caller, _cost_seconds(need.ask))
     effective = need.latest + room.shares.excess(start)
     backoff = _BACKOFF_SECONDS
+    too_late = 0
     while True:
         place, refusal = _ask_in_turn(context, need, effective, record)
         if place:
             room.granted(start)
             return place
+        too_late += refusal.code == DEADLINE_UNREACHABLE
+        if too_late == _TOO_LATE_ROUNDS:
+            raise refusal
         _check_deadline(need, refusal)
+        need = need._replace(refused=True)
         room.pause(min(backoff, need.latest - monotonic()))
         backoff = min(_MAX_BACKOFF_SECONDS, backoff * uniform(1, 2))
 
@@ -98,7 +110,9 @@
     candidates = _candidates(context, need)
     if need.suspect:
         return _ask_for_suspect(context, need, candidates, record)
-    chosen = context.choose(candidates, Need(need.ask.target, need.ask.pieces))
+    chosen = context.choose(
+        candidates, Need(need.ask.pieces, need.ask.priority, need.refused)
+    )
     if not chosen:
         text = NO_ENDPOINT_TEXT.format(target=need.ask.target)
         return None, TrestleError(NO_ENDPOINT, text)
@@ -130,13 +144,18 @@
 
 
 def _ask_now(context: EntryContext, need: PlaceNeed) -> PermitAsk:
-    left_ms = int((need.latest - monotonic()) * _MS_PER_SECOND)
     return need.ask._replace(
-        left_ms=max(0, left_ms),
+        left_ms=_left_ms(need.latest),
+        finish_ms=_left_ms(need.finish_by),
         set_version=context.control.view.set_version,
     )
 
 
+def _left_ms(moment: float) -> int:
+    left_seconds = min(moment - monotonic(), _LONGEST_SECONDS)
+    return max(0, int(left_seconds * _MS_PER_SECOND))
+
+
 def _candidates(context: EntryContext, need: PlaceNeed) -> list[EndpointInfo]:
     endpoints = context.control.view.endpoints_of(need.ask.target)
     # A phase that no engine is there for runs on any engine.
--- a/packages/trestle-links/src/trestle_links/permit_messages.py
+++ b/packages/trestle-links/src/trestle_links/permit_messages.py
@@ -34,8 +34,10 @@
 
 @message(10)
 class PermitAsk(NamedTuple):
-    """Ask for a place; `left_ms` is the time to the deadline.
+    """Ask for a place; `left_ms` is the time to the first token's deadline.
 
+    `finish_ms` is the time to the deadline of the whole answer, which is
+    expected to have `output_tokens`.
     `pieces` are digests of the leading pieces of the prompt. `set_version`
     is the version of the named set that the asking node has in force.
     `suspect` marks content that ran on an engine that crashed.
@@ -53,6 +55,7 @@
     set_version: int
     suspect: bool = False
     phase: str = 'mixed'
+    finish_ms: int = 3_600_000
 
 
 @message(11)
@@ -60,7 +63,8 @@
     """A granted permit with the figures that it rests on.
 
     `first_token_ms` is the predicted time to the first token after dispatch
-    and `matched_pieces` the length of the cached prefix.
+    and `matched_pieces` the length of the cached prefix. `prefill_ms` is the
+    engine's time for the rest of the prompt: what a place costs all others.
     """
 
     permit: Permit
@@ -69,6 +73,7 @@
     queued: int
     matched_pieces: int
     set_version: int
+    prefill_ms: int = 0
 
 
 @message(12)
@@ -78,6 +83,18 @@
     permit: Permit
 
 
+@message(15)
+class LoadAsk(NamedTuple):
+    """Ask for the last load that the target reported; for baselines only."""
+
+
+@message(16)
+class LoadReport(NamedTuple):
+    """Requests that the target had, as of its last, lagging report."""
+
+    requests: int
+
+
 @message(13)
 class PermitRevoke(NamedTuple):
     """Make a permit unusable and tell what became of it."""
