--- a/features/documents.feature
+++ b/features/documents.feature
@@ -6,3 +6,7 @@
 
   Scenario: The page of the settings is made from their types
     Then the page of the settings is what the code makes
+
+  Scenario: Each series of the metrics has its row
+    Then each series that the code counts or times is on its page
+    And no row is for a series that the code does not have
--- a/features/steps/documents_steps.py
+++ b/features/steps/documents_steps.py
@@ -3,6 +3,7 @@
 from behave import then
 from behave.runner import Context
 
+from testbed.metrics_page import documented_names, series_names
 from testbed.processes import ROOT
 from testbed.settings_page import PAGE, page_text
 from trestle_core.errorcodes import ERROR_CODES
@@ -30,3 +31,17 @@
 @then('the page of the settings is what the code makes')
 def step_settings(context: Context) -> None:
     assert PAGE.read_text(encoding='utf-8') == page_text()
+
+
+@then('each series that the code counts or times is on its page')
+def step_series(context: Context) -> None:
+    assert series_names() <= documented_names(), (
+        series_names() - documented_names()
+    )
+
+
+@then('no row is for a series that the code does not have')
+def step_no_series(context: Context) -> None:
+    assert documented_names() <= series_names(), (
+        documented_names() - series_names()
+    )
