Only metrics are taken for series

Cause: list.count of the role names was taken for a counter; the case failed with decode, mixed and prefill. Conclusion: the pattern names the metrics object.

--- a/testbed/metrics_page.py
+++ b/testbed/metrics_page.py
@@ -7,7 +7,7 @@
 from testbed.processes import ROOT
 
 _SERIES: Final = compile_pattern(
-    r"\.(count|set_gauge|observe_seconds)\(\s*'([a-z_]+)'"
+    r"metrics\.(count|set_gauge|observe_seconds)\(\s*'([a-z_]+)'"
 )
 
 
