A suspect runs on one endpoint at a time in the whole fleet

Ruled out: a failure of the common order (the first copies are asked for before any crash names the content); a wait by time (a full engine may hold a copy back for any time). Conclusion: the control state gives a suspect to one process; the crash it causes ends the hold when it is counted.

--- a/packages/trestle-control/src/trestle_control/apply.py
+++ b/packages/trestle-control/src/trestle_control/apply.py
@@ -18,6 +18,8 @@
 )
 from trestle_control.crash_commands import (
     clear_suspect,
+    drop_suspect,
+    hold_suspect,
     release_content,
     report_crash,
 )
@@ -55,6 +57,7 @@
     RestoreEndpoint,
     WithdrawEndpoint,
 )
+from trestle_links.suspect_messages import DropSuspect, HoldSuspect
 
 ApplyFunction = Callable[[ControlState, Any, Story], Message]
 
@@ -87,6 +90,8 @@
     ReportEngine: report_engine,
     ReportCrash: report_crash,
     ClearSuspect: clear_suspect,
+    HoldSuspect: hold_suspect,
+    DropSuspect: drop_suspect,
     ReleaseContent: release_content,
     AdvanceClock: advance_clock,
 }
--- a/packages/trestle-control/src/trestle_control/crash_commands.py
+++ b/packages/trestle-control/src/trestle_control/crash_commands.py
@@ -4,14 +4,16 @@
 run at most one suspect at a time, so a second crash names one content, which
 is then quarantined. A suspect whose answer finishes is cleared.
 
-Invariant: a quarantine ends only by an operator's release.
+Invariants: a quarantine ends only by an operator's release; a suspect runs
+on one endpoint at a time, whose process holds it, so that the crash it
+causes is counted before another endpoint may run it.
 """
 
 from typing import Final
 
 from trestle_control.audit import Story
 from trestle_control.state import ContentRecord, ControlState
-from trestle_core.errorcodes import NOT_FOUND
+from trestle_core.errorcodes import NOT_FOUND, QUARANTINED, SUSPECT_HELD
 from trestle_links.fleet_messages import (
     ClearSuspect,
     CommandReply,
@@ -19,10 +21,13 @@
     ReleaseContent,
     ReportCrash,
 )
+from trestle_links.suspect_messages import DropSuspect, HoldSuspect
 
 QUARANTINE_CRASHES: Final = 2
 _SUSPECTS_LIMIT: Final = 5000
 _REQUEST_IDS_KEPT: Final = 10
+# Over the longest deadline of a request that a route is likely to have.
+_LONGEST_HOLD_MS: Final = 600_000
 
 
 def report_crash(
@@ -47,6 +52,37 @@
     return CrashReply(suspects, quarantined)
 
 
+def hold_suspect(
+    state: ControlState, command: HoldSuspect, _story: Story
+) -> CommandReply:
+    """Give a suspect to one process, unless another one holds it."""
+    record = state.contents.get(command.content)
+    if record is None:
+        return CommandReply(accepted=True, code='', text='no suspect')
+    if record.quarantined:
+        return CommandReply(accepted=False, code=QUARANTINED.code, text='')
+    asking = f'{command.endpoint}/{command.incarnation}'
+    if record.holder != asking and _is_held(state, record):
+        return CommandReply(
+            accepted=False, code=SUSPECT_HELD.code, text=record.holder
+        )
+    state.contents[command.content] = record._replace(
+        holder=asking, held_ms=state.clock_ms
+    )
+    return CommandReply(accepted=True, code='', text='')
+
+
+def drop_suspect(
+    state: ControlState, command: DropSuspect, _story: Story
+) -> CommandReply:
+    """End a hold; a resend finds none and is accepted."""
+    record = state.contents.get(command.content)
+    holder = f'{command.endpoint}/{command.incarnation}'
+    if record and record.holder == holder:
+        state.contents[command.content] = record._replace(holder='')
+    return CommandReply(accepted=True, code='', text='')
+
+
 def clear_suspect(
     state: ControlState, command: ClearSuspect, story: Story
 ) -> CommandReply:
@@ -94,11 +130,21 @@
             endpoints=[*record.endpoints, command.endpoint],
             request_ids=request_ids[-_REQUEST_IDS_KEPT:],
             quarantined=len(crash_ids) >= QUARANTINE_CRASHES,
+            holder='',
         )
         state.contents[content] = record
     return record
 
 
+def _is_held(state: ControlState, record: ContentRecord) -> bool:
+    """Tell whether the holder's process still is the admitted one."""
+    host, _, incarnation = record.holder.partition('/')
+    endpoint = state.endpoints.get(host)
+    if endpoint is None or endpoint.incarnation != incarnation:
+        return False
+    return state.clock_ms - record.held_ms < _LONGEST_HOLD_MS
+
+
 def _drop_old_suspects(state: ControlState) -> None:
     surplus = len(state.contents) - _SUSPECTS_LIMIT
     suspects = [
--- a/packages/trestle-control/src/trestle_control/state.py
+++ b/packages/trestle-control/src/trestle_control/state.py
@@ -45,6 +45,9 @@
     endpoints: list[str]
     request_ids: list[str]
     quarantined: bool
+    # `HOST/INCARNATION` of the process that may run it, and since when.
+    holder: str = ''
+    held_ms: int = 0
 
 
 class AuditRecord(NamedTuple):
--- a/packages/trestle-core/src/trestle_core/errorcodes.py
+++ b/packages/trestle-core/src/trestle_core/errorcodes.py
@@ -94,6 +94,9 @@
 ENGINE_REFUSED: Final = _in_doubt(
     'engine-refused', 502, 'The engine refused the request.'
 )
+SUSPECT_HELD: Final = _refusal(
+    'suspect-held', 409, 'Another endpoint runs the suspect content.'
+)
 KV_UNAVAILABLE: Final = _refusal(
     'kv-unavailable', 503, 'The KV cache of the ticket cannot be had.'
 )
--- a/packages/trestle-endpoint/src/trestle_endpoint/completions.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/completions.py
@@ -188,12 +188,25 @@
     def _run_checked(self, run: EngineRun) -> None:
         # The quarantine may have come while the work waited, and a crash
         # just before it may still bring one.
-        if self.contents.is_suspect(run.work.content):
+        content = run.work.content
+        if self.contents.is_suspect(content):
             self.contents.wait_settled()
-        if self.contents.is_quarantined(run.work.content):
+            self._run_suspect(run)
+            return
+        if self.contents.is_quarantined(content):
             raise TrestleError(QUARANTINED, QUARANTINED_TEXT)
         run.run()
-        self.contents.note_finished(run.work.content, run.dispatch.request_id)
+        # It may have become a suspect while it ran.
+        self.contents.note_finished(content, run.dispatch.request_id)
+
+    def _run_suspect(self, run: EngineRun) -> None:
+        content = run.work.content
+        self.contents.hold(content)
+        try:
+            run.run()
+        finally:
+            self.contents.drop(content)
+        self.contents.note_finished(content, run.dispatch.request_id)
 
     def _fail(self, run: EngineRun, error: TrestleError) -> None:
         self.parts.metrics.count('answers_failed', error.code.code)
--- a/packages/trestle-endpoint/src/trestle_endpoint/contents.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/contents.py
@@ -12,8 +12,10 @@
 from gevent import sleep, spawn
 from gevent.event import Event
 
+from trestle_core.errorcodes import QUARANTINED, SUSPECT_HELD
 from trestle_core.errors import TrestleError
 from trestle_core.logs import part_logger
+from trestle_core.texts import QUARANTINED as QUARANTINED_TEXT
 from trestle_endpoint.engine_load import EngineCrash
 from trestle_links.codec import Message
 from trestle_links.fleet_messages import (
@@ -22,9 +24,11 @@
     CrashReply,
     ReportCrash,
 )
+from trestle_links.suspect_messages import DropSuspect, HoldSuspect
 
 _SUBMIT_SECONDS: Final = 5.0
 _RETRY_SECONDS: Final = 0.5
+_HELD_POLL_SECONDS: Final = 0.1
 _VIEW_SECONDS: Final = 2.0
 _VIEW_POLL_SECONDS: Final = 0.01
 
@@ -48,12 +52,14 @@
     def __init__(
         self,
         host: str,
+        incarnation: str,
         submit: Submit,
         suspects: Callable[[], set[str]],
         quarantined: Callable[[], set[str]],
     ) -> None:
         """Hold no contents of its own."""
         self.host = host
+        self.incarnation = incarnation
         self.submit = submit
         self.suspects = suspects
         self.quarantined = quarantined
@@ -86,6 +92,24 @@
         """Wait until no crash here could still quarantine a content."""
         self.settled.wait()
 
+    def hold(self, content: str) -> None:
+        """Wait until this process alone may run a suspect.
+
+        Raises `quarantined` when another crash named the content meanwhile.
+        """
+        hold = HoldSuspect(content, self.host, self.incarnation)
+        while True:
+            reply = submit_until_done(self.submit, hold, CommandReply)
+            if reply.accepted:
+                return
+            if reply.code != SUSPECT_HELD.code:
+                raise TrestleError(QUARANTINED, QUARANTINED_TEXT)
+            sleep(_HELD_POLL_SECONDS)
+
+    def drop(self, content: str) -> None:
+        """Let another process run a suspect, once no crash is uncounted."""
+        spawn(self._drop, DropSuspect(content, self.host, self.incarnation))
+
     def note_finished(self, content: str, request_id: str) -> None:
         """Clear a suspect whose answer finished."""
         if self.is_suspect(content):
@@ -96,6 +120,10 @@
                 CommandReply,
             )
 
+    def _drop(self, drop: DropSuspect) -> None:
+        self.wait_settled()
+        submit_until_done(self.submit, drop, CommandReply)
+
     def _report(self, report: ReportCrash) -> None:
         reply = submit_until_done(self.submit, report, CrashReply)
         limit = monotonic() + _VIEW_SECONDS
--- a/packages/trestle-endpoint/src/trestle_endpoint/endpoint_core.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/endpoint_core.py
@@ -66,6 +66,7 @@
     )
     contents = Contents(
         settings.host,
+        permits.incarnation,
         control.submit,
         suspects=lambda: view.suspects,
         quarantined=lambda: view.quarantined,
