A scenario that has ended starts no process

Ruled out: a longer wait at the end (the task may start one at any time). Before: one process left after a run. Conclusion: the harness refuses starts after its end.

--- a/features/environment.py
+++ b/features/environment.py
@@ -33,7 +33,7 @@
 
 def after_scenario(context: Context, scenario: Scenario) -> None:
     """End the scenario's processes; print their logs if it failed."""
-    context.processes.stop_all()
+    context.processes.end()
     if scenario.status.has_failed():
         for process in context.processes.started.values():
             print(f'--- {process.name}\n{process.log_tail()}')
--- a/testbed/processes.py
+++ b/testbed/processes.py
@@ -115,6 +115,7 @@
     def __init__(self, folder: Path) -> None:
         self.folder = folder
         self.started: dict[str, Process] = {}
+        self.stopping = False
 
     def __enter__(self) -> 'Processes':
         """Return itself."""
@@ -122,12 +123,15 @@
 
     def __exit__(self, *exception: object) -> None:
         """End every process."""
-        self.stop_all()
+        self.end()
 
     def start(
         self, name: str, command: Sequence[str], address: Path | None = None
     ) -> Process:
         """Start a program, again under a name whose process has ended."""
+        if self.stopping:
+            # A test's task that restarts processes may outlive its scenario.
+            raise AssertionError(f'{name} would start after the end')
         address = address or self.folder / f'{name}.address'
         earlier = self.started.get(name)
         if earlier and earlier.running():
@@ -150,6 +154,11 @@
         earlier = self.started[name]
         return self.start(name, earlier.command, earlier.address_file)
 
+    def end(self) -> None:
+        """End all processes and start none from now on."""
+        self.stopping = True
+        self.stop_all()
+
     def stop_all(self) -> None:
         """End all processes: gracefully first, then at once."""
         alive = [one for one in self.started.values() if one.running()]
