Names of the offered-work figures stand once; no context entered by hand

Cause: entry and control each spelt the names of the figures on their wire, and the claimed call entered and left its slot by hand. Before: two copies of each name. After: one, in watch_messages. Conclusion: a name of the wire belongs to the messages.

--- a/packages/trestle-control/src/trestle_control/demand_estimate.py
+++ b/packages/trestle-control/src/trestle_control/demand_estimate.py
@@ -13,10 +13,12 @@
 from math import exp
 from typing import Final, NamedTuple
 
-from trestle_links.watch_messages import NodeReport
+from trestle_links.watch_messages import (
+    DECODE_FIGURE,
+    PREFILL_FIGURE,
+    NodeReport,
+)
 
-PREFILL_FIGURE: Final = 'prefill_tokens:'
-DECODE_FIGURE: Final = 'decode_tokens:'
 _FAST_SHARE: Final = 0.1
 
 
--- a/packages/trestle-entry/src/trestle_entry/offered_work.py
+++ b/packages/trestle-entry/src/trestle_entry/offered_work.py
@@ -10,9 +10,8 @@
 from trestle_core.digests import PIECE_TOKENS
 from trestle_entry.caller_requests import ModelRequest
 from trestle_entry.estimates import Estimates
+from trestle_links.watch_messages import DECODE_FIGURE, PREFILL_FIGURE
 
-_PREFILL_FIGURE: Final = 'prefill_tokens:'
-_DECODE_FIGURE: Final = 'decode_tokens:'
 _RATIO_WEIGHT: Final = 0.05
 
 
@@ -31,8 +30,8 @@
         known = self.estimates.known_pieces(request.pieces)
         prefill = max(0, request.prompt_tokens - known * PIECE_TOKENS)
         decode = request.max_tokens * self.used_share.get(request.route, 1.0)
-        self._grow(_PREFILL_FIGURE + pool, prefill)
-        self._grow(_DECODE_FIGURE + pool, decode)
+        self._grow(PREFILL_FIGURE + pool, prefill)
+        self._grow(DECODE_FIGURE + pool, decode)
 
     def expected_tokens(self, request: ModelRequest) -> int:
         """Return the likely length of an answer, its bound at first."""
--- a/packages/trestle-entry/src/trestle_entry/service_pages.py
+++ b/packages/trestle-entry/src/trestle_entry/service_pages.py
@@ -7,6 +7,7 @@
 answer, so that a plain refusal is true of it.
 """
 
+from contextlib import ExitStack
 from time import monotonic
 from typing import Final
 from uuid import uuid4
@@ -165,17 +166,15 @@
     slot = admitted(
         context, request.caller, request.route, route.caller_concurrency
     )
-    try:
-        check_fresh(context)
-        slot.__enter__()
-    except TrestleError as error:
-        if keyed:
-            return refuse_key(context, call, error)
-        raise
-    try:
+    with ExitStack() as stack:
+        try:
+            check_fresh(context)
+            stack.enter_context(slot)
+        except TrestleError as error:
+            if keyed:
+                return refuse_key(context, call, error)
+            raise
         return run_claimed(context, call)
-    finally:
-        slot.__exit__(None, None, None)
 
 
 def _claimed_reply(request: ServiceRequest, result: ClaimedResult) -> HttpReply:
--- a/packages/trestle-links/src/trestle_links/watch_messages.py
+++ b/packages/trestle-links/src/trestle_links/watch_messages.py
@@ -8,11 +8,16 @@
 stamp that was delayed on the way makes a node no fresher than its ask.
 """
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from trestle_links.codec import message
 from trestle_links.fleet_messages import Order
 
+# Figures of an entry, followed by the pool's name: prompt and output tokens
+# that callers offered since its start.
+PREFILL_FIGURE: Final = 'prefill_tokens:'
+DECODE_FIGURE: Final = 'decode_tokens:'
+
 
 @message(80)
 class Watch(NamedTuple):
