--- a/packages/trestle-control/src/trestle_control/apply.py
+++ b/packages/trestle-control/src/trestle_control/apply.py
@@ -16,6 +16,7 @@
     refuse_attempt,
     release_claim,
 )
+from trestle_control.direct_commands import list_backends, publish_document
 from trestle_control.crash_commands import (
     clear_suspect,
     drop_suspect,
@@ -44,6 +45,7 @@
     ReleaseClaim,
 )
 from trestle_links.codec import Message
+from trestle_links.direct_messages import ListBackends, PublishDocument
 from trestle_links.engine_messages import ReportEngine
 from trestle_links.fleet_messages import (
     AdmitEndpoint,
@@ -94,6 +96,8 @@
     DropSuspect: drop_suspect,
     ReleaseContent: release_content,
     AdvanceClock: advance_clock,
+    PublishDocument: publish_document,
+    ListBackends: list_backends,
 }
 
 
--- a/packages/trestle-control/src/trestle_control/control_app.py
+++ b/packages/trestle-control/src/trestle_control/control_app.py
@@ -1,6 +1,7 @@
 """The control process: replica, state, servers and the leader's tasks."""
 
-from typing import Final
+from collections.abc import Callable
+from typing import Final, NamedTuple
 
 from trestle_control.apply import ControlMachine
 from trestle_control.command_server import CommandServer
@@ -25,9 +26,26 @@
 _MS_PER_SECOND: Final = 1000
 
 
-def build_control(settings: ControlSettings) -> Application:
+class ControlParts(NamedTuple):
+    """What a platform's own control services build on."""
+
+    app: Application
+    machine: ControlMachine
+    replica: Replica
+    metrics: Metrics
+    me: Identity
+
+
+Extend = Callable[[ControlParts], Handlers]
+
+
+def build_control(
+    settings: ControlSettings, extend: Extend | None = None
+) -> Application:
     """Join the parts of a control process.
 
+    `extend` may add parts to the application and returns link handlers.
+
     Raises `TrestleError` when the data folder cannot be used, `OSError` or
     `ValueError` when the key cannot be read.
     """
@@ -51,11 +69,14 @@
     commands = CommandServer(
         replica, context, settings.answer_limit_bytes, metrics
     )
+    parts = ControlParts(app, machine, replica, metrics, me)
+    extra = extend(parts) if extend else {}
     _add_servers(
         app,
         settings,
         me,
         {
+            **extra,
             **replica.handlers(),
             **relay.handlers(),
             **watches.handlers(),
--- /dev/null
+++ b/packages/trestle-control/src/trestle_control/document_service.py
@@ -0,0 +1,66 @@
+"""Publishing and reading the route document on a control host.
+
+A read is answered behind a read barrier that began after the read came, so
+it is never older than what was acknowledged before, also when this process
+or its host stood still in between.
+"""
+
+from typing import Final, NamedTuple
+
+from trestle_control.apply import ControlMachine
+from trestle_control.replica_api import ReplicaApi
+from trestle_core.errorcodes import CONTROL_UNREACHABLE
+from trestle_core.errors import TrestleError
+from trestle_core.logs import part_logger
+from trestle_links.direct_messages import DocumentReply, PublishDocument
+
+# Both stay under the second after which an operator's client moves on.
+_PUBLISH_SECONDS: Final = 0.9
+_READ_SECONDS: Final = 0.9
+
+_log = part_logger('document')
+
+
+class RouteDocument(NamedTuple):
+    """A version and its content as published."""
+
+    version: int
+    content: bytes
+
+
+class DocumentService:
+    """The route document as operators see it."""
+
+    def __init__(self, machine: ControlMachine, replica: ReplicaApi) -> None:
+        """Keep what the calls use."""
+        self.machine = machine
+        self.replica = replica
+
+    def publish(self, document: RouteDocument) -> int:
+        """Commit a checked document; return the version in force.
+
+        Raises `TrestleError`; its verdict tells whether it may be in force.
+        """
+        reply = self.replica.submit(
+            PublishDocument(document.version, document.content),
+            _PUBLISH_SECONDS,
+        )
+        if not isinstance(reply, DocumentReply):
+            raise TrestleError(CONTROL_UNREACHABLE, 'unexpected reply')
+        _log.info(
+            'Version {} acknowledged; version {} is in force.',
+            document.version,
+            reply.version,
+        )
+        return reply.version
+
+    def read(self) -> RouteDocument | None:
+        """Return the newest document; None before the first.
+
+        Raises `TrestleError` when this host cannot be sure.
+        """
+        self.replica.read_barrier(_READ_SECONDS)
+        state = self.machine.state
+        if not state.document_version:
+            return None
+        return RouteDocument(state.document_version, state.document)
--- /dev/null
+++ b/packages/trestle-control/src/trestle_control/load_table.py
@@ -0,0 +1,150 @@
+"""Loads of all entries, summed on the leader.
+
+Each entry reports what it has in work and gets the sums of the others, so
+that an estimate does not rest on the small part of the load that one entry
+sees. Reports are kept in memory only: a new leader has them within one
+round, and meanwhile each entry goes by its own figures.
+
+Prompt parts that engines have read travel on as a numbered list; an entry
+asks for what came after the number it has seen.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+from time import monotonic
+from typing import Final, NamedTuple
+
+from trestle_control.control_errors import NotLeaderError
+from trestle_control.replica_api import ReplicaApi
+from trestle_links.connection import Channel
+from trestle_links.direct_messages import LoadReport, LoadView, Placement
+from trestle_links.link_server import Handlers
+
+# Reports older than this say nothing of the present load.
+_STALE_SECONDS: Final = 2.0
+# Seconds after its last report until an entry no longer counts.
+_GONE_SECONDS: Final = 5.0
+_PLACEMENTS_KEPT: Final = 4000
+_PLACEMENTS_SENT: Final = 400
+_SUSPECTS_KEPT: Final = 64
+_MS_PER_SECOND: Final = 1000
+
+
+class Reported(NamedTuple):
+    """A report and when it came."""
+
+    report: LoadReport
+    came_at: float
+
+
+class NumberedPlacement(NamedTuple):
+    """A placement, its place in the list and who reported it."""
+
+    number: int
+    host: str
+    placement: Placement
+
+
+class LoadTable:
+    """The last report of every entry."""
+
+    def __init__(self, replica: ReplicaApi) -> None:
+        """Start with no report."""
+        self.replica = replica
+        self.reported: dict[str, Reported] = {}
+        self.placements: deque[NumberedPlacement] = deque(
+            maxlen=_PLACEMENTS_KEPT
+        )
+        self.number = 0
+        self.suspects: deque[str] = deque(maxlen=_SUSPECTS_KEPT)
+        self.offered: dict[str, float] = {}
+
+    def handlers(self) -> Handlers:
+        """Return the link handlers."""
+        return {LoadReport: self.exchange}
+
+    def exchange(self, report: LoadReport, _channel: Channel) -> LoadView:
+        """Note a report and return the sums of the others.
+
+        Raises `NotLeaderError`: another host has the reports.
+        """
+        if not self.replica.is_leader:
+            raise NotLeaderError(self.replica.leader_address)
+        now = monotonic()
+        self._note(report, now)
+        others = [
+            entry
+            for host, entry in self.reported.items()
+            if host != report.host and now - entry.came_at < _STALE_SECONDS
+        ]
+        oldest = min((entry.came_at for entry in others), default=now)
+        seen = report.seen if report.seen <= self.number else 0
+        placements = self._placements_after(seen, report.host)
+        return LoadView(
+            entries=self._entries(now),
+            prefill_ms=_sum(entry.report.prefill_ms for entry in others),
+            running={
+                name: int(total)
+                for name, total in _sum(
+                    entry.report.running for entry in others
+                ).items()
+            },
+            placements=[entry.placement for entry in placements],
+            suspects=list(self.suspects),
+            seen=self.number,
+            age_ms=int((now - oldest) * _MS_PER_SECOND),
+        )
+
+    def take_offered(self) -> dict[str, float]:
+        """Return the work offered since the last call, by figure."""
+        offered = self.offered
+        self.offered = {}
+        return offered
+
+    def running(self) -> dict[str, int]:
+        """Return the requests in work by back end, over all entries."""
+        now = monotonic()
+        recent = [
+            entry.report.running
+            for entry in self.reported.values()
+            if now - entry.came_at < _STALE_SECONDS
+        ]
+        return {name: int(total) for name, total in _sum(recent).items()}
+
+    def _note(self, report: LoadReport, now: float) -> None:
+        self.reported[report.host] = Reported(report, now)
+        for figure, amount in report.offered.items():
+            self.offered[figure] = self.offered.get(figure, 0) + amount
+        for placement in report.placements:
+            self.number += 1
+            self.placements.append(
+                NumberedPlacement(self.number, report.host, placement)
+            )
+        self.suspects.extend(report.suspects)
+
+    def _entries(self, now: float) -> int:
+        return sum(
+            now - entry.came_at < _GONE_SECONDS
+            for entry in self.reported.values()
+        )
+
+    def _placements_after(
+        self, seen: int, host: str
+    ) -> list[NumberedPlacement]:
+        after: list[NumberedPlacement] = []
+        for entry in reversed(self.placements):
+            if entry.number <= seen or len(after) >= _PLACEMENTS_SENT:
+                break
+            if entry.host != host:
+                after.append(entry)
+        return after
+
+
+def _sum(
+    tables: Iterable[dict[str, float] | dict[str, int]],
+) -> dict[str, float]:
+    totals: dict[str, float] = {}
+    for table in tables:
+        for name, amount in table.items():
+            totals[name] = totals.get(name, 0) + amount
+    return totals
--- a/packages/trestle-control/src/trestle_control/replica.py
+++ b/packages/trestle-control/src/trestle_control/replica.py
@@ -110,6 +110,23 @@
         """Where the leader listens, if it is known."""
         return self.state.leader_address
 
+    @property
+    def member_addresses(self) -> list[str]:
+        """Peer addresses of all members."""
+        return [member.address for member in self.state.members.members]
+
+    @property
+    def term(self) -> int:
+        """The current term, as synced."""
+        return self.state.term
+
+    @property
+    def leading_seconds(self) -> float:
+        """How long this member has led; 0 when it does not."""
+        if not self.is_leader:
+            return 0
+        return monotonic() - self.state.leading_since
+
     @property
     def applied_index(self) -> int:
         """The last index that the state machine has applied."""
--- a/packages/trestle-control/src/trestle_control/replica_api.py
+++ b/packages/trestle-control/src/trestle_control/replica_api.py
@@ -18,6 +18,22 @@
     def applied_index(self) -> int:
         """Log index up to which this member has applied."""
 
+    @property
+    def member_addresses(self) -> list[str]:
+        """Peer addresses of all members."""
+
+    @property
+    def leader_address(self) -> str | None:
+        """Where the leader listens, if it is known."""
+
+    @property
+    def term(self) -> int:
+        """The current term, as synced."""
+
+    @property
+    def leading_seconds(self) -> float:
+        """How long this member has led; 0 when it does not."""
+
     @property
     def is_leader(self) -> bool:
         """Tell whether this member leads."""
--- a/packages/trestle-control/src/trestle_control/replica_formation.py
+++ b/packages/trestle-control/src/trestle_control/replica_formation.py
@@ -5,6 +5,11 @@
 with a full folder is enough to prove that a group exists, and then an empty
 folder means a lost disk. So two lost disks out of three leave a group that
 waits for an operator, never a second group that has forgotten the first.
+
+Settings that name seeds instead of members know three addresses and no
+count. The seeds form the first group under the same rule, each with an empty
+folder and the mark of a first start, and every other holder of the key joins
+it as a newcomer. A process without that mark never forms a group.
 """
 
 from time import monotonic
@@ -29,7 +34,7 @@
 from trestle_core.logs import part_logger
 from trestle_links.codec import encode_message
 from trestle_links.connection import Channel
-from trestle_links.link import Link
+from trestle_links.link import Link, LinkPool
 
 _LOST_TIMEOUTS: Final = 4
 
@@ -38,6 +43,9 @@
 
 def run_announcements(state: ReplicaState) -> None:
     """Announce this identity until it belongs to a group."""
+    if state.settings.seeds:
+        run_seed_announcements(state)
+        return
     links = {
         listed.host: link_to(state, MemberIdentity(listed.host, ''))
         for listed in state.settings.members
@@ -50,6 +58,33 @@
         sleep(state.heartbeat_seconds * 2)
 
 
+def run_seed_announcements(state: ReplicaState) -> None:
+    """Announce this identity to the seeds and to whom they name."""
+    pool = LinkPool(state.me)
+    known = set(state.settings.seeds)
+    while state.running:
+        if _is_outside(state):
+            addresses = known | {
+                member.address for member in state.members.members
+            }
+            links = {
+                address: pool.link_to(address)
+                for address in addresses
+                if address != own_address(state)
+            }
+            answered = _announce_to_addresses(state, links)
+            for reply in answered.values():
+                known.update(reply.members)
+            _form_from_seeds(state, answered)
+        sleep(state.heartbeat_seconds * 2)
+    pool.close()
+
+
+def own_address(state: ReplicaState) -> str:
+    """Return the peer address that this process tells others."""
+    return state.settings.advertise or state.settings.listen
+
+
 def announce_handler(
     state: ReplicaState, announce: Announce, _: Channel
 ) -> AnnounceReply:
@@ -57,7 +92,7 @@
     newcomer = announce.identity
     if find_member(state.members, newcomer.incarnation) is None:
         state.newcomers[newcomer.host] = Newcomer(
-            newcomer.incarnation, monotonic()
+            newcomer.incarnation, monotonic(), announce.address
         )
     return _own_reply(state)
 
@@ -73,10 +108,53 @@
 
 def _own_reply(state: ReplicaState) -> AnnounceReply:
     return AnnounceReply(
-        state.identity, state.members.group, state.settings.bootstrap
+        state.identity,
+        state.members.group,
+        state.settings.bootstrap,
+        [member.address for member in state.members.members],
     )
 
 
+def _announce_to_addresses(
+    state: ReplicaState, links: dict[str, Link]
+) -> dict[str, AnnounceReply]:
+    """Return the replies by address, this process's own among them."""
+    answered = {own_address(state): _own_reply(state)}
+    announce_body = Announce(state.identity, own_address(state))
+
+    def announce(address: str, link: Link) -> None:
+        try:
+            answered[address] = link.call(
+                announce_body, AnnounceReply, state.election_seconds
+            )
+        except TrestleError as error:
+            _log.debug('{} does not answer: {}.', address, error.message)
+            link.close()
+
+    joinall([spawn(announce, *item) for item in links.items()])
+    return answered
+
+
+def _form_from_seeds(
+    state: ReplicaState, answered: dict[str, AnnounceReply]
+) -> None:
+    seeds = sorted(state.settings.seeds)
+    if own_address(state) != seeds[0]:
+        return
+    if any(reply.group for reply in answered.values()):
+        return
+    replies = [answered.get(seed) for seed in seeds]
+    if not all(reply and reply.forms for reply in replies):
+        return
+    members = [
+        Member(*reply.identity, seed, voter=True)
+        for seed, reply in zip(seeds, replies, strict=True)
+        if reply
+    ]
+    hosts = [ListedHost(member.host, member.address) for member in members]
+    _append_first_set(state, MemberSet(uuid4().hex, members, sorted(hosts)))
+
+
 def _announce_to(
     state: ReplicaState, links: dict[str, Link]
 ) -> list[AnnounceReply]:
@@ -114,13 +192,19 @@
     if not formers or min(formers) != state.settings.host:
         return
     members = [_first_member(reply.identity, listed) for reply in replies]
-    member_set = MemberSet(uuid4().hex, members, sorted(listed.values()))
+    _append_first_set(
+        state, MemberSet(uuid4().hex, members, sorted(listed.values()))
+    )
+
+
+def _append_first_set(state: ReplicaState, member_set: MemberSet) -> None:
     payload = encode_message(member_set)
     with state.log_lock:
         if state.log.last_index:
             return
         append_entries(state, [LogEntry(1, 0, EntryKind.MEMBERS, payload)])
-    _log.info('Forms the group of {}.', ', '.join(sorted(hosts)))
+    hosts = [listed.host for listed in member_set.hosts]
+    _log.info('Forms the group of {}.', ', '.join(hosts))
 
 
 def _first_member(
--- a/packages/trestle-control/src/trestle_control/replica_leader.py
+++ b/packages/trestle-control/src/trestle_control/replica_leader.py
@@ -15,12 +15,17 @@
 
 from trestle_control.log_records import EntryKind, LogEntry
 from trestle_control.membership import (
+    ListedHost,
     Member,
     MemberSet,
     quorum_size,
     voters_of,
 )
-from trestle_control.membership_changes import next_member_set
+from trestle_control.membership_changes import (
+    next_member_set,
+    with_host,
+    without_host,
+)
 from trestle_control.peer_calls import (
     quorum_acked_at,
     quorum_match_index,
@@ -28,7 +33,7 @@
 )
 from trestle_control.replica_log import append_entries, term_at
 from trestle_control.replica_peers import replicate_to
-from trestle_control.replica_state import ReplicaState, Role
+from trestle_control.replica_state import Newcomer, ReplicaState, Role
 from trestle_control.replica_tasks import spawn_part
 from trestle_core.errors import TrestleError
 from trestle_core.logs import part_logger
@@ -37,6 +42,9 @@
 _LEARNER_LAG_ENTRIES: Final = 16
 _QUORUM_TIMEOUTS: Final = 2
 _NEWCOMER_TIMEOUTS: Final = 3
+# Election timeouts of silence after which a voter whose place is taken is
+# removed; long enough for a host that only restarts.
+_GONE_TIMEOUTS: Final = 10
 
 _log = part_logger('replica')
 
@@ -136,15 +144,47 @@
     if not settled or not has_committed_own_term(state) or not state.is_leader:
         return
     changed = next_member_set(
-        state.members,
+        _with_listed_newcomers(state),
         _newcomers(state),
         lambda learner: _is_caught_up(state, learner),
         lambda earlier: _is_silent(state, earlier),
     )
+    changed = changed or _without_surplus(state)
     if changed:
         propose_members(state, changed)
 
 
+def _with_listed_newcomers(state: ReplicaState) -> MemberSet:
+    """List the hosts of newcomers where any holder of the key may join."""
+    if not state.settings.seeds:
+        return state.members
+    listed = state.members
+    known = {entry.host: entry.address for entry in listed.hosts}
+    for host, newcomer in _recent_newcomers(state).items():
+        if newcomer.address and known.get(host) != newcomer.address:
+            listed = with_host(listed, ListedHost(host, newcomer.address))
+    return listed
+
+
+def _without_surplus(state: ReplicaState) -> MemberSet | None:
+    """Take out a voter that is gone once others have its place."""
+    voters = voters_of(state.members)
+    wanted = state.settings.wanted_voters
+    if not wanted or len(voters) <= wanted:
+        return None
+    gone_seconds = state.election_seconds * _GONE_TIMEOUTS
+    if monotonic() - state.leading_since < gone_seconds:
+        return None
+    for voter in voters:
+        if voter.incarnation == state.incarnation:
+            continue
+        peer = state.peers.get(voter.incarnation)
+        if peer is None or peer.silent_seconds() > gone_seconds:
+            remaining = without_host(state.members, voter.host)
+            return remaining if keeps_quorum(state, remaining) else None
+    return None
+
+
 def propose_members(state: ReplicaState, changed: MemberSet) -> None:
     """Append a member set that differs from the last one by one member."""
     ranks = ', '.join(
@@ -175,15 +215,24 @@
 
 
 def _newcomers(state: ReplicaState) -> list[Member]:
-    listed = {entry.host: entry.address for entry in state.members.hosts}
-    oldest = monotonic() - state.election_seconds * _NEWCOMER_TIMEOUTS
+    members = _with_listed_newcomers(state)
+    listed = {entry.host: entry.address for entry in members.hosts}
     return [
         Member(host, newcomer.incarnation, listed[host], voter=False)
-        for host, newcomer in state.newcomers.items()
-        if host in listed and newcomer.heard_at > oldest
+        for host, newcomer in _recent_newcomers(state).items()
+        if host in listed
     ]
 
 
+def _recent_newcomers(state: ReplicaState) -> dict[str, Newcomer]:
+    oldest = monotonic() - state.election_seconds * _NEWCOMER_TIMEOUTS
+    return {
+        host: newcomer
+        for host, newcomer in state.newcomers.items()
+        if newcomer.heard_at > oldest
+    }
+
+
 def _is_caught_up(state: ReplicaState, learner: Member) -> bool:
     peer = state.peers.get(learner.incarnation)
     if peer is None or peer.silent_seconds() > state.election_seconds:
--- a/packages/trestle-control/src/trestle_control/replica_messages.py
+++ b/packages/trestle-control/src/trestle_control/replica_messages.py
@@ -34,21 +34,24 @@
 
 @message(100)
 class Announce(NamedTuple):
-    """A process that is not a member tells its identity."""
+    """A process that is not a member tells its identity and address."""
 
     identity: MemberIdentity
+    address: str = ''
 
 
 @message(101)
 class AnnounceReply(NamedTuple):
     """`group` is empty while the receiver belongs to none.
 
-    `forms` tells that the receiver may form the first group.
+    `forms` tells that the receiver may form the first group, `members` are
+    the addresses of the group.
     """
 
     identity: MemberIdentity
     group: str
     forms: bool
+    members: list[str] = []
 
 
 @message(102)
--- a/packages/trestle-control/src/trestle_control/replica_snapshots.py
+++ b/packages/trestle-control/src/trestle_control/replica_snapshots.py
@@ -43,7 +43,8 @@
     state.snapshot = snapshot
     _log.info('Snapshot {} of {} bytes.', index, len(snapshot.state))
     state.me.metrics.count('replica_snapshots_taken')
-    state.log.drop_before(index - _KEPT_ENTRIES)
+    kept = min(_KEPT_ENTRIES, state.settings.snapshot_entries)
+    state.log.drop_before(index - kept)
 
 
 def install_snapshot(state: ReplicaState, snapshot: Snapshot) -> None:
--- a/packages/trestle-control/src/trestle_control/replica_state.py
+++ b/packages/trestle-control/src/trestle_control/replica_state.py
@@ -73,6 +73,7 @@
 
     incarnation: str
     heard_at: float
+    address: str = ''
 
 
 class IncomingSnapshot(NamedTuple):
--- a/packages/trestle-control/src/trestle_control/state.py
+++ b/packages/trestle-control/src/trestle_control/state.py
@@ -14,6 +14,7 @@
 from msgspec import convert
 
 from trestle_control.registers import RegisterTable
+from trestle_links.direct_messages import Backend
 from trestle_links.fleet_messages import Order
 from trestle_links.watch_messages import EndpointInfo
 
@@ -78,6 +79,9 @@
     loaded: dict[str, list[str]]
     contents: dict[str, ContentRecord]
     audit: dict[str, list[AuditRecord]]
+    document_version: int = 0
+    document: bytes = b''
+    backends: list[Backend] = []
 
 
 class ControlState:
@@ -106,6 +110,10 @@
         self.loaded: dict[str, list[str]] = {}
         self.contents: dict[str, ContentRecord] = {}
         self.audit: dict[str, list[AuditRecord]] = {}
+        # Route document of entries that dispatch directly; 0 before one.
+        self.document_version = 0
+        self.document = b''
+        self.backends: list[Backend] = []
 
     @property
     def current_set(self) -> SetRecord | None:
--- a/packages/trestle-control/src/trestle_control/watch_server.py
+++ b/packages/trestle-control/src/trestle_control/watch_server.py
@@ -32,6 +32,7 @@
 from trestle_core.metrics import Metrics
 from trestle_links.codec import Message
 from trestle_links.connection import Channel, LinkDownError
+from trestle_links.direct_messages import ControlHostsDelta
 from trestle_links.link_server import Handlers
 from trestle_links.watch_messages import (
     FetchSet,
@@ -58,6 +59,7 @@
         self.watch = watch
         self.channel = channel
         self.outbox: SimpleQueue[Message | None] = SimpleQueue()
+        self.hosts = ControlHostsDelta([], '')
 
     def put(self, body: Message) -> None:
         """Queue a message; a full outbox ends the stream."""
@@ -151,6 +153,7 @@
             ask = stream.channel.receive()
             if not isinstance(ask, StampAsk):
                 return
+            self._put_hosts(stream)
             stream.put(self._stamp(ask))
             watch = stream.watch
             report = NodeReport(
@@ -158,6 +161,14 @@
             )
             self.nodes.note(report, monotonic())
 
+    def _put_hosts(self, stream: WatchStream) -> None:
+        hosts = ControlHostsDelta(
+            self.replica.member_addresses, self.replica.leader_address or ''
+        )
+        if hosts != stream.hosts:
+            stream.hosts = hosts
+            stream.put(hosts)
+
     def _stamp(self, ask: StampAsk) -> Stamp:
         age_seconds = self.replica.freshness_age_seconds()
         age_ms = _UNKNOWN_AGE_MS
--- a/packages/trestle-core/src/trestle_core/settings.py
+++ b/packages/trestle-core/src/trestle_core/settings.py
@@ -108,6 +108,41 @@
     ] = 3000
 
 
+class DirectSettings(
+    CommonSettings, frozen=True, tag='direct', tag_field='role'
+):
+    """Settings of an entry that reaches back ends itself."""
+
+    ready_listen: Annotated[
+        AddressText, Meta(description='where the balancer asks for readiness')
+    ] = '127.0.0.1:0'
+    metrics_listen: Annotated[
+        str, Meta(description='ip:port of the metrics page; empty for none')
+    ] = ''
+    exchange_every_ms: Annotated[
+        Milliseconds, Meta(description='time between load exchanges, ms')
+    ] = 100
+    retry_share: Annotated[
+        float, Meta(ge=0, description='further sends for each request')
+    ] = 0.2
+    retry_extra: Annotated[
+        int, Meta(ge=0, description='further sends of all entries together')
+    ] = 50
+    retry_window_ms: Annotated[
+        Milliseconds, Meta(description='time that the retry limits span, ms')
+    ] = 10_000
+    cache_window_ms: Annotated[
+        Milliseconds, Meta(description='how long a read prompt is kept, ms')
+    ] = 10_000
+    drain_notice_ms: Annotated[
+        Milliseconds,
+        Meta(
+            description='time at a stop for the balancer to see that the '
+            'entry is not ready, while requests are still taken, ms',
+        ),
+    ] = 3000
+
+
 class MemberSettings(Struct, frozen=True, forbid_unknown_fields=True):
     """A control host that belongs to the first configuration."""
 
@@ -126,8 +161,16 @@
     data_folder: Annotated[str, Meta(description='folder of the durable state')]
     members: Annotated[
         list[MemberSettings],
-        Meta(min_length=1, description='control hosts, this one included'),
-    ]
+        Meta(description='control hosts, this one included'),
+    ] = []
+    seeds: Annotated[
+        list[AddressText],
+        Meta(description='peer addresses of the first hosts, for no members'),
+    ] = []
+    wanted_voters: Annotated[
+        int,
+        Meta(ge=0, description='voters to keep with seeds; 0 removes none'),
+    ] = 0
     bootstrap: Annotated[
         bool,
         Meta(description='an empty data folder may form the first quorum'),
@@ -203,10 +246,11 @@
     ] = 250
 
 
-Settings = EntrySettings | ControlSettings | EndpointSettings
+Settings = EntrySettings | ControlSettings | EndpointSettings | DirectSettings
 
 SETTINGS_TYPES: Final[dict[str, type[Any]]] = {
     'entry': EntrySettings,
     'control': ControlSettings,
     'endpoint': EndpointSettings,
+    'direct': DirectSettings,
 }
--- a/packages/trestle-core/src/trestle_core/settings_load.py
+++ b/packages/trestle-core/src/trestle_core/settings_load.py
@@ -13,7 +13,7 @@
 
 from trestle_core.errorcodes import INVALID_SETTINGS
 from trestle_core.errors import TrestleError
-from trestle_core.settings import SETTINGS_TYPES, Settings
+from trestle_core.settings import SETTINGS_TYPES, ControlSettings, Settings
 
 
 class Finding(NamedTuple):
@@ -68,9 +68,17 @@
     ]
     for name, entry in known_fields.items():
         findings.extend(_check_field(name, entry, raw))
+    if settings_type is ControlSettings:
+        findings.extend(_check_members(raw))
     return findings
 
 
+def _check_members(raw: dict[str, Any]) -> list[Finding]:
+    if raw.get('members') or raw.get('seeds'):
+        return []
+    return [Finding('$.members', 'required, or seeds')]
+
+
 def _check_field(
     name: str,
     entry: FieldInfo,
--- /dev/null
+++ b/packages/trestle-entry/src/trestle_entry/direct/__init__.py
@@ -0,0 +1,1 @@
+"""An entry that dispatches to back ends over HTTP, with no process beside."""
--- /dev/null
+++ b/packages/trestle-entry/src/trestle_entry/direct/backend_calls.py
@@ -0,0 +1,134 @@
+"""Single sends to back ends: whole answers, and heads of streams.
+
+A send ends in one of three ways that decide everything after it: an answer,
+`NotSentError` when nothing left, or `BrokenAnswerError` when it may have run.
+A back end that says so itself did not run the request: `AnswerHead.refused`.
+"""
+
+from time import monotonic
+from typing import Final, NamedTuple
+
+from trestle_entry.direct.backend_exchange import (
+    BackendAnswer,
+    BackendConnection,
+    BrokenAnswerError,
+    encode_request,
+)
+from trestle_entry.direct.direct_context import DirectContext
+from trestle_entry.direct.wire_types import (
+    MULTIPLE_CHOICES,
+    OK,
+    AnswerHead,
+    CallerRequest,
+    SendOptions,
+)
+from trestle_links.direct_messages import Backend
+
+_MS_PER_SECOND: Final = 1000
+
+
+class OpenAnswer(NamedTuple):
+    """An answer whose head is here."""
+
+    connection: BackendConnection
+    answer: BackendAnswer
+    head: AnswerHead
+    backend: Backend
+
+
+class WholeAnswer(NamedTuple):
+    """A whole answer."""
+
+    head: AnswerHead
+    body: bytes
+
+
+def left_ms(deadline: float) -> int:
+    """Return the time that is left until a deadline, ms, never below 1."""
+    return max(1, int((deadline - monotonic()) * _MS_PER_SECOND))
+
+
+def open_answer(
+    context: DirectContext,
+    request: CallerRequest,
+    backend: Backend,
+    options: SendOptions,
+    *,
+    once: bool,
+) -> OpenAnswer:
+    """Send a request and read the head of its answer.
+
+    Raises `NotSentError` or `BrokenAnswerError`.
+    """
+    seconds = request.deadline - monotonic()
+    connection = context.pool.take(
+        backend.address, backend.instance, max(seconds, 0.01), once=once
+    )
+    try:
+        return _exchange(context, request, backend, options, connection)
+    except BaseException:
+        connection.close()
+        raise
+
+
+def read_whole(context: DirectContext, opened: OpenAnswer) -> WholeAnswer:
+    """Read the rest of an answer and keep its connection if that is clean.
+
+    Raises `BrokenAnswerError`.
+    """
+    try:
+        body = opened.connection.read_body(opened.answer)
+    except BaseException:
+        opened.connection.close()
+        raise
+    give_back(context, opened)
+    return WholeAnswer(opened.head, body)
+
+
+def give_back(context: DirectContext, opened: OpenAnswer) -> None:
+    """Keep the connection of a whole answer, or close it."""
+    head = opened.head
+    unusable = head.closes or opened.answer.should_close()
+    if unusable or opened.answer.surplus:
+        opened.connection.close()
+        return
+    context.pool.give_back(opened.connection, head.idle_seconds)
+
+
+def _exchange(
+    context: DirectContext,
+    request: CallerRequest,
+    backend: Backend,
+    options: SendOptions,
+    connection: BackendConnection,
+) -> OpenAnswer:
+    wire = context.backends
+    packed = encode_request(
+        request.method,
+        request.target,
+        request.host,
+        wire.send_headers(request, options),
+        request.body,
+    )
+    connection.send(packed)
+    answer = BackendAnswer(request.method)
+    connection.read_head(answer)
+    head = wire.read_head(answer.status, answer.header_list())
+    _check_head(request, head, options)
+    return OpenAnswer(connection, answer, head, backend)
+
+
+def _check_head(
+    request: CallerRequest, head: AnswerHead, options: SendOptions
+) -> None:
+    if head.refused:
+        return
+    if head.request_id and head.request_id != request.request_id:
+        raise BrokenAnswerError('the answer belongs to another request')
+    is_success = OK <= head.status < MULTIPLE_CHOICES
+    if not is_success or options.is_prefill:
+        return
+    if not head.sealed or not head.request_id:
+        raise BrokenAnswerError('a success without its seal')
+    if head.encoded:
+        raise BrokenAnswerError('the body is encoded')
--- /dev/null
+++ b/packages/trestle-entry/src/trestle_entry/direct/backend_exchange.py
@@ -0,0 +1,156 @@
+"""One request on a connection to a back end, and the reader of its answer.
+
+The parser is geventhttpclient's. The socket is ours, because three questions
+need exact answers: whether a byte of the request may have left, whether the
+answer is whole, and whether bytes came that belong to no request.
+
+Invariant: `NotSentError` means that no byte of the request left.
+"""
+
+from http.client import HTTPException
+from typing import Final
+
+from gevent.socket import IPPROTO_TCP, TCP_NODELAY, create_connection, socket
+from geventhttpclient.response import HTTPProtocolViolationError, HTTPResponse
+
+from trestle_core.addresses import Address
+from trestle_entry.direct.wire_types import Headers
+
+# A back end in another zone answers a connect within a few milliseconds; a
+# dropped opening packet is sent again after a second.
+CONNECT_SECONDS: Final = 0.7
+# Time after which unacknowledged bytes end a connection that went silent.
+SILENT_MS: Final = 1500
+_READ_BYTES: Final = 65_536
+_FIRST_FINAL_STATUS: Final = 200
+
+
+class NotSentError(OSError):
+    """No byte of the request left."""
+
+
+class BrokenAnswerError(OSError):
+    """The answer is not whole; bytes of the request may have left."""
+
+
+class BackendAnswer(HTTPResponse):
+    """The parsed answer; bytes behind it mark the connection as unusable."""
+
+    def __init__(self, method: str) -> None:
+        """Expect one answer to a request of a method."""
+        super().__init__(method)
+        self.status = 0
+        self.surplus = False
+
+    def take(self, received: bytes) -> None:
+        """Parse bytes; raises `BrokenAnswerError` when they are no answer."""
+        try:
+            self.feed(received)
+        except HTTPException as error:
+            if not self.surplus:
+                raise BrokenAnswerError(str(error)) from error
+
+    def take_body(self) -> bytes:
+        """Return the body bytes that were parsed since the last call."""
+        taken = bytes(self._body_buffer)
+        self._body_buffer.clear()
+        return taken
+
+    def header_list(self) -> Headers:
+        """Return every header in order."""
+        return [(name, str(text)) for name, text in self.items()]
+
+    def _on_headers_complete(self) -> int | bool | None:
+        skips_body = super()._on_headers_complete()
+        self.status = self.get_code()
+        return skips_body
+
+    def _on_message_begin(self) -> None:
+        if self.message_complete and self.status >= _FIRST_FINAL_STATUS:
+            self.surplus = True
+            raise HTTPProtocolViolationError('bytes behind the answer')
+        super()._on_message_begin()
+
+
+class BackendConnection:
+    """A connection that serves one request after another."""
+
+    def __init__(self, sock: socket, address: str, instance: str) -> None:
+        """Wrap a connected socket."""
+        self.sock = sock
+        self.address = address
+        self.instance = instance
+        self.requests = 0
+        self.idle_since = 0.0
+        self.idle_seconds = 0.0
+
+    @classmethod
+    def open(
+        cls, address: Address, instance: str, seconds: float
+    ) -> 'BackendConnection':
+        """Connect; raises `NotSentError`."""
+        try:
+            sock = create_connection(
+                address, timeout=min(seconds, CONNECT_SECONDS)
+            )
+        except OSError as error:
+            raise NotSentError(str(error)) from error
+        sock.settimeout(None)
+        sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+        set_silent_limit(sock)
+        return cls(sock, str(address), instance)
+
+    def send(self, packed: bytes) -> None:
+        """Send a request; raises `BrokenAnswerError`."""
+        self.requests += 1
+        try:
+            self.sock.sendall(packed)
+        except OSError as error:
+            raise BrokenAnswerError(str(error)) from error
+
+    def read_head(self, answer: BackendAnswer) -> None:
+        """Read until the head is here; raises `BrokenAnswerError`."""
+        while not answer.headers_complete:
+            self.read_more(answer)
+
+    def read_more(self, answer: BackendAnswer) -> None:
+        """Read what comes next; raises `BrokenAnswerError`."""
+        try:
+            received = self.sock.recv(_READ_BYTES)
+        except OSError as error:
+            raise BrokenAnswerError(str(error)) from error
+        answer.take(received)
+        if not received and not answer.message_complete:
+            raise BrokenAnswerError('the connection was closed')
+
+    def read_body(self, answer: BackendAnswer) -> bytes:
+        """Return the whole body; raises `BrokenAnswerError`."""
+        while not answer.message_complete:
+            self.read_more(answer)
+        return answer.take_body()
+
+    def close(self) -> None:
+        """Close the connection; the back end drops what it runs on it."""
+        self.sock.close()
+
+
+def set_silent_limit(sock: socket) -> None:
+    """End a connection whose peer stops acknowledging bytes."""
+    sock.setsockopt(IPPROTO_TCP, _TCP_USER_TIMEOUT, SILENT_MS)
+
+
+def encode_request(
+    method: str, target: str, host: str, headers: Headers, body: bytes
+) -> bytes:
+    """Return the bytes of a request; a body is sent with its length."""
+    lines = [f'{method} {target} HTTP/1.1', f'Host: {host}']
+    lines.extend(f'{name}: {text}' for name, text in headers)
+    if body or method not in _BODILESS:
+        lines.append(f'Content-Length: {len(body)}')
+    head = '\r\n'.join(lines)
+    return f'{head}\r\n\r\n'.encode('latin-1') + body
+
+
+# Not exported by gevent's socket module.
+_TCP_USER_TIMEOUT: Final = 18
+_BODILESS: Final = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
--- /dev/null
+++ b/packages/trestle-entry/src/trestle_entry/direct/caller_server.py
@@ -0,0 +1,179 @@
+"""The callers' HTTP server of a direct entry.
+
+gevent's WSGI server with its bounds set by the table in force: how long a
+connection may stay idle, how long and how large a head may be, how large a
+body. Path and query pass on byte for byte, so they are taken from the request
+line and never from the decoded environment.
+"""
+
+from collections.abc import Iterable
+from typing import Any, Final
+
+from gevent import Timeout
+from gevent.pool import Pool
+from gevent.pywsgi import WSGIServer
+
+from trestle_core.addresses import Address, resolve_address
+from trestle_core.errorcodes import BAD_REQUEST, BODY_TOO_LARGE
+from trestle_core.errors import TrestleError
+from trestle_core.route_table import DEFAULT_LIMITS, CallerLimits
+from trestle_entry.caller_watch import CallerGoneError
+from trestle_entry.direct.direct_context import DirectContext
+from trestle_entry.direct.dispatch import Incoming, serve
+from trestle_entry.direct.replies import AbortedAnswerError
+from trestle_entry.http_types import status_line
+from trestle_entry.socket_handler import SOCKET_KEY, SocketHandler
+
+_MAX_CONNECTIONS: Final = 3000
+_BACKLOG: Final = 1024
+_MS_PER_SECOND: Final = 1000
+_TARGET_KEY: Final = 'kingcuptrestle.target'
+_HEADERS_KEY: Final = 'kingcuptrestle.headers'
+_BODY_SECONDS: Final = 10.0
+_REQUEST_TIMEOUT_ANSWER: Final = (
+    '408 Request Timeout',
+    b'HTTP/1.1 408 Request Timeout\r\n'
+    b'Connection: close\r\nContent-Length: 0\r\n\r\n',
+)
+_HEAD_TOO_LARGE_ANSWER: Final = (
+    '431 Request Header Fields Too Large',
+    b'HTTP/1.1 431 Request Header Fields Too Large\r\n'
+    b'Connection: close\r\nContent-Length: 0\r\n\r\n',
+)
+
+
+class CallerHandler(SocketHandler):
+    """One connection of a caller."""
+
+    def read_requestline(self) -> Any:
+        """Wait for the next request; an idle connection ends in silence."""
+        limits = self.server.limits()
+        self.head_timer = None
+        with Timeout(limits.idle_ms / _MS_PER_SECOND, False):
+            self.server.idle.add(self)
+            try:
+                waiting = self.rfile.peek(1)
+            finally:
+                self.server.idle.discard(self)
+            if waiting:
+                self.head_timer = Timeout.start_new(
+                    limits.header_ms / _MS_PER_SECOND
+                )
+        if self.head_timer is None:
+            return ''
+        try:
+            return super().read_requestline()
+        except Timeout:
+            self.socket.sendall(_REQUEST_TIMEOUT_ANSWER[1])
+            return ''
+
+    def read_request(self, raw_requestline: str) -> bool:
+        """Read the head within its time and size."""
+        try:
+            return bool(super().read_request(raw_requestline))
+        finally:
+            self.head_timer.close()
+
+    def handle_one_request(self) -> Any:
+        """Answer a head that took too long or is too large."""
+        try:
+            return super().handle_one_request()
+        except Timeout as error:
+            if error is not self.head_timer:
+                raise
+            return _REQUEST_TIMEOUT_ANSWER
+
+    def get_environ(self) -> dict[str, Any]:
+        """Return the environment with the raw target and the headers."""
+        environ = super().get_environ()
+        environ[_TARGET_KEY] = self.path
+        environ[_HEADERS_KEY] = list(self.headers.items())
+        if self.server.closing:
+            self.close_connection = True
+        return environ
+
+    def finalize_headers(self) -> None:
+        """Announce the end of the connection at a planned stop."""
+        super().finalize_headers()
+        if self.server.closing:
+            self.close_connection = True
+            self.response_headers.append((b'Connection', b'close'))
+
+    def handle_error(self, kind: Any, error: Any, trace: Any) -> None:
+        """End the connection under an answer that cannot be finished."""
+        if isinstance(error, CallerGoneError | AbortedAnswerError):
+            self.close_connection = True
+            return
+        super().handle_error(kind, error, trace)
+
+    def log_error(self, text: str, *_args: Any) -> None:
+        """Count malformed requests."""
+        self.server.metrics.count('malformed_requests')
+
+
+class CallerServer(WSGIServer):
+    """Serves callers until it is drained and stopped."""
+
+    def __init__(self, context: DirectContext) -> None:
+        """Prepare the listener; nothing is bound yet."""
+        listen = resolve_address(context.settings.http_listen)
+        super().__init__(
+            (listen.ip, listen.port),
+            self.answer,
+            backlog=_BACKLOG,
+            log=None,
+            error_log=None,
+            handler_class=CallerHandler,
+            spawn=Pool(_MAX_CONNECTIONS),
+        )
+        self.context = context
+        self.metrics = context.metrics
+        self.closing = False
+        self.idle: set[CallerHandler] = set()
+
+    def limits(self) -> CallerLimits:
+        """Return the bounds in force."""
+        table = self.context.table
+        return table.limits if table else DEFAULT_LIMITS
+
+    def bound(self) -> Address:
+        """Return the address that was bound."""
+        ip, port = self.socket.getsockname()[:2]
+        return Address(ip, port)
+
+    def close_idle(self) -> None:
+        """End connections on which no request was begun."""
+        self.closing = True
+        for handler in list(self.idle):
+            handler.socket.close()
+
+    def answer(
+        self, environ: dict[str, Any], start_response: Any
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        incoming = Incoming(
+            environ['REQUEST_METHOD'],
+            environ[_TARGET_KEY],
+            environ[_HEADERS_KEY],
+            environ[SOCKET_KEY],
+            lambda: self._read_body(environ),
+        )
+        reply = serve(self.context, incoming)
+        start_response(status_line(reply.status), reply.headers)
+        return reply.body
+
+    def _read_body(self, environ: dict[str, Any]) -> bytes:
+        limit = self.limits().body_bytes
+        length = int(environ.get('CONTENT_LENGTH') or 0)
+        if length > limit:
+            raise TrestleError(BODY_TOO_LARGE, f'the limit is {limit} bytes')
+        try:
+            with Timeout(_BODY_SECONDS):
+                body: bytes = environ['wsgi.input'].read(limit + 1)
+        except (OSError, ValueError, Timeout) as error:
+            raise TrestleError(BAD_REQUEST, 'the body broke off') from error
+        if len(body) > limit:
+            raise TrestleError(BODY_TOO_LARGE, f'the limit is {limit} bytes')
+        if length and len(body) != length:
+            raise TrestleError(BAD_REQUEST, 'the body broke off')
+        return body
--- /dev/null
+++ b/packages/trestle-entry/src/trestle_entry/direct/direct_app.py
@@ -0,0 +1,163 @@
+"""Builds a direct entry from its settings and a platform's wire.
+
+The entry is ready while it holds a table and is not draining. It goes on
+with the table it holds while no control host answers: the platform may lose
+any number of them, and a table that was in force is still the newest that
+this entry can know.
+"""
+
+from collections.abc import Callable
+from time import monotonic
+from typing import Any, Final, NamedTuple
+
+from gevent import sleep
+from gevent.pywsgi import WSGIServer
+
+from trestle_core.addresses import resolve_address, write_address_file
+from trestle_core.errors import TrestleError
+from trestle_core.lifecycle import Application
+from trestle_core.logs import part_logger
+from trestle_core.metrics import Metrics
+from trestle_core.route_table import RouteTable
+from trestle_core.settings import DirectSettings
+from trestle_entry.direct.caller_server import CallerServer
+from trestle_entry.direct.direct_context import DirectContext
+from trestle_entry.direct.load_exchange import run_exchange
+from trestle_entry.direct.wire_types import BackendWire, CallerWire
+from trestle_links.control_client import ControlClient
+from trestle_links.handshake import read_key
+from trestle_links.link import Identity, LinkPool
+
+_MS_PER_SECOND: Final = 1000
+_POLL_SECONDS: Final = 0.05
+_TIDY_SECONDS: Final = 1.0
+# Time at a stop for the last answers to leave.
+_LAST_ANSWERS_SECONDS: Final = 0.2
+
+_log = part_logger('entry')
+
+
+class Platform(NamedTuple):
+    """A platform's wire, and its route document as a table.
+
+    `read_table` raises `TrestleError`.
+    """
+
+    callers: CallerWire
+    backends: BackendWire
+    read_table: Callable[[bytes], RouteTable]
+
+
+def build_direct(settings: DirectSettings, platform: Platform) -> Application:
+    """Join the parts of a direct entry."""
+    metrics = Metrics.empty()
+    me = Identity(settings.host, read_key(settings.key_file), metrics)
+    control = ControlClient.from_config(settings, me, 'entry', [], metrics)
+    context = DirectContext(
+        settings, platform.callers, platform.backends, metrics
+    )
+    server = CallerServer(context)
+    app = Application(
+        f'entry {settings.host}', settings.drain_ms / _MS_PER_SECOND
+    )
+    _follow_control(context, control, platform.read_table)
+    links = LinkPool(me)
+    app.add(start=control.start, stop=control.stop)
+    app.add(stop=links.close)
+    app.add_task(lambda: run_exchange(context, control, links))
+    app.add_task(lambda: _tidy(context))
+    _add_pages(app, context)
+
+    def start_server() -> None:
+        server.start()
+        write_address_file(settings.http_address_file, server.bound())
+
+    app.add(
+        start=start_server,
+        drain=_drain(app, server),
+        stop=lambda: server.stop(timeout=1),
+    )
+    return app
+
+
+def _follow_control(
+    context: DirectContext,
+    control: ControlClient,
+    read_table: Callable[[bytes], RouteTable],
+) -> None:
+    def take_document() -> None:
+        try:
+            table = read_table(control.view.document)
+        except TrestleError as error:
+            # It was checked before it was published.
+            _log.error('The route document cannot be used: {}.', error)
+            return
+        context.table = table
+        _log.info('Route table {} is in force.', table.version)
+
+    def take_backends() -> None:
+        fleet = context.fleet
+        fleet.take_list(control.view.backends)
+        context.pool.keep_only(set(fleet.backends))
+        for instance in set(context.loads.cached) - set(fleet.backends):
+            context.loads.forget(instance)
+
+    control.on_document.append(take_document)
+    control.on_backends.append(take_backends)
+
+
+def _add_pages(app: Application, context: DirectContext) -> None:
+    settings = context.settings
+
+    def ready(_environ: Any, start_response: Any) -> list[bytes]:
+        is_ready = context.table is not None and not app.stop_asked.is_set()
+        status = '200 OK' if is_ready else '503 Service Unavailable'
+        start_response(status, [('Content-Length', '0')])
+        return []
+
+    def metrics(_environ: Any, start_response: Any) -> list[bytes]:
+        body = context.metrics.render().encode()
+        headers = [
+            ('Content-Type', 'text/plain; version=0.0.4'),
+            ('Content-Length', str(len(body))),
+        ]
+        start_response('200 OK', headers)
+        return [body]
+
+    pages = [(settings.ready_listen, ready)]
+    if settings.metrics_listen:
+        pages.append((settings.metrics_listen, metrics))
+    for listen, page in pages:
+        address = resolve_address(listen)
+        server = WSGIServer(
+            (address.ip, address.port), page, log=None, error_log=None
+        )
+        app.add(start=server.start, stop=server.stop)
+
+
+def _tidy(context: DirectContext) -> None:
+    while True:
+        sleep(_TIDY_SECONDS)
+        context.pool.close_aged()
+
+
+def _drain(app: Application, server: CallerServer) -> Callable[[], None]:
+    """Return the drain hook; readiness is off as soon as a stop is asked.
+
+    Requests are taken until the balancer had time to see that, and each
+    answer then ends its connection, so that callers go elsewhere.
+    """
+    settings = server.context.settings
+
+    def drain() -> None:
+        deadline = monotonic() + app.drain_seconds
+        server.closing = True
+        sleep(settings.drain_notice_ms / _MS_PER_SECOND)
+        server.close_idle()
+        server.stop_accepting()
+        busy = server.pool
+        while busy and len(busy) and monotonic() < deadline:
+            sleep(_POLL_SECONDS)
+        sleep(_LAST_ANSWERS_SECONDS)
+
+    return drain
--- /dev/null
+++ b/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
@@ -0,0 +1,72 @@
+"""What all requests of one direct entry share."""
+
+from random import Random
+from typing import Final, NamedTuple
+
+from trestle_core.metrics import Metrics
+from trestle_core.route_table import Route, RouteTable, Service
+from trestle_core.settings import DirectSettings
+from trestle_entry.direct.connection_pool import ConnectionPool
+from trestle_entry.direct.crash_guard import CrashGuard
+from trestle_entry.direct.engine_loads import EngineLoads
+from trestle_entry.direct.fleet_view import FleetView
+from trestle_entry.direct.request_log import RequestLog
+from trestle_entry.direct.retry_limits import RetryLimits
+from trestle_entry.direct.wire_types import BackendWire, CallerWire
+
+_MS_PER_SECOND: Final = 1000
+
+
+class Matched(NamedTuple):
+    """A route, the service that was drawn for a request, and the version."""
+
+    route: Route
+    service: Service
+    version: int
+
+
+class DirectContext:
+    """The parts that requests use, and the table in force."""
+
+    def __init__(
+        self,
+        settings: DirectSettings,
+        callers: CallerWire,
+        backends: BackendWire,
+        metrics: Metrics,
+    ) -> None:
+        """Hold no table: every request is refused until one comes."""
+        self.settings = settings
+        self.callers = callers
+        self.backends = backends
+        self.metrics = metrics
+        self.table: RouteTable | None = None
+        self.fleet = FleetView()
+        self.pool = ConnectionPool(metrics)
+        self.loads = EngineLoads(settings.host)
+        self.guard = CrashGuard()
+        self.log = RequestLog(metrics)
+        self.limits: dict[str, RetryLimits] = {}
+        self.part_sizes: dict[int, int] = {}
+        self.random = Random(settings.host)
+        self.inflight = 0
+
+    def limits_of(self, service: str) -> RetryLimits:
+        """Return the retry limits of a service."""
+        limits = self.limits.get(service)
+        if limits is None:
+            settings = self.settings
+            limits = RetryLimits(
+                settings.retry_share,
+                settings.retry_extra,
+                settings.retry_window_ms / _MS_PER_SECOND,
+            )
+            self.limits[service] = limits
+        return limits
+
+    def may_resend(self, service: str) -> bool:
+        """Take one further send from the limits of a service."""
+        allowed = self.limits_of(service).take(self.loads.entries)
+        reason = 'taken' if allowed else 'refused'
+        self.metrics.count('resends', reason)
+        return allowed
--- /dev/null
+++ b/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
@@ -0,0 +1,183 @@
+"""Work in progress at engines: this entry's, and the sums of the others.
+
+Prompts that are not read yet count in predicted engine time, by priority,
+because an engine admits more urgent requests first. Reading speed is learned
+from this entry's own calls; an engine that takes longer than predicted is
+counted slower by the ratio.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterator
+from contextlib import contextmanager
+from time import monotonic
+from typing import Final
+
+from trestle_entry.direct.cached_parts import CachedParts
+from trestle_entry.direct.wire_types import ModelNeed
+from trestle_links.direct_messages import LoadReport, LoadView, Placement
+
+# Prompt tokens that an engine reads in a millisecond until it is measured.
+OPENING_SPEED: Final = 50.0
+# A decode engine reads at half the speed of a prefill engine.
+DECODE_SLOWDOWN: Final = 2.0
+# Engine time of a request besides its tokens, ms.
+BASE_MS: Final = 18.0
+# Weight of one call in the learned slowness of an engine.
+_SLOWNESS_WEIGHT: Final = 0.2
+_LEAST_SLOWNESS: Final = 0.7
+_MOST_SLOWNESS: Final = 12.0
+# Sums of the others say nothing after this time without an exchange.
+_VIEW_SECONDS: Final = 1.0
+_PLACEMENTS_KEPT: Final = 300
+_MS_PER_SECOND: Final = 1000
+
+
+class EngineLoads:
+    """Loads, speeds and cached parts of all engines."""
+
+    def __init__(self, host: str) -> None:
+        """Know no work; `host` names this entry in the exchange."""
+        self.host = host
+        self.prefill_ms: defaultdict[tuple[str, int], float] = defaultdict(
+            float
+        )
+        self.running: defaultdict[str, int] = defaultdict(int)
+        self.offered: defaultdict[str, float] = defaultdict(float)
+        self.slowness: dict[str, float] = {}
+        self.cached: dict[str, CachedParts] = {}
+        self.placements: list[Placement] = []
+        self.suspects: list[str] = []
+        self.view = LoadView(1, {}, {}, [], [], 0, 0)
+        self.viewed_at = -_VIEW_SECONDS
+
+    @property
+    def entries(self) -> int:
+        """How many entries share the fleet, this one included."""
+        return max(1, self.view.entries)
+
+    def wait_ms(self, instance: str, priority: int) -> float:
+        """Return the time of prompts ahead of one with a priority."""
+        own = sum(
+            amount
+            for (name, level), amount in self.prefill_ms.items()
+            if name == instance and level <= priority
+        )
+        return (own + self._others_ms(instance, priority)) * self.slow(
+            instance
+        )
+
+    def running_at(self, instance: str) -> int:
+        """Return the requests in work at a back end, over all entries."""
+        own = self.running[instance]
+        if self._is_fresh():
+            own += self.view.running.get(instance, 0)
+        return own
+
+    def slow(self, instance: str) -> float:
+        """Return how many times slower than predicted an engine is."""
+        return self.slowness.get(instance, 1.0)
+
+    def uncached_tokens(self, instance: str, need: ModelNeed) -> int:
+        """Return the tokens that an engine would have to read."""
+        cached = self.cached.get(instance)
+        held = cached.cached_tokens(need.parts) if cached else 0
+        return max(1, need.prompt_tokens - held)
+
+    @contextmanager
+    def reading(
+        self, instance: str, priority: int, engine_ms: float
+    ) -> Iterator[None]:
+        """Count a prompt as being read during the block."""
+        key = (instance, priority)
+        self.prefill_ms[key] += engine_ms
+        try:
+            yield
+        finally:
+            self.prefill_ms[key] -= engine_ms
+            if self.prefill_ms[key] < 1e-6:
+                self.prefill_ms.pop(key)
+
+    @contextmanager
+    def counted(self, instance: str) -> Iterator[None]:
+        """Count a request as in work at a back end during the block."""
+        self.running[instance] += 1
+        try:
+            yield
+        finally:
+            self.running[instance] -= 1
+            if not self.running[instance]:
+                self.running.pop(instance)
+
+    def note_read(
+        self, instance: str, need: ModelNeed, limit_tokens: int
+    ) -> None:
+        """Note that an engine holds a prompt now."""
+        cached = self.cached.setdefault(instance, CachedParts())
+        cached.note_used(need.parts, limit_tokens)
+        # The last part belongs to one request or session.
+        for part in need.parts[:-1]:
+            self.placements.append(Placement(part.part, instance))
+
+    def note_speed(
+        self, instance: str, predicted_ms: float, took_ms: float
+    ) -> None:
+        """Learn from a call how slow an engine is."""
+        ratio = min(
+            _MOST_SLOWNESS, max(_LEAST_SLOWNESS, took_ms / predicted_ms)
+        )
+        known = self.slow(instance)
+        self.slowness[instance] = known + _SLOWNESS_WEIGHT * (ratio - known)
+
+    def forget(self, instance: str) -> None:
+        """Forget what an engine that ended had cached."""
+        self.cached.pop(instance, None)
+        self.slowness.pop(instance, None)
+
+    def take_report(self) -> LoadReport:
+        """Return the report of this entry and start the next one."""
+        prefill_ms = {
+            f'{instance}#{priority}': round(amount, 1)
+            for (instance, priority), amount in self.prefill_ms.items()
+        }
+        report = LoadReport(
+            self.host,
+            prefill_ms,
+            dict(self.running),
+            dict(self.offered),
+            self.placements[-_PLACEMENTS_KEPT:],
+            self.suspects,
+            self.view.seen,
+        )
+        self.offered.clear()
+        self.placements = []
+        self.suspects = []
+        return report
+
+    def take_view(self, view: LoadView, sizes: dict[int, int]) -> None:
+        """Take the sums of the others; `sizes` gives tokens by part."""
+        self.view = view
+        self.viewed_at = monotonic()
+        for placement in view.placements:
+            tokens = sizes.get(placement.part)
+            if tokens is not None:
+                cached = self.cached.setdefault(
+                    placement.instance, CachedParts()
+                )
+                cached.note_part(placement.part, tokens)
+
+    def _is_fresh(self) -> bool:
+        return monotonic() - self.viewed_at < _VIEW_SECONDS
+
+    def _others_ms(self, instance: str, priority: int) -> float:
+        if not self._is_fresh():
+            return 0.0
+        total = 0.0
+        for level in range(priority + 1):
+            total += self.view.prefill_ms.get(f'{instance}#{level}', 0.0)
+        return total
+
+
+def read_ms(tokens: int) -> float:
+    """Return the engine time that reading tokens takes."""
+    return BASE_MS + tokens / OPENING_SPEED
+
--- /dev/null
+++ b/packages/trestle-entry/src/trestle_entry/direct/load_exchange.py
@@ -0,0 +1,55 @@
+"""Exchanges loads with the leader, in one greenlet.
+
+Without a leader the entry goes by its own figures, which age out of the
+view after a second.
+"""
+
+from time import monotonic
+from typing import Final
+
+from gevent import sleep
+
+from trestle_core.errors import TrestleError
+from trestle_core.logs import part_logger
+from trestle_entry.direct.direct_context import DirectContext
+from trestle_links.control_client import ControlClient
+from trestle_links.direct_messages import LoadView
+from trestle_links.link import LinkPool
+
+_CALL_SECONDS: Final = 0.4
+_MS_PER_SECOND: Final = 1000
+_PAUSE_SECONDS: Final = 0.3
+
+_log = part_logger('loads')
+
+
+def run_exchange(
+    context: DirectContext, control: ControlClient, links: LinkPool
+) -> None:
+    """Report and take the sums of the others, for ever."""
+    every_seconds = context.settings.exchange_every_ms / _MS_PER_SECOND
+    lost_at: float | None = None
+    while True:
+        leader = control.leader_address
+        reached = bool(leader) and _exchange(context, leader, links)
+        if reached and lost_at is not None:
+            away_seconds = monotonic() - lost_at
+            _log.info('Leader answers again after {:.1f} s.', away_seconds)
+            lost_at = None
+        elif not reached and lost_at is None:
+            lost_at = monotonic()
+            _log.warning('Leader {} does not answer.', leader or 'unknown')
+        sleep(every_seconds if reached else _PAUSE_SECONDS)
+
+
+def _exchange(context: DirectContext, leader: str, links: LinkPool) -> bool:
+    report = context.loads.take_report()
+    try:
+        view = links.link_to(leader).call(report, LoadView, _CALL_SECONDS)
+    except TrestleError as error:
+        links.forget(leader)
+        context.metrics.count('load_exchange_failures', error.code.code)
+        return False
+    context.loads.take_view(view, context.part_sizes)
+    context.guard.take(view.suspects)
+    return True
--- /dev/null
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
@@ -0,0 +1,240 @@
+"""Model requests: where the prompt is read, who streams, what is refused.
+
+The pipeline of a request: a plan or a refusal, the prompt read at one engine,
+the stream opened at another one. A request counts as run from the moment at
+which an engine that may stream took it, so a refusal after that is none.
+"""
+
+from time import monotonic
+from typing import Final
+
+from gevent import Timeout
+
+from trestle_core.errorcodes import (
+    ANSWER_INCOMPLETE,
+    DEADLINE_PASSED,
+    DEADLINE_UNREACHABLE,
+    NO_ENDPOINT,
+    OVERLOADED,
+    RETRY_BUDGET,
+    SUSPECT_HELD,
+    ErrorCode,
+)
+from trestle_core.errors import TrestleError
+from trestle_core.verdict import Verdict
+from trestle_entry.direct.admission import Prospect, refusal_of
+from trestle_entry.direct.backend_calls import (
+    OpenAnswer,
+    WholeAnswer,
+    left_ms,
+    open_answer,
+    read_whole,
+)
+from trestle_entry.direct.backend_exchange import (
+    BrokenAnswerError,
+    NotSentError,
+)
+from trestle_entry.direct.model_run import ModelRun
+from trestle_entry.direct.placement import Plan, PlanNeed, plan_request
+from trestle_entry.direct.prompt_reading import (
+    Handle,
+    free_handle,
+    kept_tokens,
+    read_prompt,
+)
+from trestle_entry.direct.replies import RefusedError
+from trestle_entry.direct.wire_types import OK, SERVER_ERROR, SendOptions
+
+_MOST_READS: Final = 2
+_MOST_SENDS: Final = 4
+_CRASH_RETURN_SECONDS: Final = 2.0
+
+
+def open_stream(run: ModelRun) -> OpenAnswer | WholeAnswer:
+    """Open the stream at an engine, or return its whole failure.
+
+    Raises `TrestleError`.
+    """
+    if run.context.guard.is_barred(run.digest):
+        raise RefusedError(
+            SUSPECT_HELD, 'it ended several back ends', _CRASH_RETURN_SECONDS
+        )
+    limit = Timeout(max(0.001, run.request.deadline - monotonic()))
+    try:
+        with limit:
+            return _open(run, admit=True)
+    except Timeout as error:
+        if error is not limit:
+            raise
+        raise TrestleError(DEADLINE_PASSED, verdict=run.verdict) from error
+
+
+def reopen_stream(run: ModelRun) -> OpenAnswer:
+    """Go on at another engine after the last whole event.
+
+    Raises `TrestleError`.
+    """
+    opened = _open(run, admit=False)
+    if isinstance(opened, WholeAnswer):
+        raise TrestleError(
+            ANSWER_INCOMPLETE, 'the resume failed', Verdict.MAY_HAVE_RUN
+        )
+    return opened
+
+
+def _open(run: ModelRun, *, admit: bool) -> OpenAnswer | WholeAnswer:
+    while True:
+        plan = _plan(run, admit=admit)
+        admit = False
+        handle = read_prompt(run, plan)
+        if plan.reader and handle is None and run.reads < _MOST_READS:
+            _check_resend(run)
+            continue
+        opened = _try(run, plan, handle)
+        if opened is not None:
+            return opened
+
+
+def _plan(run: ModelRun, *, admit: bool) -> Plan:
+    context = run.context
+    engines = context.fleet.usable(run.service.name, frozenset(run.avoided))
+    if run.reads >= _MOST_READS:
+        engines = [entry for entry in engines if entry.role != 'prefill']
+    asked = PlanNeed(run.need, run.route.priority, context.settings.zone)
+    plan = plan_request(engines, context.loads, asked)
+    if plan is None:
+        raise _failure(run, NO_ENDPOINT, f'no engine of {run.service.name}')
+    if admit:
+        _admit(run, plan)
+    elif run.left_ms <= 0:
+        raise _failure(run, DEADLINE_UNREACHABLE, 'no time is left')
+    return plan
+
+
+def _admit(run: ModelRun, plan: Plan) -> None:
+    prospect = Prospect(
+        run.waited_ms,
+        plan.first_token_ms - plan.read_ms,
+        plan.first_token_ms,
+        run.route.target_ms,
+        run.left_ms,
+    )
+    run.story.fields['predicted_ms'] = round(plan.first_token_ms)
+    run.story.fields['load_age_ms'] = run.context.loads.view.age_ms
+    refusal = refusal_of(prospect, run.context.random.random())
+    if refusal:
+        code = DEADLINE_UNREACHABLE
+        if refusal.reason == 'overload':
+            code = OVERLOADED
+        text = f'{plan.first_token_ms:.0f} ms to the first token'
+        raise RefusedError(code, text, refusal.retry_after)
+    pool = run.service.name
+    offered = run.context.loads.offered
+    kind = 'prefill' if plan.reader else 'decode'
+    offered[f'{kind}:{pool}'] += plan.read_ms
+
+
+def _try(
+    run: ModelRun, plan: Plan, handle: Handle | None
+) -> OpenAnswer | WholeAnswer | None:
+    """Send once to a decode engine; None means to start again."""
+    instance = plan.decoder.instance
+    if run.sends:
+        _check_resend(run)
+    run.sends += 1
+    options = SendOptions(
+        instance,
+        left_ms(run.request.deadline),
+        kv_source=handle.source if handle else '',
+        priority=run.route.priority,
+        resume_from=run.events.last_id,
+    )
+    run.story.add('send', instance if handle else f'{instance}: reads itself')
+    run.count_at(instance)
+    taken = False
+    try:
+        opened = _send(run, plan, options, is_read=handle is not None)
+        taken = opened is not None and not opened.head.refused
+    finally:
+        if handle and not taken:
+            free_handle(run.context, handle)
+        if not taken:
+            run.count_at('')
+    if opened is None or opened.head.refused:
+        return None
+    if opened.head.status == OK:
+        run.context.loads.note_read(instance, run.need, kept_tokens(run))
+        return opened
+    return _failed_answer(run, opened)
+
+
+def _send(
+    run: ModelRun, plan: Plan, options: SendOptions, *, is_read: bool
+) -> OpenAnswer | None:
+    decoder = plan.decoder
+    loads = run.context.loads
+    engine_ms = 0.0 if is_read else plan.read_ms
+    try:
+        with loads.reading(decoder.instance, run.route.priority, engine_ms):
+            opened = open_answer(
+                run.context, run.request, decoder, options, once=True
+            )
+    except NotSentError as error:
+        run.story.add('unreachable', f'{decoder.instance}: {error}')
+        run.avoided.add(decoder.instance)
+        run.context.fleet.note_unreachable(decoder.instance, str(error))
+        return None
+    except BrokenAnswerError as error:
+        run.runs += 1
+        run.avoided.add(decoder.instance)
+        run.story.add('broken', f'{decoder.instance}: {error}')
+        run.note_end(decoder.instance, str(error))
+        if run.may_run_again:
+            return None
+        raise TrestleError(
+            ANSWER_INCOMPLETE, str(error), Verdict.MAY_HAVE_RUN
+        ) from error
+    except Timeout:
+        # The deadline: the engine had the request and may have run it.
+        run.runs += 1
+        raise
+    if opened.head.refused:
+        read_whole(run.context, opened)
+        run.story.add('declined', f'{decoder.instance}: {opened.head.status}')
+        run.avoided.add(decoder.instance)
+        return opened
+    run.runs += 1
+    return opened
+
+
+def _failed_answer(run: ModelRun, opened: OpenAnswer) -> WholeAnswer | None:
+    instance = opened.backend.instance
+    try:
+        whole = read_whole(run.context, opened)
+    except BrokenAnswerError as error:
+        run.note_end(instance, str(error))
+        raise TrestleError(
+            ANSWER_INCOMPLETE, str(error), Verdict.MAY_HAVE_RUN
+        ) from error
+    finally:
+        run.count_at('')
+    run.story.add('failed', f'{instance}: {whole.head.status}')
+    if whole.head.status >= SERVER_ERROR:
+        run.context.fleet.note_failed(instance, str(whole.head.status))
+        run.avoided.add(instance)
+        if run.may_run_again and run.context.may_resend(run.service.name):
+            return None
+    return whole
+
+
+def _check_resend(run: ModelRun) -> None:
+    if run.sends >= _MOST_SENDS:
+        raise _failure(run, RETRY_BUDGET, 'no send is left')
+    if not run.context.may_resend(run.service.name):
+        raise _failure(run, RETRY_BUDGET, 'the retry limits are reached')
+
+
+def _failure(run: ModelRun, code: ErrorCode, text: str) -> TrestleError:
+    if run.runs:
+        return TrestleError(ANSWER_INCOMPLETE, text, Verdict.MAY_HAVE_RUN)
+    return RefusedError(code, text)
--- /dev/null
+++ b/packages/trestle-entry/src/trestle_entry/direct/placement.py
@@ -0,0 +1,143 @@
+"""Where a prompt is read and where its answer is made.
+
+Two ways are compared by predicted time to the first token: a prefill engine
+reads the prompt and a decode engine takes over its memory, or a decode engine
+does both at half the reading speed. Every engine of a stage is a candidate;
+its cost is the work ahead, the tokens it does not hold, and a small extra for
+engines that are not the prompt's home, so that entries which know nothing of
+each other still send a shared beginning to the same engine.
+"""
+
+from typing import Final, NamedTuple
+
+from trestle_core.digests import rendezvous_score
+from trestle_entry.direct.engine_loads import (
+    BASE_MS,
+    DECODE_SLOWDOWN,
+    EngineLoads,
+    read_ms,
+)
+from trestle_entry.direct.wire_types import ModelNeed
+from trestle_links.direct_messages import Backend
+
+PREFILL: Final = 'prefill'
+DECODE: Final = 'decode'
+
+# Cost of reading a shared beginning away from its home, ms: less than a
+# short queue, more than the noise of the estimates.
+_AWAY_MS: Final = 25.0
+# Engine time of one more request in a decode batch, ms.
+_BATCH_MS: Final = 4.0
+# Handing memory over, ms: set-up and the transfer of a common prompt.
+_TAKE_OVER_MS: Final = 25.0
+_MS_PER_TOKEN_MOVED: Final = 0.0007
+_OTHER_ZONE: Final = 2.0
+# How much dearer a token that was read twice is than its engine time.
+_REREAD: Final = 1.25
+_HIGHEST_SCORE: Final = 2**64 - 1
+# Reading at a decode engine slows every stream there.
+_INTERFERENCE: Final = 1.3
+
+
+class Plan(NamedTuple):
+    """The engines of a request; times are predictions in ms.
+
+    Without a `reader` the decode engine reads the prompt itself.
+    """
+
+    reader: Backend | None
+    decoder: Backend
+    read_ms: float
+    first_token_ms: float
+
+
+class PlanNeed(NamedTuple):
+    """What a plan is made for."""
+
+    need: ModelNeed
+    priority: int
+    zone: str
+
+
+class Candidate(NamedTuple):
+    """An engine with its cost and the engine time of the prompt there."""
+
+    cost: float
+    wait_ms: float
+    engine_ms: float
+    backend: Backend
+
+
+def plan_request(
+    engines: list[Backend], loads: EngineLoads, asked: PlanNeed
+) -> Plan | None:
+    """Return the plan with the earliest first token, or None."""
+    decoders = [entry for entry in engines if entry.role != PREFILL]
+    readers = [entry for entry in engines if entry.role == PREFILL]
+    if not decoders:
+        return None
+    alone = min(_decode_alone(loads, asked, entry) for entry in decoders)
+    whole_plan = Plan(
+        None, alone.backend, alone.engine_ms, alone.wait_ms + alone.engine_ms
+    )
+    if not readers:
+        return whole_plan
+    reader = min(_as_reader(loads, asked, entry) for entry in readers)
+    decoder = min(
+        _as_decoder(loads, asked, entry, reader.backend) for entry in decoders
+    )
+    if alone.cost * _INTERFERENCE < reader.cost + decoder.cost:
+        return whole_plan
+    first_token_ms = reader.wait_ms + reader.engine_ms + decoder.wait_ms
+    return Plan(
+        reader.backend, decoder.backend, reader.engine_ms, first_token_ms
+    )
+
+
+def _as_reader(
+    loads: EngineLoads, asked: PlanNeed, engine: Backend
+) -> Candidate:
+    uncached = loads.uncached_tokens(engine.instance, asked.need)
+    slow = loads.slow(engine.instance)
+    wait_ms = loads.wait_ms(engine.instance, asked.priority)
+    engine_ms = read_ms(uncached) * slow
+    cost = wait_ms + engine_ms * _REREAD + _away_ms(asked, engine)
+    return Candidate(cost, wait_ms, engine_ms, engine)
+
+
+def _decode_alone(
+    loads: EngineLoads, asked: PlanNeed, engine: Backend
+) -> Candidate:
+    uncached = loads.uncached_tokens(engine.instance, asked.need)
+    slow = loads.slow(engine.instance)
+    wait_ms = loads.wait_ms(engine.instance, asked.priority)
+    engine_ms = read_ms(uncached) * slow * DECODE_SLOWDOWN - BASE_MS
+    batch_ms = loads.running_at(engine.instance) * _BATCH_MS
+    cost = wait_ms + engine_ms * _REREAD + batch_ms + _away_ms(asked, engine)
+    return Candidate(cost, wait_ms, engine_ms, engine)
+
+
+def _as_decoder(
+    loads: EngineLoads, asked: PlanNeed, engine: Backend, reader: Backend
+) -> Candidate:
+    moved = loads.uncached_tokens(engine.instance, asked.need)
+    factor = 1.0 if engine.zone == reader.zone else _OTHER_ZONE
+    wait_ms = _TAKE_OVER_MS + moved * _MS_PER_TOKEN_MOVED * factor
+    wait_ms += loads.wait_ms(engine.instance, asked.priority)
+    batch_ms = loads.running_at(engine.instance) * _BATCH_MS
+    cost = wait_ms + batch_ms + _away_ms(asked, engine)
+    # Memory that moves is paid for besides its time.
+    cost += moved * _MS_PER_TOKEN_MOVED * factor
+    return Candidate(cost, wait_ms, 0.0, engine)
+
+
+def _away_ms(asked: PlanNeed, engine: Backend) -> float:
+    """Return a cost between nothing and `_AWAY_MS` by the home rank."""
+    parts = asked.need.parts
+    if not parts:
+        return 0.0
+    # The largest part is the one worth keeping together; the last part is
+    # the request's own.
+    shared = max(parts[:-1] or parts, key=lambda part: part.tokens)
+    score = rendezvous_score(str(shared.part), engine.instance)
+    return _AWAY_MS * (1 - score / _HIGHEST_SCORE)
--- /dev/null
+++ b/packages/trestle-entry/src/trestle_entry/direct/request_log.py
@@ -0,0 +1,94 @@
+"""One line for each request, with every decision that touched it.
+
+Lines go through a bounded queue to one writer greenlet, so that a reader of
+the log that stops never stops a request. What does not fit is counted and
+reported in one line.
+"""
+
+from collections import deque
+from time import monotonic
+from typing import Any, Final, NamedTuple
+
+from gevent import spawn
+from gevent.event import Event
+from msgspec.json import encode
+
+from trestle_core.logs import write_line
+from trestle_core.metrics import Metrics
+
+_QUEUE_LINES: Final = 2000
+
+
+class Step(NamedTuple):
+    """A decision on a request, `at_ms` after it arrived."""
+
+    at_ms: float
+    what: str
+    detail: str
+
+
+class RequestStory:
+    """The decisions on one request, in order."""
+
+    def __init__(self, request_id: str, arrived: float) -> None:
+        """Start with no decision."""
+        self.request_id = request_id
+        self.arrived = arrived
+        self.steps: list[Step] = []
+        self.fields: dict[str, Any] = {}
+
+    def add(self, what: str, detail: str = '') -> None:
+        """Note a decision."""
+        at_ms = round((monotonic() - self.arrived) * 1000, 1)
+        self.steps.append(Step(at_ms, what, detail))
+
+
+class RequestLog:
+    """The queue and the writer."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        """Start the writer on the first line."""
+        self.metrics = metrics
+        self.lines: deque[bytes] = deque()
+        self.wake = Event()
+        self.dropped = 0
+        self.started = False
+
+    def write(self, story: RequestStory, outcome: str, verdict: str) -> None:
+        """Queue the line of a request that has ended."""
+        self.metrics.count('request_outcomes', outcome)
+        total_ms = round((monotonic() - story.arrived) * 1000, 1)
+        self._put(
+            {
+                'part': 'request',
+                'request': story.request_id,
+                'outcome': outcome,
+                'verdict': verdict,
+                'ms': total_ms,
+                **story.fields,
+                'steps': story.steps,
+            }
+        )
+
+    def _put(self, line: dict[str, Any]) -> None:
+        if not self.started:
+            self.started = True
+            spawn(self._run)
+        if len(self.lines) >= _QUEUE_LINES:
+            self.dropped += 1
+            self.metrics.count('log_lines_dropped')
+            return
+        self.lines.append(encode(line))
+        self.wake.set()
+
+    def _run(self) -> None:
+        while True:
+            self.wake.wait()
+            self.wake.clear()
+            while self.lines:
+                write_line(self.lines.popleft())
+            if self.dropped:
+                lost, self.dropped = self.dropped, 0
+                write_line(
+                    encode({'part': 'request', 'lines_dropped': lost})
+                )
--- /dev/null
+++ b/packages/trestle-entry/src/trestle_entry/direct/retry_limits.py
@@ -0,0 +1,50 @@
+"""How many further sends this entry may make, of those of all entries.
+
+The limit is one for the whole fleet: a share of the requests and a fixed
+number, over a sliding window. Every entry uses the share of its own requests
+and an equal part of the fixed number, so that together they stay below the
+limit however the load is spread.
+"""
+
+from collections import deque
+from time import monotonic
+from typing import Final
+
+# Part of the limit that is used; requests that callers gave up are counted
+# by the platform later than here.
+_USED_SHARE: Final = 0.7
+
+
+class RetryLimits:
+    """Sends of one service in a sliding window."""
+
+    def __init__(
+        self, share: float, extra: int, window_seconds: float
+    ) -> None:
+        """Keep the limits of the whole fleet."""
+        self.share = share
+        self.extra = extra
+        self.window_seconds = window_seconds
+        self.requests: deque[float] = deque()
+        self.resends: deque[float] = deque()
+
+    def note_request(self) -> None:
+        """Count a caller's request."""
+        self.requests.append(monotonic())
+
+    def take(self, entries: int) -> bool:
+        """Count a further send if the limits allow it."""
+        now = monotonic()
+        _drop_before(self.requests, now - self.window_seconds)
+        _drop_before(self.resends, now - self.window_seconds)
+        allowed = len(self.requests) * self.share
+        allowed += self.extra / max(1, entries)
+        if len(self.resends) + 1 > allowed * _USED_SHARE:
+            return False
+        self.resends.append(now)
+        return True
+
+
+def _drop_before(times: deque[float], oldest: float) -> None:
+    while times and times[0] < oldest:
+        times.popleft()
--- a/packages/trestle-entry/src/trestle_entry/http_server.py
+++ b/packages/trestle-entry/src/trestle_entry/http_server.py
@@ -11,8 +11,7 @@
 
 from gevent import Timeout
 from gevent.pool import Pool
-from gevent.pywsgi import WSGIHandler, WSGIServer
-from gevent.socket import IPPROTO_TCP, TCP_NODELAY
+from gevent.pywsgi import WSGIServer
 
 from trestle_core.addresses import Address, resolve_address
 from trestle_core.errorcodes import (
@@ -48,10 +47,10 @@
     request_page,
 )
 from trestle_entry.service_pages import service_page
+from trestle_entry.socket_handler import SOCKET_KEY, SocketHandler
 
 _BODY_SECONDS: Final = 30
 _MAX_CONNECTIONS: Final = 10_000
-_SOCKET_KEY: Final = 'kingcuptrestle.socket'
 _DIGEST_BYTES: Final = 6
 
 _log = part_logger('entry')
@@ -59,33 +58,6 @@
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
 
-class SocketHandler(WSGIHandler):
-    """Hands the caller's socket to the application."""
-
-    def handle(self) -> None:
-        """Send each event at once: batching is done by the answer stream."""
-        self.socket.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
-        super().handle()
-
-    def get_environ(self) -> dict[str, Any]:
-        """Return the WSGI environment with the socket in it."""
-        environ: dict[str, Any] = super().get_environ()
-        environ[_SOCKET_KEY] = self.socket
-        return environ
-
-    def _sendall(self, data: bytes) -> None:
-        # Events are small: one plain send nearly always takes them whole,
-        # and gevent's sendall costs half a token's relay more.
-        try:
-            sent = self.socket.send(data)
-        except OSError:
-            # The base class notes the failure in the status.
-            sent = 0
-        if sent < len(data):
-            super()._sendall(data[sent:])  # type: ignore[misc]
-        self.response_length += sent
-
-
 class Pages:
     """Finds the page of a method and a path."""
 
@@ -200,7 +172,7 @@
             body=self._read_body(environ),
             request_id=request_id,
             caller=_caller_of(headers),
-            socket=environ.get(_SOCKET_KEY),
+            socket=environ.get(SOCKET_KEY),
         )
 
     def _read_body(self, environ: dict[str, Any]) -> bytes:
--- a/packages/trestle-links/src/trestle_links/control_client.py
+++ b/packages/trestle-links/src/trestle_links/control_client.py
@@ -9,7 +9,7 @@
 """
 
 from collections.abc import Callable
-from itertools import count, cycle
+from itertools import count
 from time import monotonic
 from typing import Any, Final, NamedTuple, Self, TypeVar
 
@@ -24,6 +24,11 @@
 from trestle_links.codec import Message
 from trestle_links.connection import CallTimeoutError, Channel
 from trestle_links.control_calls import ControlCaller
+from trestle_links.direct_messages import (
+    BackendsDelta,
+    ControlHostsDelta,
+    DocumentDelta,
+)
 from trestle_links.fleet_messages import Order
 from trestle_links.freshness import Freshness
 from trestle_links.link import Identity, Link
@@ -80,6 +85,10 @@
         self.on_endpoints: list[Hook] = []
         self.on_order: list[OrderHook] = []
         self.on_contents: list[Hook] = []
+        self.on_document: list[Hook] = []
+        self.on_backends: list[Hook] = []
+        # Where the leader listens, as the followed host last told.
+        self.leader_address = ''
         self.freshness = Freshness()
         self.lost = False
         self.stopped = Event()
@@ -90,6 +99,9 @@
             EndpointsDelta: self._take_endpoints,
             ContentDelta: self._take_contents,
             OrderDelta: self._take_order,
+            DocumentDelta: self._take_document,
+            BackendsDelta: self._take_backends,
+            ControlHostsDelta: self._take_hosts,
         }
         self.task: Greenlet[..., None] | None = None
 
@@ -130,10 +142,14 @@
     def is_fresh(self) -> bool:
         """Tell whether the node holds a set and a stamp that confirms it."""
         return (
-            self.view.named_set is not None
+            self._holds_configuration()
             and self.freshness_seconds() < self.watcher.stale_seconds
         )
 
+    def _holds_configuration(self) -> bool:
+        view = self.view
+        return view.named_set is not None or view.document_version > 0
+
     def freshness_seconds(self) -> float:
         """Return the age of the view; infinity before the first stamp."""
         return self.freshness.age_seconds()
@@ -167,7 +183,8 @@
         _run_hooks(self.on_set)
 
     def _run(self) -> None:
-        for address in cycle(self.addresses):
+        for turn in count():
+            address = self.addresses[turn % len(self.addresses)]
             link = Link.to_address(address, self.me)
             try:
                 self._follow(link)
@@ -236,6 +253,22 @@
         if self.view.take_contents(delta):
             _run_hooks(self.on_contents)
 
+    def _take_document(self, delta: DocumentDelta) -> None:
+        if self.view.take_document(delta):
+            _run_hooks(self.on_document)
+
+    def _take_backends(self, delta: BackendsDelta) -> None:
+        if self.view.take_backends(delta):
+            _run_hooks(self.on_backends)
+
+    def _take_hosts(self, delta: ControlHostsDelta) -> None:
+        self.leader_address = delta.leader
+        # The list is shared with `caller`, so it changes in place. Addresses
+        # of the settings stay: they are all that is left after a long cut.
+        for address in delta.addresses:
+            if address not in self.addresses:
+                self.addresses.append(address)
+
     def _take_order(self, delta: OrderDelta) -> None:
         for hook in self.on_order:
             hook(delta.order)
--- a/packages/trestle-links/src/trestle_links/node_view.py
+++ b/packages/trestle-links/src/trestle_links/node_view.py
@@ -17,6 +17,11 @@
 from trestle_core.logs import part_logger
 from trestle_core.namedset import NamedSet
 from trestle_core.namedset_check import check_set
+from trestle_links.direct_messages import (
+    Backend,
+    BackendsDelta,
+    DocumentDelta,
+)
 from trestle_links.set_patch import patched_set
 from trestle_links.watch_messages import (
     ContentDelta,
@@ -44,6 +49,10 @@
         self.quarantined: set[str] = set()
         self.endpoints_index = 0
         self.contents_index = 0
+        self.document_version = 0
+        self.document = b''
+        self.backends: list[Backend] = []
+        self.backends_index = 0
 
     def endpoints_of(self, target: str) -> list[EndpointInfo]:
         """Return the serving endpoints of a pool or service."""
@@ -99,6 +108,22 @@
         self.suspects.update(delta.suspects)
         return True
 
+    def take_document(self, delta: DocumentDelta) -> bool:
+        """Take a route document if its version is higher."""
+        if delta.version <= self.document_version:
+            return False
+        self.document_version = delta.version
+        self.document = delta.content
+        return True
+
+    def take_backends(self, delta: BackendsDelta) -> bool:
+        """Take a list of back ends unless it is older than the one held."""
+        if delta.log_index < self.backends_index:
+            return False
+        self.backends_index = delta.log_index
+        self.backends = delta.backends
+        return True
+
     def reach(self, log_index: int) -> None:
         """Note that every delta up to an index was delivered."""
         self.endpoints_index = max(self.endpoints_index, log_index)
