--- a/packages/trestle-control/src/trestle_control/split_policy.py
+++ b/packages/trestle-control/src/trestle_control/split_policy.py
@@ -12,7 +12,7 @@
 # Share of an engine's time that can be sold before queues grow fast.
 USABLE_SHARE: Final = 0.75
 # Gain in the served share that pays for engines being away for seconds.
-LEAST_GAIN: Final = 0.08
+LEAST_GAIN: Final = 0.25
 # Share of engines that read prompts while nothing was offered yet.
 OPENING_SHARE: Final = 0.67
 
--- a/packages/trestle-entry/src/trestle_entry/direct/connection_pool.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/connection_pool.py
@@ -8,7 +8,7 @@
 from time import monotonic
 from typing import Final
 
-from gevent.socket import MSG_DONTWAIT, MSG_PEEK
+from gevent.socket import MSG_PEEK, socket
 
 from trestle_core.addresses import resolve_address
 from trestle_core.metrics import Metrics
@@ -87,12 +87,21 @@
     idle_seconds = monotonic() - connection.idle_since
     if idle_seconds > connection.idle_seconds * share:
         return False
+    return is_quiet(connection.sock)
+
+
+def is_quiet(sock: socket) -> bool:
+    """Tell whether neither bytes nor an end wait on a connection."""
+    # gevent waits in spite of MSG_DONTWAIT unless the time limit is 0.
+    sock.settimeout(0)
     try:
-        connection.sock.recv(1, MSG_PEEK | MSG_DONTWAIT)
+        sock.recv(1, MSG_PEEK)
     except BlockingIOError:
         return True
     except OSError:
         # A reset: the back end has closed it.
         return False
+    finally:
+        sock.settimeout(None)
     # Either its end or bytes that belong to no request.
     return False
--- a/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
@@ -91,10 +91,29 @@
             _check_resend(run)
             continue
         opened = _try(run, plan, handle)
+        if opened is None and handle:
+            # A full engine leaves the memory where it is for another one.
+            opened = _try_elsewhere(run, plan, handle)
         if opened is not None:
             return opened
 
 
+def _try_elsewhere(
+    run: ModelRun, plan: Plan, handle: Handle
+) -> OpenAnswer | WholeAnswer | None:
+    context = run.context
+    engines = context.fleet.usable(run.service.name, frozenset(run.avoided))
+    others = [entry for entry in engines if entry.role != 'prefill']
+    if not others or run.runs:
+        free_handle(context, handle)
+        return None
+    decoder = min(
+        others, key=lambda entry: context.loads.running_at(entry.instance)
+    )
+    elsewhere = plan._replace(decoder=decoder)
+    return _try(run, elsewhere, handle, is_last=True)
+
+
 def _plan(run: ModelRun, *, admit: bool) -> Plan:
     context = run.context
     engines = context.fleet.usable(run.service.name, frozenset(run.avoided))
@@ -135,7 +154,11 @@
 
 
 def _try(
-    run: ModelRun, plan: Plan, handle: Handle | None
+    run: ModelRun,
+    plan: Plan,
+    handle: Handle | None,
+    *,
+    is_last: bool = False,
 ) -> OpenAnswer | WholeAnswer | None:
     """Send once to a decode engine; None means to start again."""
     instance = plan.decoder.instance
@@ -152,11 +175,13 @@
     run.story.add('send', instance if handle else f'{instance}: reads itself')
     run.count_at(instance)
     taken = False
+    kept = False
     try:
         opened = _send(run, plan, options, is_read=handle is not None)
         taken = opened is not None and not opened.head.refused
+        kept = not taken and not is_last and not run.runs
     finally:
-        if handle and not taken:
+        if handle and not taken and not kept:
             free_handle(run.context, handle)
         if not taken:
             run.count_at('')
--- a/packages/trestle-entry/src/trestle_entry/direct/placement.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/placement.py
@@ -36,7 +36,9 @@
 _REREAD: Final = 1.25
 _HIGHEST_SCORE: Final = 2**64 - 1
 # Reading at a decode engine slows every stream there.
-_INTERFERENCE: Final = 1.3
+_INTERFERENCE: Final = 1.5
+# Longer prompts are never read at a decode engine while others can read.
+_MOST_ALONE_TOKENS: Final = 1500
 
 
 class Plan(NamedTuple):
@@ -86,7 +88,8 @@
     decoder = min(
         _as_decoder(loads, asked, entry, reader.backend) for entry in decoders
     )
-    if alone.cost * _INTERFERENCE < reader.cost + decoder.cost:
+    is_short = alone.engine_ms < read_ms(_MOST_ALONE_TOKENS) * DECODE_SLOWDOWN
+    if is_short and alone.cost * _INTERFERENCE < reader.cost + decoder.cost:
         return whole_plan
     first_token_ms = reader.wait_ms + reader.engine_ms + decoder.wait_ms
     return Plan(
