--- a/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
@@ -1,7 +1,7 @@
 """Work in progress at engines: this entry's, and the sums of the others.
 
-Prompts that are not read yet count in predicted engine time, by priority,
-because an engine admits more urgent requests first. Reading speed is learned
+Prompts that are not read yet count in predicted engine time; the engine goes
+on reading while they wait, so what is left of the first one shrinks. Reading speed is learned
 from this entry's own calls; an engine that takes longer than predicted is
 counted slower by the ratio.
 """
@@ -9,10 +9,14 @@
 from collections import defaultdict
 from collections.abc import Iterator
 from contextlib import contextmanager
+from math import inf
 from time import monotonic
 from typing import Final
 
+from gevent.event import Event
+
 from trestle_entry.direct.cached_parts import CachedParts
+from trestle_entry.direct.prompt_queue import PromptQueue
 from trestle_entry.direct.wire_types import ModelNeed
 from trestle_links.direct_messages import LoadReport, LoadView, Placement
 
@@ -27,7 +31,7 @@
 _LEAST_SLOWNESS: Final = 0.7
 _MOST_SLOWNESS: Final = 12.0
 # Sums of the others say nothing after this time without an exchange.
-_VIEW_SECONDS: Final = 1.0
+_VIEW_MS: Final = 1000.0
 _PLACEMENTS_KEPT: Final = 300
 _MS_PER_SECOND: Final = 1000
 
@@ -38,9 +42,9 @@
     def __init__(self, host: str) -> None:
         """Know no work; `host` names this entry in the exchange."""
         self.host = host
-        self.prefill_ms: defaultdict[tuple[str, int], float] = defaultdict(
-            float
-        )
+        self.prompts: dict[str, PromptQueue] = {}
+        # Set when the exchange has something new to report.
+        self.changed = Event()
         self.running: defaultdict[str, int] = defaultdict(int)
         self.offered: defaultdict[str, float] = defaultdict(float)
         self.slowness: dict[str, float] = {}
@@ -48,23 +52,22 @@
         self.placements: list[Placement] = []
         self.suspects: list[str] = []
         self.view = LoadView(1, {}, {}, [], [], 0, 0)
-        self.viewed_at = -_VIEW_SECONDS
+        self.viewed_at = -inf
 
     @property
     def entries(self) -> int:
         """How many entries share the fleet, this one included."""
         return max(1, self.view.entries)
 
-    def wait_ms(self, instance: str, priority: int) -> float:
-        """Return the time of prompts ahead of one with a priority."""
-        own = sum(
-            amount
-            for (name, level), amount in self.prefill_ms.items()
-            if name == instance and level <= priority
-        )
-        return (own + self._others_ms(instance, priority)) * self.slow(
-            instance
-        )
+    def wait_ms(self, instance: str) -> float:
+        """Return the engine time of prompts ahead of a new one.
+
+        An engine reads admitted prompts one after another, whatever their
+        priority, so all of them count.
+        """
+        now = monotonic()
+        own_ms = self._own_ms(instance, now)
+        return (own_ms + self._others_ms(instance, now)) * self.slow(instance)
 
     def running_at(self, instance: str) -> int:
         """Return the requests in work at a back end, over all entries."""
@@ -84,18 +87,16 @@
         return max(1, need.prompt_tokens - held)
 
     @contextmanager
-    def reading(
-        self, instance: str, priority: int, engine_ms: float
-    ) -> Iterator[None]:
+    def reading(self, instance: str, engine_ms: float) -> Iterator[None]:
         """Count a prompt as being read during the block."""
-        key = (instance, priority)
-        self.prefill_ms[key] += engine_ms
+        queue = self.prompts.setdefault(instance, PromptQueue())
+        number = queue.add(engine_ms)
+        self.changed.set()
         try:
             yield
         finally:
-            self.prefill_ms[key] -= engine_ms
-            if self.prefill_ms[key] < 1e-6:
-                self.prefill_ms.pop(key)
+            queue.remove(number)
+            self.changed.set()
 
     @contextmanager
     def counted(self, instance: str) -> Iterator[None]:
@@ -135,9 +136,11 @@
 
     def take_report(self) -> LoadReport:
         """Return the report of this entry and start the next one."""
+        now = monotonic()
         prefill_ms = {
-            f'{instance}#{priority}': round(amount, 1)
-            for (instance, priority), amount in self.prefill_ms.items()
+            instance: round(queue.remaining_ms(now), 1)
+            for instance, queue in self.prompts.items()
+            if queue.waiting
         }
         report = LoadReport(
             self.host,
@@ -166,15 +169,20 @@
                 cached.note_part(placement.part, tokens)
 
     def _is_fresh(self) -> bool:
-        return monotonic() - self.viewed_at < _VIEW_SECONDS
+        age_ms = (monotonic() - self.viewed_at) * _MS_PER_SECOND
+        return age_ms < _VIEW_MS
+
+    def _own_ms(self, instance: str, now: float) -> float:
+        queue = self.prompts.get(instance)
+        return queue.remaining_ms(now) if queue else 0.0
 
-    def _others_ms(self, instance: str, priority: int) -> float:
-        if not self._is_fresh():
+    def _others_ms(self, instance: str, now: float) -> float:
+        age_ms = (now - self.viewed_at) * _MS_PER_SECOND
+        if age_ms > _VIEW_MS:
             return 0.0
-        total = 0.0
-        for level in range(priority + 1):
-            total += self.view.prefill_ms.get(f'{instance}#{level}', 0.0)
-        return total
+        reported = self.view.prefill_ms.get(instance, 0.0)
+        # The engine went on reading since the view was made.
+        return max(0.0, reported - age_ms)
 
 
 def read_ms(tokens: int) -> float:
--- a/packages/trestle-entry/src/trestle_entry/direct/load_exchange.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/load_exchange.py
@@ -19,6 +19,9 @@
 _CALL_SECONDS: Final = 0.4
 _MS_PER_SECOND: Final = 1000
 _PAUSE_SECONDS: Final = 0.3
+# Time between two exchanges while loads change.
+_LEAST_SECONDS: Final = 0.03
+_SECONDS_PER_ENTRY: Final = 0.005
 
 _log = part_logger('loads')
 
@@ -39,7 +42,17 @@
         elif not reached and lost_at is None:
             lost_at = monotonic()
             _log.warning('Leader {} does not answer.', leader or 'unknown')
-        sleep(every_seconds if reached else _PAUSE_SECONDS)
+        if not reached:
+            sleep(_PAUSE_SECONDS)
+            continue
+        sleep(_shortest_seconds(context))
+        context.loads.changed.wait(every_seconds)
+        context.loads.changed.clear()
+
+
+def _shortest_seconds(context: DirectContext) -> float:
+    # The leader answers every entry: many of them take longer turns.
+    return max(_LEAST_SECONDS, context.loads.entries * _SECONDS_PER_ENTRY)
 
 
 def _exchange(context: DirectContext, leader: str, links: LinkPool) -> bool:
--- a/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
@@ -119,7 +119,7 @@
     engines = context.fleet.usable(run.service.name, frozenset(run.avoided))
     if run.reads >= _MOST_READS:
         engines = [entry for entry in engines if entry.role != 'prefill']
-    asked = PlanNeed(run.need, run.route.priority, context.settings.zone)
+    asked = PlanNeed(run.need, context.settings.zone)
     plan = plan_request(engines, context.loads, asked)
     if plan is None:
         raise _failure(run, NO_ENDPOINT, f'no engine of {run.service.name}')
@@ -200,7 +200,7 @@
     loads = run.context.loads
     engine_ms = 0.0 if is_read else plan.read_ms
     try:
-        with loads.reading(decoder.instance, run.route.priority, engine_ms):
+        with loads.reading(decoder.instance, engine_ms):
             opened = open_answer(
                 run.context, run.request, decoder, options, once=True
             )
--- a/packages/trestle-entry/src/trestle_entry/direct/placement.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/placement.py
@@ -54,10 +54,9 @@
 
 
 class PlanNeed(NamedTuple):
-    """What a plan is made for."""
+    """What a plan is made for; `zone` is the entry's."""
 
     need: ModelNeed
-    priority: int
     zone: str
 
 
@@ -102,7 +101,7 @@
 ) -> Candidate:
     uncached = loads.uncached_tokens(engine.instance, asked.need)
     slow = loads.slow(engine.instance)
-    wait_ms = loads.wait_ms(engine.instance, asked.priority)
+    wait_ms = loads.wait_ms(engine.instance)
     engine_ms = read_ms(uncached) * slow
     cost = wait_ms + engine_ms * _REREAD + _away_ms(asked, engine)
     return Candidate(cost, wait_ms, engine_ms, engine)
@@ -113,7 +112,7 @@
 ) -> Candidate:
     uncached = loads.uncached_tokens(engine.instance, asked.need)
     slow = loads.slow(engine.instance)
-    wait_ms = loads.wait_ms(engine.instance, asked.priority)
+    wait_ms = loads.wait_ms(engine.instance)
     engine_ms = read_ms(uncached) * slow * DECODE_SLOWDOWN - BASE_MS
     batch_ms = loads.running_at(engine.instance) * _BATCH_MS
     cost = wait_ms + engine_ms * _REREAD + batch_ms + _away_ms(asked, engine)
@@ -126,7 +125,7 @@
     moved = loads.uncached_tokens(engine.instance, asked.need)
     factor = 1.0 if engine.zone == reader.zone else _OTHER_ZONE
     wait_ms = _TAKE_OVER_MS + moved * _MS_PER_TOKEN_MOVED * factor
-    wait_ms += loads.wait_ms(engine.instance, asked.priority)
+    wait_ms += loads.wait_ms(engine.instance)
     batch_ms = loads.running_at(engine.instance) * _BATCH_MS
     cost = wait_ms + batch_ms + _away_ms(asked, engine)
     # Memory that moves is paid for besides its time.
--- a/packages/trestle-entry/src/trestle_entry/direct/prompt_reading.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/prompt_reading.py
@@ -91,10 +91,9 @@
 
 def _read_at(run: ModelRun, plan: Plan, reader: Backend) -> Handle | None:
     loads = run.context.loads
-    priority = run.route.priority
     began = monotonic()
-    waited_ms = loads.wait_ms(reader.instance, priority)
-    with loads.reading(reader.instance, priority, plan.read_ms):
+    waited_ms = loads.wait_ms(reader.instance)
+    with loads.reading(reader.instance, plan.read_ms):
         answer = _call(run, reader)
     if answer.head.status != OK:
         # It declined or is no reader any more: nothing was read.
