--- a/packages/trestle-control/src/trestle_control/control_app.py
+++ b/packages/trestle-control/src/trestle_control/control_app.py
@@ -57,11 +57,8 @@
         f'control {settings.host}', settings.drain_ms / _MS_PER_SECOND
     )
 
-    def stop_on_failure(_error: TrestleError) -> None:
-        # A member whose disk failed must not go on answering.
-        app.stop_asked.set()
-
-    replica.on_failed.append(stop_on_failure)
+    # A member whose disk failed must not go on answering.
+    replica.on_failed.append(app.fail)
     nodes = NodeTable()
     relay = NodeRelay.from_config(settings, nodes, me)
     watches = WatchServer(machine, replica, nodes, metrics)
--- a/packages/trestle-control/src/trestle_control/durable_files.py
+++ b/packages/trestle-control/src/trestle_control/durable_files.py
@@ -27,11 +27,20 @@
 
     Raises `StorageFailedError`.
     """
+    returned, failure = get_hub().threadpool.apply(_outcome_of, (work,))
+    if failure:
+        raise StorageFailedError(str(failure)) from failure
+    return returned
+
+
+def _outcome_of(
+    work: Callable[[], Returned],
+) -> tuple[Returned, None] | tuple[None, OSError]:
+    # The pool would print a traceback of what it raises.
     try:
-        returned: Returned = get_hub().threadpool.apply(work)
+        return work(), None
     except OSError as error:
-        raise StorageFailedError(str(error)) from error
-    return returned
+        return None, error
 
 
 def write_checked_file(path: Path, content: bytes) -> None:
--- a/packages/trestle-control/src/trestle_control/replica.py
+++ b/packages/trestle-control/src/trestle_control/replica.py
@@ -149,6 +149,10 @@
             RemoveControlHost: _bind(state, remove_host_handler),
         }
 
+    def add_seeds(self, seeds: list[str]) -> None:
+        """Announce to more addresses while this member is outside."""
+        self.state.seeds.update(seeds)
+
     def start(self) -> None:
         """Start the greenlets; the link server must be listening."""
         state = self.state
--- a/packages/trestle-control/src/trestle_control/replica_formation.py
+++ b/packages/trestle-control/src/trestle_control/replica_formation.py
@@ -61,10 +61,9 @@
 def run_seed_announcements(state: ReplicaState) -> None:
     """Announce this identity to the seeds and to whom they name."""
     pool = LinkPool(state.me)
-    known = set(state.settings.seeds)
     while state.running:
         if _is_outside(state):
-            addresses = known | {
+            addresses = state.seeds | {
                 member.address for member in state.members.members
             }
             links = {
@@ -74,7 +73,7 @@
             }
             answered = _announce_to_addresses(state, links)
             for reply in answered.values():
-                known.update(reply.members)
+                state.seeds.update(reply.members)
             _form_from_seeds(state, answered)
         sleep(state.heartbeat_seconds * 2)
     pool.close()
--- a/packages/trestle-control/src/trestle_control/replica_state.py
+++ b/packages/trestle-control/src/trestle_control/replica_state.py
@@ -118,6 +118,8 @@
         self.peers: dict[str, Peer] = {}
         self.forward_links = LinkPool(me)
         self.newcomers: dict[str, Newcomer] = {}
+        # Addresses to announce to while this member is outside.
+        self.seeds = set(settings.seeds)
         self.incoming = IncomingSnapshot((0, 0), bytearray())
         self.fresh_at = -inf
         self.waiters: dict[int, Waiter] = {}
--- a/packages/trestle-core/src/trestle_core/lifecycle.py
+++ b/packages/trestle-core/src/trestle_core/lifecycle.py
@@ -6,11 +6,12 @@
 """
 
 from collections.abc import Callable
-from signal import SIGINT, SIGTERM
+from signal import SIGHUP, SIGINT, SIGTERM
 
 from gevent import Greenlet, joinall, killall, signal_handler, spawn
 from gevent.event import Event
 
+from trestle_core.errors import TrestleError
 from trestle_core.logs import part_logger
 
 Hook = Callable[[], None]
@@ -28,7 +29,10 @@
         self.start_hooks: list[Hook] = []
         self.drain_hooks: list[Hook] = []
         self.stop_hooks: list[Hook] = []
+        self.reload_hooks: list[Hook] = []
         self.stop_asked = Event()
+        # Why the application stops by itself, if it does.
+        self.failure: TrestleError | None = None
 
     def add(
         self,
@@ -61,6 +65,7 @@
         """Start every part, wait for SIGTERM or SIGINT, drain and stop."""
         signal_handler(SIGTERM, self.stop_asked.set)
         signal_handler(SIGINT, self.stop_asked.set)
+        signal_handler(SIGHUP, self.reload)
         for hook in self.start_hooks:
             hook()
         _log.info('{} started.', self.name)
@@ -70,6 +75,17 @@
             hook()
         _log.info('{} stopped.', self.name)
 
+    def fail(self, error: TrestleError) -> None:
+        """Stop because a part can no longer do its work."""
+        self.failure = error
+        self.stop_asked.set()
+
+    def reload(self) -> None:
+        """Take over changed settings."""
+        _log.info('{} reloads its settings.', self.name)
+        for hook in self.reload_hooks:
+            hook()
+
     def _drain(self) -> None:
         _log.info('{} drains.', self.name)
         tasks = [spawn(hook) for hook in self.drain_hooks]
--- a/packages/trestle-entry/src/trestle_entry/direct/direct_app.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/direct_app.py
@@ -48,8 +48,12 @@
     read_table: Callable[[bytes], RouteTable]
 
 
-def build_direct(settings: DirectSettings, platform: Platform) -> Application:
-    """Join the parts of a direct entry."""
+def build_direct(
+    settings: DirectSettings,
+    platform: Platform,
+    read_settings: Callable[[], DirectSettings],
+) -> Application:
+    """Join the parts of a direct entry; `read_settings` reads them anew."""
     metrics = Metrics.empty()
     me = Identity(settings.host, read_key(settings.key_file), metrics)
     control = ControlClient.from_config(settings, me, 'entry', [], metrics)
@@ -68,6 +72,13 @@
     app.add_task(lambda: _tidy(context))
     _add_pages(app, context)
 
+    def reload() -> None:
+        changed = read_settings()
+        control.add_addresses(changed.control)
+        context.change_settings(changed)
+
+    app.reload_hooks.append(reload)
+
     def start_server() -> None:
         server.start()
         write_address_file(settings.http_address_file, server.bound())
--- a/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
@@ -51,6 +51,13 @@
         self.random = Random(settings.host)
         self.inflight = 0
 
+    def change_settings(self, settings: DirectSettings) -> None:
+        """Take over what may change in a running process."""
+        self.settings = settings
+        for limits in self.limits.values():
+            limits.share = settings.retry_share
+            limits.extra = settings.retry_extra
+
     def limits_of(self, service: str) -> RetryLimits:
         """Return the retry limits of a service."""
         limits = self.limits.get(service)
--- a/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
@@ -132,7 +132,6 @@
 
 def _admit(run: ModelRun, plan: Plan) -> None:
     prospect = Prospect(
-        run.waited_ms,
         plan.first_token_ms - plan.read_ms,
         plan.first_token_ms,
         run.route.target_ms,
--- a/packages/trestle-links/src/trestle_links/control_client.py
+++ b/packages/trestle-links/src/trestle_links/control_client.py
@@ -263,9 +263,15 @@
 
     def _take_hosts(self, delta: ControlHostsDelta) -> None:
         self.leader_address = delta.leader
-        # The list is shared with `caller`, so it changes in place. Addresses
-        # of the settings stay: they are all that is left after a long cut.
-        for address in delta.addresses:
+        self.add_addresses(delta.addresses)
+
+    def add_addresses(self, addresses: list[str]) -> None:
+        """Learn of more control hosts.
+
+        Known ones stay: they are all that is left after a long cut.
+        """
+        # The list is shared with `caller`, so it changes in place.
+        for address in addresses:
             if address not in self.addresses:
                 self.addresses.append(address)
 
