--- a/packages/trestle-control/src/trestle_control/read_barrier.py
+++ b/packages/trestle-control/src/trestle_control/read_barrier.py
@@ -106,7 +106,7 @@
     The heartbeats that the leader sends anyway confirm it.
     """
     while state.running:
-        sleep(state.election_seconds)
+        sleep(state.heartbeat_seconds * 2)
         if state.is_leader:
             continue
         try:
--- a/packages/trestle-control/src/trestle_control/replica_election.py
+++ b/packages/trestle-control/src/trestle_control/replica_election.py
@@ -9,7 +9,7 @@
 from random import uniform
 from time import monotonic
 
-from gevent import joinall, sleep, spawn
+from gevent import iwait, sleep, spawn
 
 from trestle_control.control_errors import StorageFailedError
 from trestle_control.membership import quorum_size, voters_of
@@ -148,9 +148,15 @@
         if _ask_vote(state, peer, ask):
             granted.add(peer.member.incarnation)
 
+    def has_quorum() -> bool:
+        return len(granted & voters) >= quorum_size(state.members)
+
     tasks = [spawn(ask_peer, peer) for peer in peers]
-    joinall(tasks, timeout=state.election_seconds)
-    return len(granted & voters) >= quorum_size(state.members)
+    # Members that are down must not hold up an election that is won.
+    for _ in iwait(tasks, timeout=state.election_seconds):
+        if has_quorum():
+            break
+    return has_quorum()
 
 
 def _ask_vote(state: ReplicaState, peer: Peer, ask: VoteAsk) -> bool:
--- a/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
@@ -35,7 +35,12 @@
     NotSentError,
 )
 from trestle_entry.direct.model_run import ModelRun
-from trestle_entry.direct.placement import Plan, PlanNeed, plan_request
+from trestle_entry.direct.placement import (
+    Plan,
+    PlanNeed,
+    choose_decoder,
+    plan_request,
+)
 from trestle_entry.direct.prompt_reading import (
     Handle,
     free_handle,
@@ -44,6 +49,7 @@
 )
 from trestle_entry.direct.replies import RefusedError
 from trestle_entry.direct.wire_types import OK, SERVER_ERROR, SendOptions
+from trestle_links.direct_messages import Backend
 
 _MOST_READS: Final = 2
 _MOST_SENDS: Final = 4
@@ -90,6 +96,9 @@
         if plan.reader and handle is None and run.reads < _MOST_READS:
             _check_resend(run)
             continue
+        if handle:
+            # Engines come and go while a prompt is read.
+            plan = _with_present_decoder(run, plan, handle)
         opened = _try(run, plan, handle)
         if opened is None and handle:
             # A full engine leaves the memory where it is for another one.
@@ -101,26 +110,39 @@
 def _try_elsewhere(
     run: ModelRun, plan: Plan, handle: Handle
 ) -> OpenAnswer | WholeAnswer | None:
-    context = run.context
-    engines = context.fleet.usable(run.service.name, frozenset(run.avoided))
-    others = [entry for entry in engines if entry.role != 'prefill']
-    if not others or run.runs:
-        free_handle(context, handle)
+    if run.runs:
+        free_handle(run.context, handle)
         return None
-    decoder = min(
-        others, key=lambda entry: context.loads.running_at(entry.instance)
-    )
-    elsewhere = plan._replace(decoder=decoder)
+    elsewhere = _with_present_decoder(run, plan, handle)
     return _try(run, elsewhere, handle, is_last=True)
 
 
+def _with_present_decoder(run: ModelRun, plan: Plan, handle: Handle) -> Plan:
+    decoder = choose_decoder(
+        _engines(run), run.context.loads, _asked(run), handle.reader.zone
+    )
+    if decoder is None:
+        free_handle(run.context, handle)
+        raise _failure(run, NO_ENDPOINT, 'no engine to decode is left')
+    return plan._replace(decoder=decoder)
+
+
+def _engines(run: ModelRun) -> list[Backend]:
+    return run.context.fleet.usable(
+        run.service.name, frozenset(run.avoided)
+    )
+
+
+def _asked(run: ModelRun) -> PlanNeed:
+    return PlanNeed(run.need, run.context.settings.zone)
+
+
 def _plan(run: ModelRun, *, admit: bool) -> Plan:
     context = run.context
-    engines = context.fleet.usable(run.service.name, frozenset(run.avoided))
+    engines = _engines(run)
     if run.reads >= _MOST_READS:
         engines = [entry for entry in engines if entry.role != 'prefill']
-    asked = PlanNeed(run.need, context.settings.zone)
-    plan = plan_request(engines, context.loads, asked)
+    plan = plan_request(engines, context.loads, _asked(run))
     if plan is None:
         raise _failure(run, NO_ENDPOINT, f'no engine of {run.service.name}')
     if admit:
--- a/packages/trestle-entry/src/trestle_entry/direct/placement.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/placement.py
@@ -85,7 +85,8 @@
         return whole_plan
     reader = min(_as_reader(loads, asked, entry) for entry in readers)
     decoder = min(
-        _as_decoder(loads, asked, entry, reader.backend) for entry in decoders
+        _as_decoder(loads, asked, entry, reader.backend.zone)
+        for entry in decoders
     )
     is_short = alone.engine_ms < read_ms(_MOST_ALONE_TOKENS) * DECODE_SLOWDOWN
     if is_short and alone.cost * _INTERFERENCE < reader.cost + decoder.cost:
@@ -96,6 +97,18 @@
     )
 
 
+def choose_decoder(
+    engines: list[Backend], loads: EngineLoads, asked: PlanNeed, zone: str
+) -> Backend | None:
+    """Return who takes over memory from a zone, by the loads of now."""
+    decoders = [entry for entry in engines if entry.role != PREFILL]
+    if not decoders:
+        return None
+    return min(
+        _as_decoder(loads, asked, entry, zone) for entry in decoders
+    ).backend
+
+
 def _as_reader(
     loads: EngineLoads, asked: PlanNeed, engine: Backend
 ) -> Candidate:
@@ -120,10 +133,10 @@
 
 
 def _as_decoder(
-    loads: EngineLoads, asked: PlanNeed, engine: Backend, reader: Backend
+    loads: EngineLoads, asked: PlanNeed, engine: Backend, zone: str
 ) -> Candidate:
     moved = loads.uncached_tokens(engine.instance, asked.need)
-    factor = 1.0 if engine.zone == reader.zone else _OTHER_ZONE
+    factor = 1.0 if engine.zone == zone else _OTHER_ZONE
     wait_ms = _TAKE_OVER_MS + moved * _MS_PER_TOKEN_MOVED * factor
     wait_ms += loads.wait_ms(engine.instance)
     batch_ms = loads.running_at(engine.instance) * _BATCH_MS
--- a/packages/trestle-links/src/trestle_links/handshake.py
+++ b/packages/trestle-links/src/trestle_links/handshake.py
@@ -20,7 +20,8 @@
 from trestle_links.codec import FrameReader, encode_frame
 from trestle_links.link_messages import Challenge, Hello, Welcome
 
-HANDSHAKE_SECONDS: Final = 5
+# A host that is overloaded takes longer than a round trip.
+HANDSHAKE_SECONDS: Final = 2
 _NONCE_BYTES: Final = 32
 _MIN_KEY_BYTES: Final = 16
 _READ_BYTES: Final = 4096
--- a/packages/trestle-links/src/trestle_links/link.py
+++ b/packages/trestle-links/src/trestle_links/link.py
@@ -19,7 +19,9 @@
 from trestle_links.connection import Channel, Connection, LinkDownError
 from trestle_links.handshake import BadHandshakeError, prove_as_dialler
 
-CONNECT_SECONDS: Final = 2
+# Hosts of a region answer within milliseconds; one that is cut off answers
+# nothing.
+CONNECT_SECONDS: Final = 0.5
 
 Reply = TypeVar('Reply')
 ResolveAddress = Callable[[], Address]
