--- a/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
@@ -47,7 +47,6 @@
         self.guard = CrashGuard()
         self.log = RequestLog(metrics)
         self.limits: dict[str, RetryLimits] = {}
-        self.part_sizes: dict[int, int] = {}
         self.random = Random(settings.host)
         self.inflight = 0
 
--- a/packages/trestle-entry/src/trestle_entry/direct/dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/dispatch.py
@@ -74,7 +74,6 @@
     latest = request.arrived + matched.route.timeout_ms / _MS_PER_SECOND
     request = request._replace(deadline=min(request.deadline, latest))
     context.limits_of(matched.service.name).note_request()
-    _note_sizes(context, request)
     with cancel_when_gone(incoming.socket):
         if matched.service.engine:
             return serve_model(context, request, matched, story)
@@ -95,9 +94,3 @@
     story.fields['route'] = route.name
     story.fields['version'] = table.version
     return Matched(route, service, table.version)
-
-
-def _note_sizes(context: DirectContext, request: CallerRequest) -> None:
-    if request.need:
-        for part in request.need.parts[:-1]:
-            context.part_sizes[part.part] = part.tokens
--- a/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
@@ -117,7 +117,9 @@
         cached.note_used(need.parts, limit_tokens)
         # The last part belongs to one request or session.
         for part in need.parts[:-1]:
-            self.placements.append(Placement(part.part, instance))
+            self.placements.append(
+                Placement(part.part, part.tokens, instance)
+            )
 
     def note_speed(
         self, instance: str, predicted_ms: float, took_ms: float
@@ -156,17 +158,13 @@
         self.suspects = []
         return report
 
-    def take_view(self, view: LoadView, sizes: dict[int, int]) -> None:
-        """Take the sums of the others; `sizes` gives tokens by part."""
+    def take_view(self, view: LoadView) -> None:
+        """Take the sums of the others and what their engines hold."""
         self.view = view
         self.viewed_at = monotonic()
         for placement in view.placements:
-            tokens = sizes.get(placement.part)
-            if tokens is not None:
-                cached = self.cached.setdefault(
-                    placement.instance, CachedParts()
-                )
-                cached.note_part(placement.part, tokens)
+            cached = self.cached.setdefault(placement.instance, CachedParts())
+            cached.note_part(placement.part, placement.tokens)
 
     def _is_fresh(self) -> bool:
         age_ms = (monotonic() - self.viewed_at) * _MS_PER_SECOND
--- a/packages/trestle-entry/src/trestle_entry/direct/load_exchange.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/load_exchange.py
@@ -63,6 +63,6 @@
         links.forget(leader)
         context.metrics.count('load_exchange_failures', error.code.code)
         return False
-    context.loads.take_view(view, context.part_sizes)
+    context.loads.take_view(view)
     context.guard.take(view.suspects)
     return True
--- a/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
@@ -160,6 +160,7 @@
         run.left_ms,
     )
     run.story.fields['predicted_ms'] = round(plan.first_token_ms)
+    run.story.fields['parts'] = [list(part) for part in run.need.parts]
     run.story.fields['load_age_ms'] = run.context.loads.view.age_ms
     refusal = refusal_of(prospect, run.context.random.random())
     if refusal:
--- a/packages/trestle-entry/src/trestle_entry/direct/placement.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/placement.py
@@ -44,13 +44,15 @@
 class Plan(NamedTuple):
     """The engines of a request; times are predictions in ms.
 
-    Without a `reader` the decode engine reads the prompt itself.
+    Without a `reader` the decode engine reads the prompt itself; `uncached`
+    tokens are read.
     """
 
     reader: Backend | None
     decoder: Backend
     read_ms: float
     first_token_ms: float
+    uncached: int
 
 
 class PlanNeed(NamedTuple):
@@ -79,7 +81,11 @@
         return None
     alone = min(_decode_alone(loads, asked, entry) for entry in decoders)
     whole_plan = Plan(
-        None, alone.backend, alone.engine_ms, alone.wait_ms + alone.engine_ms
+        None,
+        alone.backend,
+        alone.engine_ms,
+        alone.wait_ms + alone.engine_ms,
+        loads.uncached_tokens(alone.backend.instance, asked.need),
     )
     if not readers:
         return whole_plan
@@ -93,7 +99,11 @@
         return whole_plan
     first_token_ms = reader.wait_ms + reader.engine_ms + decoder.wait_ms
     return Plan(
-        reader.backend, decoder.backend, reader.engine_ms, first_token_ms
+        reader.backend,
+        decoder.backend,
+        reader.engine_ms,
+        first_token_ms,
+        loads.uncached_tokens(reader.backend.instance, asked.need),
     )
 
 
--- a/packages/trestle-entry/src/trestle_entry/direct/prompt_reading.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/prompt_reading.py
@@ -59,7 +59,9 @@
         return None
     run.reads += 1
     run.story.add(
-        'read', f'{reader.instance}: {plan.first_token_ms:.0f} ms predicted'
+        'read',
+        f'{reader.instance}: {plan.first_token_ms:.0f} ms predicted, '
+        f'{plan.uncached} of {run.need.prompt_tokens} tokens',
     )
     patience_ms = plan.first_token_ms * _PATIENCE + _PATIENCE_MS
     limit = Timeout(patience_ms / _MS_PER_SECOND)
--- a/packages/trestle-links/src/trestle_links/direct_messages.py
+++ b/packages/trestle-links/src/trestle_links/direct_messages.py
@@ -77,6 +77,7 @@
     """A prompt part that an engine has read or fetched."""
 
     part: int
+    tokens: int
     instance: str
 
 
