--- a/packages/trestle-entry/src/trestle_entry/direct/placement.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/placement.py
@@ -25,7 +25,7 @@
 
 # Cost of reading a shared beginning away from its home, ms: less than a
 # short queue, more than the noise of the estimates.
-_AWAY_MS: Final = 25.0
+_AWAY_MS: Final = 40.0
 # Engine time of one more request in a decode batch, ms.
 _BATCH_MS: Final = 4.0
 # Handing memory over, ms: set-up and the transfer of a common prompt.
@@ -33,7 +33,7 @@
 _MS_PER_TOKEN_MOVED: Final = 0.0007
 _OTHER_ZONE: Final = 2.0
 # How much dearer a token that was read twice is than its engine time.
-_REREAD: Final = 1.25
+_REREAD: Final = 3.0
 _HIGHEST_SCORE: Final = 2**64 - 1
 # Reading at a decode engine slows every stream there.
 _INTERFERENCE: Final = 1.5
