--- a/packages/trestle-control/src/trestle_control/direct_roles.py
+++ b/packages/trestle-control/src/trestle_control/direct_roles.py
@@ -87,6 +87,7 @@
         self.changed_at = 0.0
         self.offered: dict[str, OfferedTime] = {}
         self.window_began = monotonic()
+        self.measured = False
 
     def run(self) -> None:
         """Look at every pool while this host leads."""
@@ -96,6 +97,9 @@
                 self._measure()
                 for pool, engines in self._pools().items():
                     self._look_at(pool, engines)
+            elif not self.replica.is_leader:
+                self.measured = False
+                self.window_began = monotonic()
 
     def _wait_seconds(self) -> float:
         # The first leader has no one before it.
@@ -113,6 +117,7 @@
         if seconds < _WINDOW_SECONDS:
             return
         self.window_began = monotonic()
+        self.measured = True
         self.offered.clear()
         for figure, offered_ms in self.loads.take_offered().items():
             kind, _, pool = figure.partition(':')
@@ -125,6 +130,9 @@
         roles = {engine.instance: self._role_of(engine, now) for engine in engines}
         prefill = sum(role == PREFILL for role in roles.values())
         offered = self.offered.get(pool)
+        if not self.measured and self.replica.term > 1:
+            # A new leader of a busy fleet knows nothing of its load yet.
+            return
         if offered is None or not (offered.prefill or offered.decode):
             wanted = opening_prefill(len(engines))
         elif now - self.changed_at < _DWELL_SECONDS:
--- a/packages/trestle-entry/src/trestle_entry/direct/fleet_view.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/fleet_view.py
@@ -15,6 +15,8 @@
 
 _FIRST_REST_SECONDS: Final = 0.5
 _LONGEST_REST_SECONDS: Final = 4.0
+# A role change takes seconds; the list shows it a second later.
+_DECLINED_REST_SECONDS: Final = 1.5
 # Weight of one outcome in the moving share of failures.
 _OUTCOME_WEIGHT: Final = 0.15
 # Above this share of failures a back end is used only when no other is left.
@@ -117,6 +119,14 @@
             '{} rests for {:.1f} s: {}.', instance, trust.rest_seconds, reason
         )
 
+    def note_declined(self, instance: str) -> None:
+        """Note that a back end takes no such requests at present.
+
+        It is another instance, or its role is being changed.
+        """
+        trust = self._trust_of(instance)
+        trust.rests_until = monotonic() + _DECLINED_REST_SECONDS
+
     def _trust_of(self, instance: str) -> Trust:
         return self.trusts.setdefault(instance, Trust())
 
--- a/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
@@ -48,7 +48,12 @@
     read_prompt,
 )
 from trestle_entry.direct.replies import RefusedError
-from trestle_entry.direct.wire_types import OK, SERVER_ERROR, SendOptions
+from trestle_entry.direct.wire_types import (
+    MISDIRECTED,
+    OK,
+    SERVER_ERROR,
+    SendOptions,
+)
 from trestle_links.direct_messages import Backend
 
 _MOST_READS: Final = 2
@@ -249,6 +254,8 @@
         read_whole(run.context, opened)
         run.story.add('declined', f'{decoder.instance}: {opened.head.status}')
         run.avoided.add(decoder.instance)
+        if opened.head.status == MISDIRECTED:
+            run.context.fleet.note_declined(decoder.instance)
         return opened
     run.runs += 1
     return opened
--- a/packages/trestle-entry/src/trestle_entry/direct/prompt_reading.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/prompt_reading.py
@@ -24,7 +24,7 @@
 from trestle_entry.direct.direct_context import DirectContext
 from trestle_entry.direct.model_run import ModelRun
 from trestle_entry.direct.placement import Plan
-from trestle_entry.direct.wire_types import OK, SendOptions
+from trestle_entry.direct.wire_types import MISDIRECTED, OK, SendOptions
 from trestle_links.direct_messages import Backend
 
 # A reader that takes this many times as long as predicted, and the extra, is
@@ -101,6 +101,8 @@
         # It declined or is no reader any more: nothing was read.
         run.story.add('read declined', f'{reader.instance}: {answer.head.status}')
         run.avoided.add(reader.instance)
+        if answer.head.status == MISDIRECTED:
+            run.context.fleet.note_declined(reader.instance)
         return None
     took_ms = (monotonic() - began) * _MS_PER_SECOND
     loads.note_speed(
