--- a/packages/trestle-entry/src/trestle_entry/direct/placement.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/placement.py
@@ -38,7 +38,7 @@
 # Reading at a decode engine slows every stream there.
 _INTERFERENCE: Final = 1.5
 # Longer prompts are never read at a decode engine while others can read.
-_MOST_ALONE_TOKENS: Final = 1500
+_MOST_ALONE_TOKENS: Final = 4500
 
 
 class Plan(NamedTuple):
