--- a/packages/trestle-control/src/trestle_control/direct_roles.py
+++ b/packages/trestle-control/src/trestle_control/direct_roles.py
@@ -19,8 +19,7 @@
 from trestle_control.replica_api import ReplicaApi
 from trestle_control.split_policy import (
     OfferedTime,
-    opening_prefill,
-    wanted_prefill,
+    common_prefill,
 )
 from trestle_core.errors import TrestleError
 from trestle_core.logs import part_logger
@@ -32,8 +31,10 @@
 LOOK_SECONDS: Final = 0.5
 # Seconds of load that a decision on a running fleet looks back on.
 _WINDOW_SECONDS: Final = 6.0
-# Shortest time between two changes while callers are served.
-_DWELL_SECONDS: Final = 10.0
+# How long a pool must ask for the same change: an engine that crashed is
+# back before that, and the list fills up within a second of a start.
+_SETTLED_SECONDS: Final = 4.0
+_IDLE_SECONDS: Final = 1.8
 # Longest time after which an unanswered order may be carried out, with the
 # change itself and the lag of the list.
 _SETTLE_SECONDS: Final = 18.0
@@ -86,8 +87,9 @@
         self.pending: dict[str, Pending] = {}
         self.changed_at = 0.0
         self.offered: dict[str, OfferedTime] = {}
+        # Size of a pool and the change it asks for, and since when.
+        self.asked: dict[str, tuple[tuple[int, int], float]] = {}
         self.window_began = monotonic()
-        self.measured = False
 
     def run(self) -> None:
         """Look at every pool while this host leads."""
@@ -97,9 +99,6 @@
                 self._measure()
                 for pool, engines in self._pools().items():
                     self._look_at(pool, engines)
-            elif not self.replica.is_leader:
-                self.measured = False
-                self.window_began = monotonic()
 
     def _wait_seconds(self) -> float:
         # The first leader has no one before it.
@@ -117,7 +116,6 @@
         if seconds < _WINDOW_SECONDS:
             return
         self.window_began = monotonic()
-        self.measured = True
         self.offered.clear()
         for figure, offered_ms in self.loads.take_offered().items():
             kind, _, pool = figure.partition(':')
@@ -130,19 +128,25 @@
         roles = {engine.instance: self._role_of(engine, now) for engine in engines}
         prefill = sum(role == PREFILL for role in roles.values())
         offered = self.offered.get(pool)
-        if not self.measured and self.replica.term > 1:
-            # A new leader of a busy fleet knows nothing of its load yet.
+        wanted = common_prefill(len(engines))
+        if not self._is_settled(pool, len(engines), wanted - prefill, now):
             return
-        if offered is None or not (offered.prefill or offered.decode):
-            wanted = opening_prefill(len(engines))
-        elif now - self.changed_at < _DWELL_SECONDS:
-            return
-        else:
-            wanted = wanted_prefill(prefill, len(engines), offered)
         if wanted != prefill:
             role = PREFILL if wanted > prefill else DECODE
             self._change(engines, roles, role, abs(wanted - prefill), offered)
 
+    def _is_settled(
+        self, pool: str, engines: int, missing: int, now: float
+    ) -> bool:
+        """Tell whether a pool has asked for the same change for a while."""
+        asked = (engines, missing)
+        known, since = self.asked.get(pool, (asked, now))
+        if known != asked:
+            since = now
+        self.asked[pool] = (asked, since)
+        wait_seconds = _SETTLED_SECONDS if self.loads.running() else _IDLE_SECONDS
+        return now - since >= wait_seconds
+
     def _role_of(self, engine: Backend, now: float) -> str:
         pending = self.pending.get(engine.instance)
         if pending is None:
@@ -203,6 +207,7 @@
         )
         self.metrics.count('role_orders', role)
         if accepted:
+            self.loads.changing[engine.instance] = monotonic()
             until = monotonic() + _SETTLE_SECONDS
             self.pending[engine.instance] = Pending(role, until)
 
--- a/packages/trestle-control/src/trestle_control/load_table.py
+++ b/packages/trestle-control/src/trestle_control/load_table.py
@@ -24,6 +24,9 @@
 _STALE_SECONDS: Final = 2.0
 # Seconds after its last report until an entry no longer counts.
 _GONE_SECONDS: Final = 5.0
+# An engine that changes its role is back after three seconds, and the list
+# shows the new role a second later.
+_CHANGE_SECONDS: Final = 4.5
 _PLACEMENTS_KEPT: Final = 4000
 _PLACEMENTS_SENT: Final = 400
 _SUSPECTS_KEPT: Final = 64
@@ -58,6 +61,8 @@
         self.number = 0
         self.suspects: deque[str] = deque(maxlen=_SUSPECTS_KEPT)
         self.offered: dict[str, float] = {}
+        # Engines whose role was ordered to change, and when.
+        self.changing: dict[str, float] = {}
 
     def handlers(self) -> Handlers:
         """Return the link handlers."""
@@ -92,6 +97,7 @@
             placements=[entry.placement for entry in placements],
             suspects=list(self.suspects),
             seen=self.number,
+            changing=self._changing(now),
             age_ms=int((now - oldest) * _MS_PER_SECOND),
         )
 
@@ -122,6 +128,14 @@
             )
         self.suspects.extend(report.suspects)
 
+    def _changing(self, now: float) -> list[str]:
+        self.changing = {
+            instance: since
+            for instance, since in self.changing.items()
+            if now - since < _CHANGE_SECONDS
+        }
+        return list(self.changing)
+
     def _entries(self, now: float) -> int:
         return sum(
             now - entry.came_at < _GONE_SECONDS
--- a/packages/trestle-control/src/trestle_control/split_policy.py
+++ b/packages/trestle-control/src/trestle_control/split_policy.py
@@ -13,8 +13,8 @@
 USABLE_SHARE: Final = 0.75
 # Gain in the served share that pays for engines being away for seconds.
 LEAST_GAIN: Final = 0.25
-# Share of engines that read prompts while nothing was offered yet.
-OPENING_SHARE: Final = 0.67
+# Share of engines that read prompts.
+COMMON_SHARE: Final = 0.67
 
 
 class OfferedTime(NamedTuple):
@@ -24,11 +24,11 @@
     decode: float
 
 
-def opening_prefill(engines: int) -> int:
-    """Return how many engines read prompts before any load is known."""
+def common_prefill(engines: int) -> int:
+    """Return how many of a pool's engines read prompts by its size alone."""
     if engines < 2:
         return 0
-    return min(engines - 1, max(1, round(engines * OPENING_SHARE)))
+    return min(engines - 1, max(1, round(engines * COMMON_SHARE)))
 
 
 def served_share(
--- a/packages/trestle-entry/src/trestle_entry/direct/fleet_view.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/fleet_view.py
@@ -17,6 +17,7 @@
 _LONGEST_REST_SECONDS: Final = 4.0
 # A role change takes seconds; the list shows it a second later.
 _DECLINED_REST_SECONDS: Final = 1.5
+_FULL_REST_SECONDS: Final = 0.3
 # Weight of one outcome in the moving share of failures.
 _OUTCOME_WEIGHT: Final = 0.15
 # Above this share of failures a back end is used only when no other is left.
@@ -59,6 +60,8 @@
         self.backends: dict[str, Backend] = {}
         self.by_service: dict[str, list[Backend]] = {}
         self.trusts: dict[str, Trust] = {}
+        # Engines whose role is being changed, as the leader tells.
+        self.changing: set[str] = set()
 
     def take_list(self, backends: list[Backend]) -> None:
         """Replace the list."""
@@ -119,18 +122,21 @@
             '{} rests for {:.1f} s: {}.', instance, trust.rest_seconds, reason
         )
 
-    def note_declined(self, instance: str) -> None:
+    def note_declined(self, instance: str, *, full: bool) -> None:
         """Note that a back end takes no such requests at present.
 
-        It is another instance, or its role is being changed.
+        It is full, or else another instance or of another role.
         """
         trust = self._trust_of(instance)
-        trust.rests_until = monotonic() + _DECLINED_REST_SECONDS
+        seconds = _FULL_REST_SECONDS if full else _DECLINED_REST_SECONDS
+        trust.rests_until = max(trust.rests_until, monotonic() + seconds)
 
     def _trust_of(self, instance: str) -> Trust:
         return self.trusts.setdefault(instance, Trust())
 
     def _rests(self, backend: Backend, now: float) -> bool:
+        if backend.instance in self.changing:
+            return True
         trust = self.trusts.get(backend.instance)
         return trust is not None and trust.rests_until > now
 
--- a/packages/trestle-entry/src/trestle_entry/direct/load_exchange.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/load_exchange.py
@@ -65,4 +65,5 @@
         return False
     context.loads.take_view(view)
     context.guard.take(view.suspects)
+    context.fleet.changing = set(view.changing)
     return True
--- a/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
@@ -254,8 +254,9 @@
         read_whole(run.context, opened)
         run.story.add('declined', f'{decoder.instance}: {opened.head.status}')
         run.avoided.add(decoder.instance)
-        if opened.head.status == MISDIRECTED:
-            run.context.fleet.note_declined(decoder.instance)
+        run.context.fleet.note_declined(
+            decoder.instance, full=opened.head.status != MISDIRECTED
+        )
         return opened
     run.runs += 1
     return opened
--- a/packages/trestle-entry/src/trestle_entry/direct/plain_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/plain_dispatch.py
@@ -132,6 +132,10 @@
         raise TrestleError(
             ANSWER_INCOMPLETE, str(error), Verdict.MAY_HAVE_RUN
         ) from error
+    except Timeout:
+        # The deadline: the back end had the request and may have run it.
+        run.runs += 1
+        raise
     if answer.head.refused:
         run.story.add('declined', f'{instance}: {answer.head.status}')
         return None
--- a/packages/trestle-entry/src/trestle_entry/direct/prompt_reading.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/prompt_reading.py
@@ -101,8 +101,9 @@
         # It declined or is no reader any more: nothing was read.
         run.story.add('read declined', f'{reader.instance}: {answer.head.status}')
         run.avoided.add(reader.instance)
-        if answer.head.status == MISDIRECTED:
-            run.context.fleet.note_declined(reader.instance)
+        run.context.fleet.note_declined(
+            reader.instance, full=answer.head.status != MISDIRECTED
+        )
         return None
     took_ms = (monotonic() - began) * _MS_PER_SECOND
     loads.note_speed(
--- a/packages/trestle-links/src/trestle_links/direct_messages.py
+++ b/packages/trestle-links/src/trestle_links/direct_messages.py
@@ -114,3 +114,4 @@
     suspects: list[str]
     seen: int
     age_ms: int
+    changing: list[str] = []
