--- a/packages/trestle-control/src/trestle_control/replica.py
+++ b/packages/trestle-control/src/trestle_control/replica.py
@@ -156,7 +156,9 @@
     def start(self) -> None:
         """Start the greenlets; the link server must be listening."""
         state = self.state
-        state.heard_at = monotonic()
+        # A leader that lives sends within a heartbeat, and a pre-vote does
+        # not disturb it: after a restart of all, nobody waits for long.
+        state.heard_at = monotonic() - state.election_seconds / 2
         state.log.on_failed.append(state.fail)
         state.log.start()
         loops = (
--- a/packages/trestle-entry/src/trestle_entry/direct/backend_exchange.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/backend_exchange.py
@@ -17,10 +17,11 @@
 from trestle_entry.direct.wire_types import Headers
 
 # A back end in another zone answers a connect within a few milliseconds; a
-# dropped opening packet is sent again after a second.
-CONNECT_SECONDS: Final = 0.7
-# Time after which unacknowledged bytes end a connection that went silent.
-SILENT_MS: Final = 1500
+# dropped opening packet is sent again only after a second.
+CONNECT_SECONDS: Final = 0.3
+# Time after which unacknowledged bytes end a connection that went silent; a
+# link that loses packets sends them again twice in it.
+SILENT_MS: Final = 700
 _READ_BYTES: Final = 65_536
 _FIRST_FINAL_STATUS: Final = 200
 
--- a/packages/trestle-entry/src/trestle_entry/direct/fleet_view.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/fleet_view.py
@@ -79,13 +79,18 @@
         return listed is not None and not listed.leaving
 
     def usable(self, service: str, without: frozenset[str]) -> list[Backend]:
-        """Return back ends to choose from, the trusted ones if any."""
+        """Return back ends to choose from, of each role the trusted if any."""
+        by_role: dict[str, list[Backend]] = {}
+        for entry in self.by_service.get(service, []):
+            if entry.instance not in without:
+                by_role.setdefault(entry.role, []).append(entry)
+        chosen: list[Backend] = []
+        for listed in by_role.values():
+            chosen.extend(self._best_of(listed))
+        return chosen
+
+    def _best_of(self, listed: list[Backend]) -> list[Backend]:
         now = monotonic()
-        listed = [
-            entry
-            for entry in self.by_service.get(service, [])
-            if entry.instance not in without
-        ]
         awake = [entry for entry in listed if not self._rests(entry, now)]
         trusted = [entry for entry in awake if not self._is_grey(entry)]
         return trusted or awake or listed
