--- a/packages/trestle-entry/src/trestle_entry/direct/placement.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/placement.py
@@ -35,8 +35,10 @@
 # How much dearer a token that was read twice is than its engine time.
 _REREAD: Final = 3.0
 _HIGHEST_SCORE: Final = 2**64 - 1
-# Reading at a decode engine slows every stream there.
+# What reading at a decode engine costs besides its time, and for each stream
+# that it holds up.
 _INTERFERENCE: Final = 1.5
+_HELD_UP_SHARE: Final = 0.3
 # Longer prompts are never read at a decode engine while others can read.
 _MOST_ALONE_TOKENS: Final = 4500
 
@@ -95,7 +97,7 @@
         for entry in decoders
     )
     is_short = alone.engine_ms < read_ms(_MOST_ALONE_TOKENS) * DECODE_SLOWDOWN
-    if is_short and alone.cost * _INTERFERENCE < reader.cost + decoder.cost:
+    if is_short and alone.cost < reader.cost + decoder.cost:
         return whole_plan
     first_token_ms = reader.wait_ms + reader.engine_ms + decoder.wait_ms
     return Plan(
@@ -137,8 +139,11 @@
     slow = loads.slow(engine.instance)
     wait_ms = loads.wait_ms(engine.instance)
     engine_ms = read_ms(uncached) * slow * DECODE_SLOWDOWN - BASE_MS
-    batch_ms = loads.running_at(engine.instance) * _BATCH_MS
-    cost = wait_ms + engine_ms * _REREAD + batch_ms + _away_ms(asked, engine)
+    running = loads.running_at(engine.instance)
+    # Every stream there stands still while a piece of the prompt is read.
+    held_up_ms = engine_ms * (_INTERFERENCE + running * _HELD_UP_SHARE)
+    cost = wait_ms + held_up_ms + running * _BATCH_MS
+    cost += _away_ms(asked, engine)
     return Candidate(cost, wait_ms, engine_ms, engine)
 
 
