--- a/Makefile
+++ b/Makefile
@@ -2,13 +2,13 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := $(wildcard packages/*)
+PACKAGES := $(wildcard packages/*) platform
 
 .PHONY: setup demo test bench bench-path format lint types check capacity soak soak-log soak-claims soak-system bench-log
 
 setup: $(VENV)/.installed
 
-$(VENV)/.installed: requirements/runtime.txt requirements/develop.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/.installed: requirements/runtime.txt requirements/develop.txt $(wildcard packages/*/pyproject.toml platform/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip --quiet --disable-pip-version-check install -r requirements/develop.txt
 	$(BIN)/python -m pip --quiet --disable-pip-version-check install --no-deps --no-build-isolation $(addprefix -e ,$(PACKAGES))
@@ -39,7 +39,7 @@
 	$(BIN)/flake8 .
 
 types: setup
-	$(BIN)/mypy packages testbed features
+	$(BIN)/mypy packages platform testbed features
 
 capacity: setup
 	$(BIN)/python -m testbed.capacity
--- a/packages/trestle-control/src/trestle_control/apply.py
+++ b/packages/trestle-control/src/trestle_control/apply.py
@@ -16,7 +16,6 @@
     refuse_attempt,
     release_claim,
 )
-from trestle_control.direct_commands import list_backends, publish_document
 from trestle_control.crash_commands import (
     clear_suspect,
     drop_suspect,
@@ -24,6 +23,7 @@
     release_content,
     report_crash,
 )
+from trestle_control.direct_commands import list_backends, publish_document
 from trestle_control.endpoint_commands import (
     ACCEPTED,
     admit_endpoint,
--- a/packages/trestle-control/src/trestle_control/direct_roles.py
+++ b/packages/trestle-control/src/trestle_control/direct_roles.py
@@ -125,7 +125,9 @@
 
     def _look_at(self, pool: str, engines: list[Backend]) -> None:
         now = monotonic()
-        roles = {engine.instance: self._role_of(engine, now) for engine in engines}
+        roles = {
+            engine.instance: self._role_of(engine, now) for engine in engines
+        }
         prefill = sum(role == PREFILL for role in roles.values())
         offered = self.offered.get(pool)
         wanted = common_prefill(len(engines))
@@ -144,7 +146,9 @@
         if known != asked:
             since = now
         self.asked[pool] = (asked, since)
-        wait_seconds = _SETTLED_SECONDS if self.loads.running() else _IDLE_SECONDS
+        wait_seconds = (
+            _SETTLED_SECONDS if self.loads.running() else _IDLE_SECONDS
+        )
         return now - since >= wait_seconds
 
     def _role_of(self, engine: Backend, now: float) -> str:
@@ -194,7 +198,9 @@
         try:
             accepted = self.send(order)
         except (OSError, ValueError) as error:
-            _log.warning('Order to {} has no answer: {}.', engine.instance, error)
+            _log.warning(
+                'Order to {} has no answer: {}.', engine.instance, error
+            )
             self.metrics.count('role_orders', 'unanswered')
             accepted = True
         _log.info(
--- a/packages/trestle-control/src/trestle_control/split_policy.py
+++ b/packages/trestle-control/src/trestle_control/split_policy.py
@@ -31,9 +31,7 @@
     return min(engines - 1, max(1, round(engines * COMMON_SHARE)))
 
 
-def served_share(
-    prefill: int, decode: int, offered: OfferedTime
-) -> float:
+def served_share(prefill: int, decode: int, offered: OfferedTime) -> float:
     """Return the share of the offered work that a split can serve."""
     shares = [
         1.0 if not work else engines * USABLE_SHARE / work
@@ -45,9 +43,7 @@
     return min(1.0, *shares)
 
 
-def wanted_prefill(
-    prefill: int, engines: int, offered: OfferedTime
-) -> int:
+def wanted_prefill(prefill: int, engines: int, offered: OfferedTime) -> int:
     """Return the number of engines that should read prompts.
 
     It differs from `prefill` by one at most: the next look goes on.
--- a/packages/trestle-entry/src/trestle_entry/direct/admission.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/admission.py
@@ -43,10 +43,6 @@
 
 
 def _return_seconds(prospect: Prospect, draw: float) -> float:
-    surplus_ms = max(
-        prospect.wait_ms - prospect.target_ms * _TAKEN_SHARE, 0
-    )
+    surplus_ms = max(prospect.wait_ms - prospect.target_ms * _TAKEN_SHARE, 0)
     seconds = surplus_ms / _MS_PER_SECOND * (0.5 + draw)
-    return min(
-        _LONGEST_RETURN_SECONDS, max(_SHORTEST_RETURN_SECONDS, seconds)
-    )
+    return min(_LONGEST_RETURN_SECONDS, max(_SHORTEST_RETURN_SECONDS, seconds))
--- a/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
@@ -117,9 +117,7 @@
         cached.note_used(need.parts, limit_tokens)
         # The last part belongs to one request or session.
         for part in need.parts[:-1]:
-            self.placements.append(
-                Placement(part.part, part.tokens, instance)
-            )
+            self.placements.append(Placement(part.part, part.tokens, instance))
 
     def note_speed(
         self, instance: str, predicted_ms: float, took_ms: float
@@ -186,4 +184,3 @@
 def read_ms(tokens: int) -> float:
     """Return the engine time that reading tokens takes."""
     return BASE_MS + tokens / OPENING_SPEED
-
--- a/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
@@ -133,9 +133,7 @@
 
 
 def _engines(run: ModelRun) -> list[Backend]:
-    return run.context.fleet.usable(
-        run.service.name, frozenset(run.avoided)
-    )
+    return run.context.fleet.usable(run.service.name, frozenset(run.avoided))
 
 
 def _asked(run: ModelRun) -> PlanNeed:
--- a/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
@@ -91,9 +91,7 @@
             self.opened = None
         self.run.count_at('')
         story = self.run.story
-        self.run.context.log.write(
-            story, self.outcome, self.run.verdict.value
-        )
+        self.run.context.log.write(story, self.outcome, self.run.verdict.value)
 
     def _events(self) -> Iterator[bytes]:
         while self.opened:
--- a/packages/trestle-entry/src/trestle_entry/direct/model_run.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_run.py
@@ -59,9 +59,7 @@
     @property
     def may_run_again(self) -> bool:
         """Tell whether one more run is allowed after one that broke off."""
-        return (
-            self.route.is_idempotent and self.runs < self.route.max_attempts
-        )
+        return self.route.is_idempotent and self.runs < self.route.max_attempts
 
     @property
     def digest(self) -> str:
--- a/packages/trestle-entry/src/trestle_entry/direct/prompt_reading.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/prompt_reading.py
@@ -99,7 +99,9 @@
         answer = _call(run, reader)
     if answer.head.status != OK:
         # It declined or is no reader any more: nothing was read.
-        run.story.add('read declined', f'{reader.instance}: {answer.head.status}')
+        run.story.add(
+            'read declined', f'{reader.instance}: {answer.head.status}'
+        )
         run.avoided.add(reader.instance)
         run.context.fleet.note_declined(
             reader.instance, full=answer.head.status != MISDIRECTED
@@ -123,9 +125,7 @@
         is_prefill=True,
         priority=run.route.priority,
     )
-    opened = open_answer(
-        run.context, run.request, reader, options, once=False
-    )
+    opened = open_answer(run.context, run.request, reader, options, once=False)
     return read_whole(run.context, opened)
 
 
--- a/packages/trestle-entry/src/trestle_entry/direct/request_log.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/request_log.py
@@ -89,6 +89,4 @@
                 write_line(self.lines.popleft())
             if self.dropped:
                 lost, self.dropped = self.dropped, 0
-                write_line(
-                    encode({'part': 'request', 'lines_dropped': lost})
-                )
+                write_line(encode({'part': 'request', 'lines_dropped': lost}))
--- a/packages/trestle-entry/src/trestle_entry/direct/retry_limits.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/retry_limits.py
@@ -18,9 +18,7 @@
 class RetryLimits:
     """Sends of one service in a sliding window."""
 
-    def __init__(
-        self, share: float, extra: int, window_seconds: float
-    ) -> None:
+    def __init__(self, share: float, extra: int, window_seconds: float) -> None:
         """Keep the limits of the whole fleet."""
         self.share = share
         self.extra = extra
