--- /dev/null
+++ b/features/direct_placement.feature
@@ -0,0 +1,63 @@
+Feature: Prompts are read where they cost least, and streams are not held up
+
+  Scenario: A shared beginning goes to one engine on every entry
+    Given 6 engines that read and 3 that decode
+    When two entries that know nothing of each other plan 40 long prompts
+    Then both send each shared beginning to the same reader
+
+  Scenario: A prompt goes where its beginning is held
+    Given 6 engines that read and 3 that decode
+    And reader 5 holds the beginning of a long prompt
+    When the long prompt is planned
+    Then reader 5 reads it
+
+  Scenario: A long queue at the holder moves a prompt to an idle reader
+    Given 6 engines that read and 3 that decode
+    And reader 5 holds the beginning of a long prompt
+    And reader 5 has 3000 ms of prompts ahead
+    When the long prompt is planned
+    Then another reader reads it
+
+  Scenario: A step of one kind of request spreads over the readers
+    Given 6 engines that read and 3 that decode
+    When a burst of 24 different long prompts is planned without an answer
+    Then every reader has prompts and none has over twice the mean
+
+  Scenario: What the other entries have in work counts
+    Given 6 engines that read and 3 that decode
+    And the others report 2000 ms of prompts at every reader but reader 2
+    When the long prompt is planned
+    Then reader 2 reads it
+
+  Scenario: Long prompts are not read at engines that decode
+    Given 6 engines that read and 3 that decode
+    And the others report 900 ms of prompts at every reader
+    When the long prompt is planned
+    Then a reader reads it
+
+  Scenario: Short prompts leave busy readers for an idle decoder
+    Given 6 engines that read and 3 that decode
+    And the others report 900 ms of prompts at every reader
+    When a short prompt is planned
+    Then a decoder reads it itself
+
+  Scenario: Streams keep prompts away from a decoder
+    Given 6 engines that read and 3 that decode
+    And every decoder streams to 40 callers
+    When a short prompt is planned
+    Then a reader reads it
+
+  Scenario: A third of the engines gone leaves a plan
+    Given 4 engines that read and 2 that decode
+    When a burst of 24 different long prompts is planned without an answer
+    Then every reader has prompts and none has over twice the mean
+
+  Scenario: Grey decoders are not hidden by trusted readers
+    Given 6 engines that read and 3 that decode
+    When every decoder fails 20 calls
+    Then the usable engines still include 3 that decode
+
+  Scenario: What an entry never saw is still known to be held
+    Given 6 engines that read and 3 that decode
+    When another entry's placement says that reader 4 holds a beginning
+    Then the beginning counts as held by reader 4
--- /dev/null
+++ b/features/direct_rules.feature
@@ -0,0 +1,76 @@
+Feature: Decisions of a direct entry, without a network
+
+  Scenario: A request is refused for the work ahead, not for its own size
+    Then a request with 100 ms of work ahead and 2000 ms of its own is taken
+    And a request with 900 ms of work ahead is refused as overload
+    And a request that cannot be read before its deadline is refused
+
+  Scenario: Refused callers do not return together
+    When 100 callers are refused with the same work ahead
+    Then they are told at least 50 different times to come back
+    And no time to come back is over 2 seconds
+
+  Scenario: The retry limits hold for all entries together
+    Given 4 entries that share 0.2 resends a request and 52 more
+    When each gets 100 requests and tries 500 resends
+    Then together they resent less than 132 times
+
+  Scenario: The longest prefix wins, however many routes there are
+    Given a table with 600 routes and one below another
+    Then "/a/b/c" goes to the route of "/a/b/"
+    And "/a/x" goes to the route of "/a/"
+    And "/nowhere/x" has no route
+    And "/a" has no route
+
+  Scenario Outline: A table that contradicts itself is none
+    Then a table with <fault> is refused
+
+    Examples:
+      | fault                |
+      | an unknown service   |
+      | two routes at a place |
+      | weights of nothing   |
+      | a time limit of 0    |
+      | a prefix without end |
+
+  Scenario: The highest version of a document wins
+    Given an empty control state
+    When versions 3, 7, 5 and again 7 with other content are published
+    Then version 7 is in force with its first content
+    And each publication was acknowledged
+
+  Scenario: A node takes no older document
+    Given a node that holds document 7
+    When another host sends document 5
+    Then the node still holds document 7
+
+  Scenario: Only whole events pass, wherever the bytes are cut
+    Then a stream of 20 events cut at any place gives the same events
+    And the id of the last whole event is known
+
+  Scenario: A request that ends its engines is barred on every entry
+    When a request has ended 3 engines on one entry
+    Then another entry that hears of it bars it
+    And another request is not barred
+
+  Scenario: Roles wait until a pool has settled
+    Given a leader with 9 engines of which 3 read
+    When it looks at them for 1 second
+    Then it has ordered nothing
+    When it looks at them for 5 seconds
+    Then it has ordered 3 engines to read, each with the term as fence
+
+  Scenario: A host that is no leader orders nothing
+    Given a follower with 9 engines of which 3 read
+    When it looks at them for 8 seconds
+    Then it has ordered nothing
+
+  Scenario: A leader without a quorum orders nothing
+    Given a leader with 9 engines of which 3 read
+    And it has no quorum
+    When it looks at them for 8 seconds
+    Then it has ordered nothing
+
+  Scenario: A full pipe of the log holds nothing up
+    When 5000 request lines are written while nobody reads
+    Then the lines that did not fit are counted
--- /dev/null
+++ b/features/steps/direct_placement_steps.py
@@ -0,0 +1,200 @@
+"""Steps on placement: plans without any network."""
+
+from contextlib import ExitStack
+
+from behave import given, then, when
+from behave.runner import Context
+
+from trestle_entry.direct.engine_loads import EngineLoads
+from trestle_entry.direct.fleet_view import FleetView
+from trestle_entry.direct.placement import Plan, PlanNeed, plan_request
+from trestle_entry.direct.wire_types import ModelNeed, PromptPart
+from trestle_links.direct_messages import Backend, LoadView, Placement
+
+ZONES = ('plovdiv-a', 'plovdiv-b', 'asenovgrad')
+LIMIT_TOKENS = 500_000
+LONG = ModelNeed('m', 17_000, 13, (PromptPart(7, 13_300), PromptPart(8, 3_700)))
+SHORT = ModelNeed('m', 1_000, 19, (PromptPart(21, 350), PromptPart(22, 650)))
+
+
+def engine(role: str, number: int) -> Backend:
+    """Return an engine of a role."""
+    address = f'10.0.0.{number}:80'
+    zone = ZONES[number % len(ZONES)]
+    return Backend(f'{role}-{number}', 'llm', address, zone, False, role, 64)
+
+
+def plan(context: Context, loads: EngineLoads, need: ModelNeed) -> Plan:
+    """Plan a request of an entry in the first zone."""
+    planned = plan_request(context.engines, loads, PlanNeed(need, ZONES[0]))
+    assert planned
+    return planned
+
+
+def long_prompt(number: int) -> ModelNeed:
+    """Return a long prompt with a beginning of its own."""
+    parts = (PromptPart(number, 13_300), PromptPart(number + 1000, 3_700))
+    return ModelNeed('m', 17_000, 13, parts)
+
+
+def view(context: Context, prefill_ms: dict[str, float]) -> LoadView:
+    """Return a view of the others' prompts."""
+    return LoadView(4, prefill_ms, {}, [], [], 0, 0)
+
+
+@given('{readers:d} engines that read and {decoders:d} that decode')
+def step_engines(context: Context, readers: int, decoders: int) -> None:
+    """Make the engines and an entry without load."""
+    context.readers = [engine('prefill', number) for number in range(readers)]
+    context.decoders = [engine('decode', number) for number in range(decoders)]
+    context.engines = [*context.readers, *context.decoders]
+    context.loads = EngineLoads('entry-1')
+    context.stack = ExitStack()
+
+
+@given('reader {number:d} holds the beginning of a long prompt')
+def step_holds(context: Context, number: int) -> None:
+    """Let the entry know that a reader has read the prompt."""
+    context.loads.note_read(f'prefill-{number}', LONG, LIMIT_TOKENS)
+
+
+@given('reader {number:d} has {engine_ms:d} ms of prompts ahead')
+def step_ahead(context: Context, number: int, engine_ms: int) -> None:
+    """Put prompts in front of a reader."""
+    reading = context.loads.reading(f'prefill-{number}', engine_ms)
+    context.stack.enter_context(reading)
+
+
+@given(
+    'the others report {engine_ms:d} ms of prompts at every reader but '
+    'reader {number:d}'
+)
+def step_others_but(context: Context, engine_ms: int, number: int) -> None:
+    """Take a view in which one reader is idle."""
+    loads = {
+        reader.instance: float(engine_ms)
+        for reader in context.readers
+        if reader.instance != f'prefill-{number}'
+    }
+    context.loads.take_view(view(context, loads))
+
+
+@given('the others report {engine_ms:d} ms of prompts at every reader')
+def step_others(context: Context, engine_ms: int) -> None:
+    """Take a view in which every reader is busy."""
+    loads = {reader.instance: float(engine_ms) for reader in context.readers}
+    context.loads.take_view(view(context, loads))
+
+
+@given('every decoder streams to {callers:d} callers')
+def step_streams(context: Context, callers: int) -> None:
+    """Count streams at each decoder."""
+    for decoder in context.decoders:
+        context.loads.running[decoder.instance] = callers
+
+
+@when('two entries that know nothing of each other plan {count:d} long prompts')
+def step_two_entries(context: Context, count: int) -> None:
+    """Plan the same prompts on two entries."""
+    prompts = [long_prompt(number) for number in range(count)]
+    context.choices = [
+        [plan(context, EngineLoads(name), prompt).reader for prompt in prompts]
+        for name in ('entry-1', 'entry-2')
+    ]
+
+
+@then('both send each shared beginning to the same reader')
+def step_same_reader(context: Context) -> None:
+    """Compare the choices; more than one reader is used."""
+    assert context.choices[0] == context.choices[1]
+    assert len(set(context.choices[0])) > 1
+
+
+@when('the long prompt is planned')
+def step_plan_long(context: Context) -> None:
+    """Plan the prompt whose beginning may be held."""
+    context.plan = plan(context, context.loads, LONG)
+
+
+@when('a short prompt is planned')
+def step_plan_short(context: Context) -> None:
+    """Plan a short prompt."""
+    context.plan = plan(context, context.loads, SHORT)
+
+
+@then('reader {number:d} reads it')
+def step_reader_is(context: Context, number: int) -> None:
+    """Check the reader of the plan."""
+    assert context.plan.reader.instance == f'prefill-{number}', context.plan
+
+
+@then('another reader reads it')
+def step_other_reader(context: Context) -> None:
+    """Check that the holder was left out."""
+    assert context.plan.reader.instance != 'prefill-5', context.plan
+
+
+@then('a reader reads it')
+def step_some_reader(context: Context) -> None:
+    """Check that the prompt is read apart."""
+    assert context.plan.reader, context.plan
+
+
+@then('a decoder reads it itself')
+def step_decoder_reads(context: Context) -> None:
+    """Check that the prompt is not read apart."""
+    assert context.plan.reader is None, context.plan
+
+
+@when(
+    'a burst of {count:d} different long prompts is planned without an answer'
+)
+def step_burst(context: Context, count: int) -> None:
+    """Plan a burst; each prompt stays in front of its reader."""
+    context.counts = {reader.instance: 0 for reader in context.readers}
+    for number in range(count):
+        planned = plan(context, context.loads, long_prompt(number))
+        instance = planned.reader.instance
+        context.counts[instance] += 1
+        reading = context.loads.reading(instance, planned.read_ms)
+        context.stack.enter_context(reading)
+
+
+@then('every reader has prompts and none has over twice the mean')
+def step_spread(context: Context) -> None:
+    """Check the spread of the burst."""
+    counts = context.counts.values()
+    mean = sum(counts) / len(counts)
+    assert min(counts) > 0 and max(counts) <= mean * 2, context.counts
+
+
+@when('every decoder fails {calls:d} calls')
+def step_grey(context: Context, calls: int) -> None:
+    """Let every decoder fail while the readers serve."""
+    context.fleet = FleetView()
+    context.fleet.take_list(context.engines)
+    for _ in range(calls):
+        for decoder in context.decoders:
+            context.fleet.note_failed(decoder.instance, 'reset')
+
+
+@then('the usable engines still include {count:d} that decode')
+def step_usable(context: Context, count: int) -> None:
+    """Count the decoders among the usable engines."""
+    usable = context.fleet.usable('llm', frozenset())
+    assert sum(entry.role == 'decode' for entry in usable) == count, usable
+
+
+@when("another entry's placement says that reader {number:d} holds a beginning")
+def step_placement(context: Context, number: int) -> None:
+    """Take a placement of a part that this entry never saw."""
+    placement = Placement(7, 13_300, f'prefill-{number}')
+    taken = view(context, {})._replace(placements=[placement])
+    context.loads.take_view(taken)
+
+
+@then('the beginning counts as held by reader {number:d}')
+def step_held(context: Context, number: int) -> None:
+    """Check what the reader would still have to read."""
+    uncached = context.loads.uncached_tokens(f'prefill-{number}', LONG)
+    assert uncached == LONG.parts[1].tokens, uncached
--- /dev/null
+++ b/features/steps/direct_rules_steps.py
@@ -0,0 +1,387 @@
+"""Steps on decisions of a direct entry and of the leader, without a network."""
+
+from random import Random
+from typing import Any
+from unittest.mock import patch
+
+from behave import given, then, when
+from behave.runner import Context
+
+from trestle_control import direct_roles
+from trestle_control.apply import ControlMachine
+from trestle_control.control_errors import NoQuorumError
+from trestle_control.direct_roles import DirectRoles, RoleOrder
+from trestle_control.load_table import LoadTable
+from trestle_core.errors import TrestleError
+from trestle_core.metrics import Metrics
+from trestle_core.route_table import (
+    DEFAULT_LIMITS,
+    Repeat,
+    Route,
+    RouteTable,
+    Service,
+    Share,
+)
+from trestle_entry.direct.admission import Prospect, refusal_of
+from trestle_entry.direct.crash_guard import CrashGuard
+from trestle_entry.direct.event_stream import EventCutter
+from trestle_entry.direct.request_log import RequestLog, RequestStory
+from trestle_entry.direct.retry_limits import RetryLimits
+from trestle_links.direct_messages import (
+    Backend,
+    DocumentDelta,
+    PublishDocument,
+)
+from trestle_links.node_view import NodeView
+
+TARGET_MS = 600.0
+LEFT_MS = 5000.0
+
+
+def prospect(wait_ms: float, own_ms: float = 100) -> Prospect:
+    """Return what is predicted of a request."""
+    return Prospect(wait_ms, wait_ms + own_ms, TARGET_MS, LEFT_MS)
+
+
+def route(prefix: str, **changes: Any) -> Route:
+    """Return a valid route with changes."""
+    plain = Route(
+        name=f'route {prefix}',
+        host='h',
+        prefix=prefix,
+        repeat=Repeat.SAFE,
+        timeout_ms=1000,
+        target_ms=100,
+        gap_ms=0,
+        priority=0,
+        max_attempts=2,
+        resumable=False,
+        shares=(Share('desk', 1),),
+    )
+    return plain._replace(**changes)
+
+
+def table(*routes: Route) -> RouteTable:
+    """Return a table with one service."""
+    services = {'desk': Service('desk', 10, None)}
+    return RouteTable(1, list(routes), services, DEFAULT_LIMITS)
+
+
+@then(
+    'a request with {wait:d} ms of work ahead and {own:d} ms of its own is taken'
+)
+def step_taken(context: Context, wait: int, own: int) -> None:
+    """Check that size alone refuses nobody."""
+    assert refusal_of(prospect(wait, own), 0.5) is None
+
+
+@then('a request with {wait:d} ms of work ahead is refused as overload')
+def step_overload(context: Context, wait: int) -> None:
+    """Check a refusal for the work ahead."""
+    refusal = refusal_of(prospect(wait), 0.5)
+    assert refusal and refusal.reason == 'overload', refusal
+
+
+@then('a request that cannot be read before its deadline is refused')
+def step_deadline(context: Context) -> None:
+    """Check a refusal for the deadline."""
+    refusal = refusal_of(prospect(0, LEFT_MS + 1), 0.5)
+    assert refusal and refusal.reason == 'deadline', refusal
+
+
+@when('{callers:d} callers are refused with the same work ahead')
+def step_refused(context: Context, callers: int) -> None:
+    """Collect the times to come back."""
+    random = Random(1)
+    refusals = [
+        refusal_of(prospect(1500), random.random()) for _ in range(callers)
+    ]
+    context.returns = [refusal.retry_after for refusal in refusals if refusal]
+
+
+@then('they are told at least {count:d} different times to come back')
+def step_spread(context: Context, count: int) -> None:
+    """Count different times, in ms."""
+    assert len({round(time, 3) for time in context.returns}) >= count
+
+
+@then('no time to come back is over {seconds:d} seconds')
+def step_bounded(context: Context, seconds: int) -> None:
+    """Check the longest time."""
+    assert 0 < min(context.returns) <= max(context.returns) <= seconds
+
+
+@given(
+    '{entries:d} entries that share {share:f} resends a request and {extra:d} more'
+)
+def step_limits(
+    context: Context, entries: int, share: float, extra: int
+) -> None:
+    """Make the limits of each entry."""
+    context.entries = [RetryLimits(share, extra, 10.0) for _ in range(entries)]
+
+
+@when('each gets {requests:d} requests and tries {resends:d} resends')
+def step_resend(context: Context, requests: int, resends: int) -> None:
+    """Count what the limits allow."""
+    context.resent = 0
+    for limits in context.entries:
+        for _ in range(requests):
+            limits.note_request()
+        context.resent += sum(
+            limits.take(len(context.entries)) for _ in range(resends)
+        )
+
+
+@then('together they resent less than {most:d} times')
+def step_resent(context: Context, most: int) -> None:
+    """Check the sum of all entries."""
+    assert 0 < context.resent < most, context.resent
+
+
+@given('a table with {count:d} routes and one below another')
+def step_table(context: Context, count: int) -> None:
+    """Make a large table."""
+    many = [route(f'/r{number}/') for number in range(count)]
+    context.routes = table(route('/a/'), route('/a/b/'), *many)
+
+
+@then('"{path}" goes to the route of "{prefix}"')
+def step_goes_to(context: Context, path: str, prefix: str) -> None:
+    """Check a match."""
+    assert context.routes.find('h', path).prefix == prefix
+
+
+@then('"{path}" has no route')
+def step_no_route(context: Context, path: str) -> None:
+    """Check a miss, on this host and on another."""
+    assert context.routes.find('h', path) is None
+    assert context.routes.find('other', '/a/x') is None
+
+
+@then('a table with {fault} is refused')
+def step_invalid(context: Context, fault: str) -> None:
+    """Build a table with one fault."""
+    routes = {
+        'an unknown service': [route('/a/', shares=(Share('x', 1),))],
+        'two routes at a place': [route('/a/'), route('/a/')],
+        'weights of nothing': [route('/a/', shares=(Share('desk', 0),))],
+        'a time limit of 0': [route('/a/', timeout_ms=0)],
+        'a prefix without end': [route('/a')],
+    }[fault]
+    try:
+        table(*routes)
+    except TrestleError as error:
+        assert error.code.code == 'invalid-set', error.code
+        return
+    raise AssertionError('the table was taken')
+
+
+@given('an empty control state')
+def step_state(context: Context) -> None:
+    """Make a state machine."""
+    context.machine = ControlMachine()
+
+
+@when('versions 3, 7, 5 and again 7 with other content are published')
+def step_publish(context: Context) -> None:
+    """Apply the publications."""
+    sent = [(3, b'three'), (7, b'seven'), (5, b'five'), (7, b'other')]
+    context.replies = [
+        context.machine.apply(index, PublishDocument(*document))
+        for index, document in enumerate(sent, start=1)
+    ]
+
+
+@then('version 7 is in force with its first content')
+def step_in_force(context: Context) -> None:
+    """Check the state and a copy made from its snapshot."""
+    copy = ControlMachine()
+    copy.restore(context.machine.snapshot())
+    for machine in (context.machine, copy):
+        assert machine.state.document_version == 7
+        assert machine.state.document == b'seven'
+
+
+@then('each publication was acknowledged')
+def step_acknowledged(context: Context) -> None:
+    """Check that every reply names the version in force."""
+    assert [reply.version for reply in context.replies] == [3, 7, 7, 7]
+
+
+@given('a node that holds document 7')
+def step_node(context: Context) -> None:
+    """Make a node's view."""
+    context.view = NodeView()
+    assert context.view.take_document(DocumentDelta(7, b'seven', 4))
+
+
+@when('another host sends document 5')
+def step_older(context: Context) -> None:
+    """Offer an older document from a host that lags."""
+    context.taken = context.view.take_document(DocumentDelta(5, b'five', 9))
+
+
+@then('the node still holds document 7')
+def step_still(context: Context) -> None:
+    """Check that nothing went back."""
+    assert not context.taken
+    assert context.view.document == b'seven'
+
+
+@then('a stream of {count:d} events cut at any place gives the same events')
+def step_cut(context: Context, count: int) -> None:
+    """Cut the stream in two at every byte."""
+    events = b''.join(
+        f'id: {number}\ndata: token {number}\n\n'.encode()
+        for number in range(count)
+    )
+    for place in range(len(events) + 1):
+        cutter = EventCutter()
+        passed = cutter.feed(events[:place])
+        assert not passed or passed.endswith(b'\n\n')
+        passed += cutter.feed(events[place:])
+        assert passed == events, place
+        context.last_id = cutter.last_id
+
+
+@then('the id of the last whole event is known')
+def step_last_id(context: Context) -> None:
+    """Check the id that a resume would name."""
+    assert context.last_id == '19', context.last_id
+
+
+@when('a request has ended {engines:d} engines on one entry')
+def step_ended(context: Context, engines: int) -> None:
+    """Note the ends and keep the notices."""
+    guard = CrashGuard()
+    context.notices = [
+        guard.note('digest', f'engine-{number}') for number in range(engines)
+    ]
+    assert guard.is_barred('digest')
+
+
+@then('another entry that hears of it bars it')
+def step_barred(context: Context) -> None:
+    """Take the notices elsewhere, twice as they may come twice."""
+    context.other = CrashGuard()
+    context.other.take(context.notices[:-1] * 3)
+    assert not context.other.is_barred('digest')
+    context.other.take(context.notices)
+    assert context.other.is_barred('digest')
+
+
+@then('another request is not barred')
+def step_not_barred(context: Context) -> None:
+    """Check a digest that nobody noted."""
+    assert not context.other.is_barred('other')
+
+
+class StandInReplica:
+    """What roles need of the replicated log."""
+
+    def __init__(self, *, is_leader: bool) -> None:
+        """Lead since long, or follow."""
+        self.is_leader = is_leader
+        self.leading_seconds = 100.0 if is_leader else 0.0
+        self.leader_address = None
+        self.term = 4
+        self.has_quorum = True
+
+    def read_barrier(self, _timeout_seconds: float) -> int:
+        """Confirm that this host leads."""
+        if not self.has_quorum:
+            raise NoQuorumError
+        return 1
+
+
+def make_roles(context: Context, engines: int, *, is_leader: bool) -> None:
+    """Make the role manager and note what it orders."""
+    context.orders = []
+    context.now = 1000.0
+
+    def send(order: RoleOrder) -> bool:
+        context.orders.append(order)
+        return True
+
+    machine = ControlMachine()
+    machine.state.backends = [
+        Backend(
+            f'e{number}',
+            'llm',
+            f'10.0.0.{number}:80',
+            'z',
+            False,
+            'prefill' if number < 3 else 'decode',
+            64,
+        )
+        for number in range(engines)
+    ]
+    context.replica = StandInReplica(is_leader=is_leader)
+    replica: Any = context.replica
+    context.roles = DirectRoles(
+        send, 'c1', 3.0, machine, replica, LoadTable(replica), Metrics()
+    )
+
+
+@given('a leader with {engines:d} engines of which 3 read')
+def step_leader(context: Context, engines: int) -> None:
+    """Make a leader."""
+    make_roles(context, engines, is_leader=True)
+
+
+@given('a follower with {engines:d} engines of which 3 read')
+def step_follower(context: Context, engines: int) -> None:
+    """Make a follower."""
+    make_roles(context, engines, is_leader=False)
+
+
+@given('it has no quorum')
+def step_no_quorum(context: Context) -> None:
+    """Take the quorum away."""
+    context.replica.has_quorum = False
+
+
+@when('it looks at them for {seconds:d} second')
+@when('it looks at them for {seconds:d} seconds')
+def step_look(context: Context, seconds: int) -> None:
+    """Run looks on a clock of their own."""
+    steps = int(seconds / direct_roles.LOOK_SECONDS)
+    with patch.object(direct_roles, 'monotonic', lambda: context.now):
+        for _ in range(steps):
+            context.now += direct_roles.LOOK_SECONDS
+            context.roles.look()
+
+
+@then('it has ordered nothing')
+def step_nothing(context: Context) -> None:
+    """Check that no order left."""
+    assert context.orders == [], context.orders
+
+
+@then('it has ordered {count:d} engines to read, each with the term as fence')
+def step_ordered(context: Context, count: int) -> None:
+    """Check the orders."""
+    orders = context.orders
+    assert len(orders) == count, orders
+    assert {order.role for order in orders} == {'prefill'}
+    assert {order.fence for order in orders} == {4}
+    assert len({order.backend.instance for order in orders}) == count
+
+
+@when('{count:d} request lines are written while nobody reads')
+def step_lines(context: Context, count: int) -> None:
+    """Queue lines without letting the writer run."""
+    context.metrics = Metrics()
+    context.log = RequestLog(context.metrics)
+    context.log.started = True
+    for number in range(count):
+        context.log.write(RequestStory(str(number), 0), 'served', 'ran')
+
+
+@then('the lines that did not fit are counted')
+def step_dropped(context: Context) -> None:
+    """Check the queue's bound and the counter."""
+    kept = len(context.log.lines)
+    dropped = context.metrics.counters['log_lines_dropped', '']
+    assert kept + dropped == 5000 and dropped > 0, (kept, dropped)
--- a/packages/trestle-control/src/trestle_control/control_app.py
+++ b/packages/trestle-control/src/trestle_control/control_app.py
@@ -15,7 +15,6 @@
 from trestle_control.status_pages import StatusPages
 from trestle_control.watch_server import WatchServer
 from trestle_core.addresses import write_address_file
-from trestle_core.errors import TrestleError
 from trestle_core.lifecycle import Application
 from trestle_core.metrics import Metrics
 from trestle_core.settings import ControlSettings
--- a/packages/trestle-control/src/trestle_control/direct_roles.py
+++ b/packages/trestle-control/src/trestle_control/direct_roles.py
@@ -95,10 +95,15 @@
         """Look at every pool while this host leads."""
         while True:
             sleep(LOOK_SECONDS)
-            if self.replica.leading_seconds > self._wait_seconds():
-                self._measure()
-                for pool, engines in self._pools().items():
-                    self._look_at(pool, engines)
+            self.look()
+
+    def look(self) -> None:
+        """Order what the pools ask for, if this host leads."""
+        if self.replica.leading_seconds <= self._wait_seconds():
+            return
+        self._measure()
+        for pool, engines in self._pools().items():
+            self._look_at(pool, engines)
 
     def _wait_seconds(self) -> float:
         # The first leader has no one before it.
--- a/packages/trestle-control/src/trestle_control/durable_files.py
+++ b/packages/trestle-control/src/trestle_control/durable_files.py
@@ -10,7 +10,7 @@
 from os import open as open_file
 from pathlib import Path
 from struct import Struct
-from typing import Final, TypeVar
+from typing import Final, NamedTuple, TypeVar
 
 from gevent import get_hub
 from xxhash import xxh3_64_intdigest
@@ -22,25 +22,31 @@
 _CHECKSUM: Final = Struct('>Q')
 
 
+class _Failure(NamedTuple):
+    """What a disk operation raised."""
+
+    error: OSError
+
+
 def run_blocking(work: Callable[[], Returned]) -> Returned:
     """Run a disk operation in a thread, so that other greenlets go on.
 
     Raises `StorageFailedError`.
     """
-    returned, failure = get_hub().threadpool.apply(_outcome_of, (work,))
-    if failure:
-        raise StorageFailedError(str(failure)) from failure
-    return returned
+    outcome: Returned | _Failure = get_hub().threadpool.apply(
+        _outcome_of, (work,)
+    )
+    if isinstance(outcome, _Failure):
+        raise StorageFailedError(str(outcome.error)) from outcome.error
+    return outcome
 
 
-def _outcome_of(
-    work: Callable[[], Returned],
-) -> tuple[Returned, None] | tuple[None, OSError]:
+def _outcome_of(work: Callable[[], Returned]) -> Returned | _Failure:
     # The pool would print a traceback of what it raises.
     try:
-        return work(), None
+        return work()
     except OSError as error:
-        return None, error
+        return _Failure(error)
 
 
 def write_checked_file(path: Path, content: bytes) -> None:
--- a/packages/trestle-control/src/trestle_control/replica_members.py
+++ b/packages/trestle-control/src/trestle_control/replica_members.py
@@ -15,6 +15,7 @@
     NoQuorumError,
     NotLeaderError,
 )
+from trestle_control.member_policy import keeps_quorum
 from trestle_control.membership import (
     ListedHost,
     MemberSet,
@@ -23,7 +24,6 @@
 from trestle_control.replica_forward import call_leader
 from trestle_control.replica_leader import (
     has_committed_own_term,
-    keeps_quorum,
     propose_members,
 )
 from trestle_control.replica_state import ReplicaState
--- a/packages/trestle-control/src/trestle_control/watch_deltas.py
+++ b/packages/trestle-control/src/trestle_control/watch_deltas.py
@@ -1,16 +1,17 @@
 """Deltas for the state streams: what a command changed, and whole lists."""
 
 from collections.abc import Callable
-from typing import Any, Final, NamedTuple
+from typing import Any, Final
 
+from trestle_control.direct_deltas import (
+    Change,
+    backends_listed,
+    direct_deltas,
+    document_published,
+)
 from trestle_control.state import ControlState
 from trestle_links.codec import Message
-from trestle_links.direct_messages import (
-    BackendsDelta,
-    DocumentDelta,
-    ListBackends,
-    PublishDocument,
-)
+from trestle_links.direct_messages import ListBackends, PublishDocument
 from trestle_links.engine_messages import ReportEngine
 from trestle_links.fleet_messages import (
     AdmitEndpoint,
@@ -35,13 +36,6 @@
 )
 
 
-class Change(NamedTuple):
-    """An applied command and where it stands in the log."""
-
-    log_index: int
-    command: Any
-
-
 def set_delta(state: ControlState) -> SetDelta | None:
     """Return the set in force, or None before the first publication."""
     current = state.current_set
@@ -65,26 +59,13 @@
     )
     deltas.append(_filter_endpoints(endpoints, watch.targets))
     deltas.append(_whole_contents(state, log_index))
-    deltas.extend(_direct_deltas(state, log_index))
+    deltas.extend(direct_deltas(state, log_index))
     order = state.orders.get(watch.host)
     if order and order.state is OrderState.ISSUED and is_endpoint(watch):
         deltas.append(OrderDelta(order))
     return deltas
 
 
-def _direct_deltas(state: ControlState, log_index: int) -> list[Message]:
-    deltas: list[Message] = []
-    if state.document_version:
-        deltas.append(_document_delta(state, log_index))
-    if state.backends:
-        deltas.append(BackendsDelta(state.backends, log_index))
-    return deltas
-
-
-def _document_delta(state: ControlState, log_index: int) -> DocumentDelta:
-    return DocumentDelta(state.document_version, state.document, log_index)
-
-
 def deltas_of(state: ControlState, change: Change) -> list[Message]:
     """Return what one command changed, for every node."""
     changed = _CHANGED.get(type(change.command))
@@ -141,16 +122,6 @@
     return set_patch(before, published)
 
 
-def _document_published(state: ControlState, change: Change) -> list[Message]:
-    if change.command.version != state.document_version:
-        return []
-    return [_document_delta(state, change.log_index)]
-
-
-def _backends_listed(state: ControlState, change: Change) -> list[Message]:
-    return [BackendsDelta(state.backends, change.log_index)]
-
-
 def _endpoint_changed(state: ControlState, change: Change) -> list[Message]:
     command = change.command
     is_report = isinstance(command, ReportOrder)
@@ -207,6 +178,6 @@
     ReportCrash: _contents_changed,
     ClearSuspect: _contents_changed,
     ReleaseContent: _contents_changed,
-    PublishDocument: _document_published,
-    ListBackends: _backends_listed,
+    PublishDocument: document_published,
+    ListBackends: backends_listed,
 }
--- a/packages/trestle-control/src/trestle_control/watch_server.py
+++ b/packages/trestle-control/src/trestle_control/watch_server.py
@@ -18,10 +18,10 @@
 from gevent.queue import SimpleQueue
 
 from trestle_control.apply import ControlMachine
+from trestle_control.direct_deltas import Change
 from trestle_control.node_table import NodeTable
 from trestle_control.replica_api import ReplicaApi
 from trestle_control.watch_deltas import (
-    Change,
     delta_for,
     deltas_of,
     opening_deltas,
--- a/packages/trestle-entry/src/trestle_entry/direct/caller_server.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/caller_server.py
@@ -35,42 +35,32 @@
     b'HTTP/1.1 408 Request Timeout\r\n'
     b'Connection: close\r\nContent-Length: 0\r\n\r\n',
 )
-_HEAD_TOO_LARGE_ANSWER: Final = (
-    '431 Request Header Fields Too Large',
-    b'HTTP/1.1 431 Request Header Fields Too Large\r\n'
-    b'Connection: close\r\nContent-Length: 0\r\n\r\n',
-)
 
 
 class CallerHandler(SocketHandler):
     """One connection of a caller."""
 
-    def read_requestline(self) -> Any:
+    server: Any
+    head_timer: Timeout
+
+    def read_requestline(self) -> str:
         """Wait for the next request; an idle connection ends in silence."""
         limits = self.server.limits()
-        self.head_timer = None
-        with Timeout(limits.idle_ms / _MS_PER_SECOND, False):
-            self.server.idle.add(self)
-            try:
-                waiting = self.rfile.peek(1)
-            finally:
-                self.server.idle.discard(self)
-            if waiting:
-                self.head_timer = Timeout.start_new(
-                    limits.header_ms / _MS_PER_SECOND
-                )
-        if self.head_timer is None:
+        if not self._wait_for_request(limits.idle_ms / _MS_PER_SECOND):
             return ''
+        self.head_timer = Timeout.start_new(limits.header_ms / _MS_PER_SECOND)
         try:
             return super().read_requestline()
-        except Timeout:
+        except Timeout as error:
+            if error is not self.head_timer:
+                raise
             self.socket.sendall(_REQUEST_TIMEOUT_ANSWER[1])
             return ''
 
-    def read_request(self, raw_requestline: str) -> bool:
-        """Read the head within its time and size."""
+    def read_request(self, raw_requestline: str) -> Any:
+        """Read the head within its time."""
         try:
-            return bool(super().read_request(raw_requestline))
+            return super().read_request(raw_requestline)
         finally:
             self.head_timer.close()
 
@@ -97,7 +87,21 @@
         super().finalize_headers()
         if self.server.closing:
             self.close_connection = True
-            self.response_headers.append((b'Connection', b'close'))
+            headers: list[Any] = self.response_headers or []
+            headers.append((b'Connection', b'close'))
+
+    def _wait_for_request(self, seconds: float) -> bool:
+        idle_limit = Timeout.start_new(seconds)
+        self.server.idle.add(self)
+        try:
+            return bool(self.rfile.peek(1))
+        except Timeout as error:
+            if error is not idle_limit:
+                raise
+            return False
+        finally:
+            idle_limit.close()
+            self.server.idle.discard(self)
 
     def handle_error(self, kind: Any, error: Any, trace: Any) -> None:
         """End the connection under an answer that cannot be finished."""
--- a/packages/trestle-entry/src/trestle_entry/direct/event_stream.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/event_stream.py
@@ -22,7 +22,8 @@
         """Return the bytes of all events that are whole now."""
         waiting = self.tail + received
         end = max(_end_of_last(waiting, mark) for mark in _ENDS)
-        whole, self.tail = waiting[:end], waiting[end:]
+        whole = waiting[:end]
+        self.tail = waiting[end:]
         if whole:
             self._note(whole)
         return whole
--- a/packages/trestle-entry/src/trestle_entry/direct/load_exchange.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/load_exchange.py
@@ -26,28 +26,44 @@
 _log = part_logger('loads')
 
 
+class LeaderContact:
+    """Tells once when the leader is lost and once when it is back."""
+
+    def __init__(self) -> None:
+        """Start without a loss."""
+        self.lost_at: float | None = None
+
+    def note(self, leader: str, *, reached: bool) -> None:
+        """Log a change between reached and lost."""
+        if reached and self.lost_at is not None:
+            away_seconds = monotonic() - self.lost_at
+            _log.info('Leader answers again after {:.1f} s.', away_seconds)
+            self.lost_at = None
+        elif not reached and self.lost_at is None:
+            self.lost_at = monotonic()
+            _log.warning('Leader {} does not answer.', leader or 'unknown')
+
+
 def run_exchange(
     context: DirectContext, control: ControlClient, links: LinkPool
 ) -> None:
     """Report and take the sums of the others, for ever."""
-    every_seconds = context.settings.exchange_every_ms / _MS_PER_SECOND
-    lost_at: float | None = None
+    contact = LeaderContact()
     while True:
         leader = control.leader_address
         reached = bool(leader) and _exchange(context, leader, links)
-        if reached and lost_at is not None:
-            away_seconds = monotonic() - lost_at
-            _log.info('Leader answers again after {:.1f} s.', away_seconds)
-            lost_at = None
-        elif not reached and lost_at is None:
-            lost_at = monotonic()
-            _log.warning('Leader {} does not answer.', leader or 'unknown')
-        if not reached:
+        contact.note(leader, reached=reached)
+        if reached:
+            _wait_for_change(context)
+        else:
             sleep(_PAUSE_SECONDS)
-            continue
-        sleep(_shortest_seconds(context))
-        context.loads.changed.wait(every_seconds)
-        context.loads.changed.clear()
+
+
+def _wait_for_change(context: DirectContext) -> None:
+    every_seconds = context.settings.exchange_every_ms / _MS_PER_SECOND
+    sleep(_shortest_seconds(context))
+    context.loads.changed.wait(every_seconds)
+    context.loads.changed.clear()
 
 
 def _shortest_seconds(context: DirectContext) -> float:
--- a/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
@@ -199,18 +199,14 @@
     )
     run.story.add('send', instance if handle else f'{instance}: reads itself')
     run.count_at(instance)
-    taken = False
-    kept = False
     try:
         opened = _send(run, plan, options, is_read=handle is not None)
-        taken = opened is not None and not opened.head.refused
-        kept = not taken and not is_last and not run.runs
-    finally:
-        if handle and not taken and not kept:
-            free_handle(run.context, handle)
-        if not taken:
-            run.count_at('')
+    except BaseException:
+        _give_up(run, handle)
+        raise
     if opened is None or opened.head.refused:
+        is_lost = is_last or bool(run.runs)
+        _give_up(run, handle if is_lost else None)
         return None
     if opened.head.status == OK:
         run.context.loads.note_read(instance, run.need, kept_tokens(run))
@@ -218,6 +214,12 @@
     return _failed_answer(run, opened)
 
 
+def _give_up(run: ModelRun, handle: Handle | None) -> None:
+    run.count_at('')
+    if handle:
+        free_handle(run.context, handle)
+
+
 def _send(
     run: ModelRun, plan: Plan, options: SendOptions, *, is_read: bool
 ) -> OpenAnswer | None:
--- a/packages/trestle-entry/src/trestle_entry/direct/request_log.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/request_log.py
@@ -81,6 +81,11 @@
         self.lines.append(encode(line))
         self.wake.set()
 
+    def _dropped_line(self) -> dict[str, Any]:
+        lost = self.dropped
+        self.dropped = 0
+        return {'part': 'request', 'lines_dropped': lost}
+
     def _run(self) -> None:
         while True:
             self.wake.wait()
@@ -88,5 +93,4 @@
             while self.lines:
                 write_line(self.lines.popleft())
             if self.dropped:
-                lost, self.dropped = self.dropped, 0
-                write_line(encode({'part': 'request', 'lines_dropped': lost}))
+                write_line(encode(self._dropped_line()))
--- a/packages/trestle-links/src/trestle_links/control_client.py
+++ b/packages/trestle-links/src/trestle_links/control_client.py
@@ -98,10 +98,10 @@
             SetPatch: self._take_patch,
             EndpointsDelta: self._take_endpoints,
             ContentDelta: self._take_contents,
-            OrderDelta: self._take_order,
-            DocumentDelta: self._take_document,
-            BackendsDelta: self._take_backends,
-            ControlHostsDelta: self._take_hosts,
+            OrderDelta: lambda delta: _take_order(self, delta),
+            DocumentDelta: lambda delta: _take_document(self, delta),
+            BackendsDelta: lambda delta: _take_backends(self, delta),
+            ControlHostsDelta: lambda delta: _take_hosts(self, delta),
         }
         self.task: Greenlet[..., None] | None = None
 
@@ -142,14 +142,10 @@
     def is_fresh(self) -> bool:
         """Tell whether the node holds a set and a stamp that confirms it."""
         return (
-            self._holds_configuration()
+            self.view.holds_configuration
             and self.freshness_seconds() < self.watcher.stale_seconds
         )
 
-    def _holds_configuration(self) -> bool:
-        view = self.view
-        return view.named_set is not None or view.document_version > 0
-
     def freshness_seconds(self) -> float:
         """Return the age of the view; infinity before the first stamp."""
         return self.freshness.age_seconds()
@@ -253,18 +249,6 @@
         if self.view.take_contents(delta):
             _run_hooks(self.on_contents)
 
-    def _take_document(self, delta: DocumentDelta) -> None:
-        if self.view.take_document(delta):
-            _run_hooks(self.on_document)
-
-    def _take_backends(self, delta: BackendsDelta) -> None:
-        if self.view.take_backends(delta):
-            _run_hooks(self.on_backends)
-
-    def _take_hosts(self, delta: ControlHostsDelta) -> None:
-        self.leader_address = delta.leader
-        self.add_addresses(delta.addresses)
-
     def add_addresses(self, addresses: list[str]) -> None:
         """Learn of more control hosts.
 
@@ -275,10 +259,6 @@
             if address not in self.addresses:
                 self.addresses.append(address)
 
-    def _take_order(self, delta: OrderDelta) -> None:
-        for hook in self.on_order:
-            hook(delta.order)
-
     def _take_stamp(self, stamp: Stamp) -> None:
         self.lost = False
         self.view.reach(stamp.log_index)
@@ -317,3 +297,23 @@
         _log.warning('The set cannot be fetched: {}.', error)
     else:
         client.offer_set(delta)
+
+
+def _take_order(client: ControlClient, delta: OrderDelta) -> None:
+    for hook in client.on_order:
+        hook(delta.order)
+
+
+def _take_document(client: ControlClient, delta: DocumentDelta) -> None:
+    if client.view.take_document(delta):
+        _run_hooks(client.on_document)
+
+
+def _take_backends(client: ControlClient, delta: BackendsDelta) -> None:
+    if client.view.take_backends(delta):
+        _run_hooks(client.on_backends)
+
+
+def _take_hosts(client: ControlClient, delta: ControlHostsDelta) -> None:
+    client.leader_address = delta.leader
+    client.add_addresses(delta.addresses)
--- a/packages/trestle-links/src/trestle_links/node_view.py
+++ b/packages/trestle-links/src/trestle_links/node_view.py
@@ -54,6 +54,11 @@
         self.backends: list[Backend] = []
         self.backends_index = 0
 
+    @property
+    def holds_configuration(self) -> bool:
+        """Tell whether a named set or a route document is held."""
+        return self.named_set is not None or self.document_version > 0
+
     def endpoints_of(self, target: str) -> list[EndpointInfo]:
         """Return the serving endpoints of a pool or service."""
         return [
