--- a/packages/kingcuptrestle/src/kingcuptrestle/settings_cli.py
+++ b/packages/kingcuptrestle/src/kingcuptrestle/settings_cli.py
@@ -100,4 +100,6 @@
     # The description stands in the last annotation of the field.
     description = get_args(entry.type)[-1].description or ''
     default = None if required else entry.default
+    if entry.default_factory is not NODEFAULT:
+        default = entry.default_factory()
     return SettingField(entry.name, default, required, description)
--- a/packages/trestle-control/src/trestle_control/document_service.py
+++ b/packages/trestle-control/src/trestle_control/document_service.py
@@ -9,7 +9,7 @@
 
 from trestle_control.apply import ControlMachine
 from trestle_control.replica_api import ReplicaApi
-from trestle_core.errorcodes import CONTROL_UNREACHABLE
+from trestle_core.errorcodes import CONTROL_UNREACHABLE, NO_QUORUM
 from trestle_core.errors import TrestleError
 from trestle_core.logs import part_logger
 from trestle_links.direct_messages import DocumentReply, PublishDocument
@@ -41,6 +41,9 @@
 
         Raises `TrestleError`; its verdict tells whether it may be in force.
         """
+        if not self.replica.bears_losses:
+            # What is acknowledged now could be lost with its holders.
+            raise TrestleError(NO_QUORUM, 'too few voters have joined')
         reply = self.replica.submit(
             PublishDocument(document.version, document.content),
             _PUBLISH_SECONDS,
--- a/packages/trestle-control/src/trestle_control/replica.py
+++ b/packages/trestle-control/src/trestle_control/replica.py
@@ -13,6 +13,7 @@
 from gevent import Greenlet
 
 from trestle_control.control_errors import StorageFailedError
+from trestle_control.membership import quorum_size
 from trestle_control.read_barrier import (
     freshness_age_seconds,
     read_barrier,
@@ -115,6 +116,12 @@
         """Peer addresses of all members."""
         return [member.address for member in self.state.members.members]
 
+    @property
+    def bears_losses(self) -> bool:
+        """Tell whether a quorum outnumbers the losses to be borne."""
+        borne = self.state.settings.wanted_voters // 2
+        return quorum_size(self.state.members) > borne
+
     @property
     def term(self) -> int:
         """The current term, as synced."""
--- a/packages/trestle-control/src/trestle_control/replica_api.py
+++ b/packages/trestle-control/src/trestle_control/replica_api.py
@@ -22,6 +22,10 @@
     def member_addresses(self) -> list[str]:
         """Peer addresses of all members."""
 
+    @property
+    def bears_losses(self) -> bool:
+        """Tell whether a quorum outnumbers the losses to be borne."""
+
     @property
     def leader_address(self) -> str | None:
         """Where the leader listens, if it is known."""
--- /dev/null
+++ b/testbed/platform_replica.py
@@ -0,0 +1,206 @@
+"""Stand-in for back ends of the users' platform, with faults of its own.
+
+A raw HTTP server, since most faults are bytes that no HTTP library sends. A
+request's path picks the fault for its answer; everything that ran is listed.
+"""
+
+from typing import Final, NamedTuple
+
+from gevent import sleep
+from gevent.server import StreamServer
+from gevent.socket import SO_LINGER, SOL_SOCKET, socket
+from msgspec.json import encode
+
+EVENTS: Final = 6
+SEAL: Final = 'standin.seal'
+_PREFIX: Final = 'Kingcuptrestle-'
+_READ_BYTES: Final = 65_536
+_SLOW_SECONDS: Final = 30.0
+_RESET: Final = b'\x01\x00\x00\x00\x00\x00\x00\x00'
+
+
+class Received(NamedTuple):
+    """A request that a back end took."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def fault(self) -> str:
+        """The fault that the path names."""
+        return self.target.rpartition('/')[2]
+
+    def named(self, name: str) -> str:
+        """Return one of the platform's headers."""
+        return self.headers.get((_PREFIX + name).lower(), '')
+
+
+class PlatformReplica:
+    """One back end: an engine of a stage, or a service without one."""
+
+    def __init__(self, instance: str, stage: str, listen: str) -> None:
+        """Bind to `ip:port`."""
+        self.instance = instance
+        self.stage = stage
+        self.ran: list[Received] = []
+        self.declined: list[Received] = []
+        self.handles: set[str] = set()
+        self.freed: list[str] = []
+        self.orders: list[bytes] = []
+        self.cut_streams = 0
+        ip, _, port = listen.rpartition(':')
+        self.server = StreamServer((ip, int(port)), self._serve)
+        self.server.start()
+
+    @property
+    def address(self) -> str:
+        """Where it serves."""
+        return f'{self.server.server_host}:{self.server.server_port}'
+
+    def _serve(self, sock: socket, _address: object) -> None:
+        try:
+            while received := _read_request(sock):
+                if not self._answer(sock, received):
+                    return
+        except OSError:
+            # The peer went away; what ran is counted already.
+            self.cut_streams += 1
+
+    def _answer(self, sock: socket, received: Received) -> bool:
+        """Answer a request; return whether the connection goes on."""
+        if received.method == 'DELETE':
+            handle = received.target.rpartition('/')[2]
+            self.handles.discard(handle)
+            self.freed.append(handle)
+            return _send(sock, 200, {}, b'{}')
+        if received.target == '/report':
+            return _send(sock, 200, {}, encode({'seq': len(self.orders)}))
+        if received.target == '/order':
+            self.orders.append(received.body)
+            return _send(sock, 202, {}, b'{}')
+        target = received.named('Target-Instance')
+        if target and target != self.instance:
+            return self._decline(sock, received, 421)
+        if received.named('Serving-Stage') == 'prefill':
+            return self._read_prompt(sock, received)
+        return self._run(sock, received)
+
+    def _decline(self, sock: socket, received: Received, status: int) -> bool:
+        self.declined.append(received)
+        headers = {f'{_PREFIX}Not-Executed': '1'}
+        return _send(sock, status, headers, b'')
+
+    def _read_prompt(self, sock: socket, received: Received) -> bool:
+        if self.stage != 'prefill':
+            return self._decline(sock, received, 421)
+        handle = f'h{len(self.handles) + len(self.freed)}{self.instance}'
+        self.handles.add(handle)
+        return _send(sock, 200, {}, encode({'kvHandle': handle}))
+
+    def _run(self, sock: socket, received: Received) -> bool:
+        if self.stage == 'prefill':
+            return self._decline(sock, received, 421)
+        if received.fault == 'decline':
+            return self._decline(sock, received, 503)
+        self.ran.append(received)
+        if self.stage:
+            return self._stream(sock, received)
+        return self._whole(sock, received)
+
+    def _sealed(self, received: Received) -> dict[str, str]:
+        seal = {f'{_PREFIX}Server-Seal': SEAL}
+        request_id = received.named('Request-Id')
+        if received.fault == 'other-id':
+            request_id = 'somebody-else'
+        headers = {f'{_PREFIX}Request-Id': request_id}
+        return headers if received.fault == 'no-seal' else {**headers, **seal}
+
+    def _whole(self, sock: socket, received: Received) -> bool:
+        fault = received.fault
+        headers = self._sealed(received)
+        body = encode({'ran': received.target})
+        if fault == 'reset':
+            sock.setsockopt(SOL_SOCKET, SO_LINGER, _RESET)
+            sock.close()
+            return False
+        if fault == 'mute':
+            sleep(_SLOW_SECONDS)
+            return False
+        if fault == 'cut':
+            _send(sock, 200, headers, body, told=len(body) + 5)
+            return False
+        if fault == 'fails':
+            return _send(sock, 500, headers, body)
+        if fault == 'garbage':
+            sock.sendall(b'\x00\x01 no answer at all\r\n\r\n')
+            return False
+        _send(sock, 200, headers, body)
+        if fault == 'extra':
+            _send(sock, 200, headers, b'{"belongs":"nobody"}')
+        return True
+
+    def _stream(self, sock: socket, received: Received) -> bool:
+        headers = {
+            **self._sealed(received),
+            'Content-Type': 'text/event-stream',
+            'Transfer-Encoding': 'chunked',
+        }
+        source = received.named('Kv-Source').rpartition('/')[2]
+        self.handles.discard(source)
+        sock.sendall(_head(200, headers))
+        first = int(received.headers.get('last-event-id') or -1) + 1
+        for number in range(first, EVENTS):
+            resumed = first > 0
+            if received.fault == 'breaks' and number == 3 and not resumed:
+                _send_chunk(sock, b'id: 3\ndata: tok')
+                return False
+            if received.fault == 'slow':
+                sleep(0.3)
+            _send_chunk(sock, f'id: {number}\ndata: token\n\n'.encode())
+        sock.sendall(b'0\r\n\r\n')
+        return True
+
+
+def _read_request(sock: socket) -> Received | None:
+    received = b''
+    while b'\r\n\r\n' not in received:
+        more = sock.recv(_READ_BYTES)
+        if not more:
+            return None
+        received += more
+    head, _, body = received.partition(b'\r\n\r\n')
+    lines = head.decode('latin-1').split('\r\n')
+    method, target, _ = lines[0].split(' ')
+    headers = {
+        name.lower(): text.strip()
+        for name, _, text in (line.partition(':') for line in lines[1:])
+    }
+    length = int(headers.get('content-length', 0))
+    while len(body) < length:
+        body += sock.recv(_READ_BYTES)
+    return Received(method, target, headers, body)
+
+
+def _head(status: int, headers: dict[str, str]) -> bytes:
+    lines = [f'HTTP/1.1 {status} Status']
+    lines.extend(f'{name}: {text}' for name, text in headers.items())
+    return ('\r\n'.join(lines) + '\r\n\r\n').encode('latin-1')
+
+
+def _send(
+    sock: socket,
+    status: int,
+    headers: dict[str, str],
+    body: bytes,
+    told: int | None = None,
+) -> bool:
+    length = len(body) if told is None else told
+    head = _head(status, {**headers, 'Content-Length': str(length)})
+    sock.sendall(head + body)
+    return True
+
+
+def _send_chunk(sock: socket, content: bytes) -> None:
+    sock.sendall(f'{len(content):x}\r\n'.encode() + content + b'\r\n')
--- a/testbed/processes.py
+++ b/testbed/processes.py
@@ -35,10 +35,16 @@
     """One started program, its log file and its address file."""
 
     def __init__(
-        self, name: str, command: Sequence[str], folder: Path, address: Path
+        self,
+        name: str,
+        command: Sequence[str],
+        folder: Path,
+        address: Path,
+        environment: Mapping[str, str],
     ) -> None:
         self.name = name
         self.command = command
+        self.environment = environment
         self.log_file = folder / f'{name}.log'
         self.address_file = address
         self.paused = False
@@ -48,7 +54,7 @@
                 stdout=log,
                 stderr=log,
                 cwd=ROOT,
-                env={**environ, 'PYTHONUNBUFFERED': '1'},
+                env={**environ, 'PYTHONUNBUFFERED': '1', **environment},
             )
 
     def running(self) -> bool:
@@ -126,7 +132,11 @@
         self.end()
 
     def start(
-        self, name: str, command: Sequence[str], address: Path | None = None
+        self,
+        name: str,
+        command: Sequence[str],
+        address: Path | None = None,
+        environment: Mapping[str, str] | None = None,
     ) -> Process:
         """Start a program, again under a name whose process has ended."""
         if self.stopping:
@@ -138,7 +148,9 @@
             raise AssertionError(f'{name} runs already')
         # A reader must never take the address of an earlier process.
         address.unlink(missing_ok=True)
-        process = Process(name, command, self.folder, address)
+        process = Process(
+            name, command, self.folder, address, environment or {}
+        )
         self.started[name] = process
         return process
 
@@ -152,7 +164,9 @@
     def restart(self, name: str) -> Process:
         """Start a process that has ended with its command again."""
         earlier = self.started[name]
-        return self.start(name, earlier.command, earlier.address_file)
+        return self.start(
+            name, earlier.command, earlier.address_file, earlier.environment
+        )
 
     def end(self) -> None:
         """End all processes and start none from now on."""
