--- a/packages/trestle-control/src/trestle_control/replica.py
+++ b/packages/trestle-control/src/trestle_control/replica.py
@@ -13,7 +13,7 @@
 from gevent import Greenlet
 
 from trestle_control.control_errors import StorageFailedError
-from trestle_control.membership import quorum_size
+from trestle_control.membership import voters_of
 from trestle_control.read_barrier import (
     freshness_age_seconds,
     read_barrier,
@@ -118,9 +118,9 @@
 
     @property
     def bears_losses(self) -> bool:
-        """Tell whether a quorum outnumbers the losses to be borne."""
-        borne = self.state.settings.wanted_voters // 2
-        return quorum_size(self.state.members) > borne
+        """Tell whether a quorum is left after the losses to be borne."""
+        voters = voters_of(self.state.members)
+        return len(voters) >= self.state.settings.wanted_voters
 
     @property
     def term(self) -> int:
--- a/packages/trestle-control/src/trestle_control/replica_api.py
+++ b/packages/trestle-control/src/trestle_control/replica_api.py
@@ -24,7 +24,7 @@
 
     @property
     def bears_losses(self) -> bool:
-        """Tell whether a quorum outnumbers the losses to be borne."""
+        """Tell whether a quorum is left after the losses to be borne."""
 
     @property
     def leader_address(self) -> str | None:
--- a/packages/trestle-entry/src/trestle_entry/direct/request_log.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/request_log.py
@@ -17,6 +17,7 @@
 from trestle_core.metrics import Metrics
 
 _QUEUE_LINES: Final = 2000
+_MS_PER_SECOND: Final = 1000
 
 
 class Step(NamedTuple):
@@ -39,8 +40,8 @@
 
     def add(self, what: str, detail: str = '') -> None:
         """Note a decision."""
-        at_ms = round((monotonic() - self.arrived) * 1000, 1)
-        self.steps.append(Step(at_ms, what, detail))
+        at_ms = (monotonic() - self.arrived) * _MS_PER_SECOND
+        self.steps.append(Step(round(at_ms, 1), what, detail))
 
 
 class RequestLog:
@@ -57,7 +58,9 @@
     def write(self, story: RequestStory, outcome: str, verdict: str) -> None:
         """Queue the line of a request that has ended."""
         self.metrics.count('request_outcomes', outcome)
-        total_ms = round((monotonic() - story.arrived) * 1000, 1)
+        seconds = monotonic() - story.arrived
+        self.metrics.observe_seconds('request_total', seconds)
+        total_ms = round(seconds * _MS_PER_SECOND, 1)
         self._put(
             {
                 'part': 'request',
--- a/testbed/metrics_page.py
+++ b/testbed/metrics_page.py
@@ -24,6 +24,10 @@
 
 
 def _names() -> Iterator[str]:
-    for path in ROOT.glob('packages/*/src/*/*.py'):
+    paths = [
+        *ROOT.glob('packages/*/src/**/*.py'),
+        *ROOT.glob('platform/src/**/*.py'),
+    ]
+    for path in paths:
         for match in _SERIES.finditer(path.read_text(encoding='utf-8')):
             yield match.group(2)
