--- a/packages/trestle-control/src/trestle_control/replica.py
+++ b/packages/trestle-control/src/trestle_control/replica.py
@@ -165,7 +165,7 @@
         state = self.state
         # A leader that lives sends within a heartbeat, and a pre-vote does
         # not disturb it: after a restart of all, nobody waits for long.
-        state.heard_at = monotonic() - state.election_seconds / 2
+        state.heard_at = monotonic() - state.election_seconds
         state.log.on_failed.append(state.fail)
         state.log.start()
         loops = (
--- a/packages/trestle-entry/src/trestle_entry/direct/backend_exchange.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/backend_exchange.py
@@ -10,7 +10,16 @@
 from http.client import HTTPException
 from typing import Final
 
-from gevent.socket import IPPROTO_TCP, TCP_NODELAY, create_connection, socket
+from gevent.socket import (
+    IPPROTO_TCP,
+    SO_KEEPALIVE,
+    SOL_SOCKET,
+    TCP_KEEPIDLE,
+    TCP_KEEPINTVL,
+    TCP_NODELAY,
+    create_connection,
+    socket,
+)
 from geventhttpclient.response import HTTPProtocolViolationError, HTTPResponse
 
 from trestle_core.addresses import Address
@@ -138,6 +147,10 @@
 def set_silent_limit(sock: socket) -> None:
     """End a connection whose peer stops acknowledging bytes."""
     sock.setsockopt(IPPROTO_TCP, _TCP_USER_TIMEOUT, SILENT_MS)
+    # Probes show the silence of a peer that owes no acknowledgement.
+    sock.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
+    sock.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, _PROBE_SECONDS)
+    sock.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, _PROBE_SECONDS)
 
 
 def encode_request(
@@ -152,6 +165,7 @@
     return f'{head}\r\n\r\n'.encode('latin-1') + body
 
 
+_PROBE_SECONDS: Final = 1
 # Not exported by gevent's socket module.
 _TCP_USER_TIMEOUT: Final = 18
 _BODILESS: Final = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
--- a/packages/trestle-entry/src/trestle_entry/direct/direct_app.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/direct_app.py
@@ -97,6 +97,11 @@
     read_table: Callable[[bytes], RouteTable],
 ) -> None:
     def take_document() -> None:
+        if context.table is None and not control.is_fresh():
+            # A control host that restarted sends older documents first.
+            return
+        if control.view.document_version in {0, _version_of(context)}:
+            return
         try:
             table = read_table(control.view.document)
         except TrestleError as error:
@@ -114,9 +119,14 @@
             context.loads.forget(instance)
 
     control.on_document.append(take_document)
+    control.on_stamp.append(take_document)
     control.on_backends.append(take_backends)
 
 
+def _version_of(context: DirectContext) -> int:
+    return context.table.version if context.table else 0
+
+
 def _add_pages(app: Application, context: DirectContext) -> None:
     settings = context.settings
 
--- a/packages/trestle-entry/src/trestle_entry/direct/placement.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/placement.py
@@ -32,6 +32,8 @@
 _TAKE_OVER_MS: Final = 25.0
 _MS_PER_TOKEN_MOVED: Final = 0.0007
 _OTHER_ZONE: Final = 2.0
+# What a token of a body that crosses zones costs, in engine time.
+_MS_PER_TOKEN_SENT: Final = 0.0006
 # How much dearer a token that was read twice is than its engine time.
 _REREAD: Final = 3.0
 _HIGHEST_SCORE: Final = 2**64 - 1
@@ -129,6 +131,7 @@
     wait_ms = loads.wait_ms(engine.instance)
     engine_ms = read_ms(uncached) * slow
     cost = wait_ms + engine_ms * _REREAD + _away_ms(asked, engine)
+    cost += _body_ms(asked, engine)
     return Candidate(cost, wait_ms, engine_ms, engine)
 
 
@@ -143,7 +146,7 @@
     # Every stream there stands still while a piece of the prompt is read.
     held_up_ms = engine_ms * (_INTERFERENCE + running * _HELD_UP_SHARE)
     cost = wait_ms + held_up_ms + running * _BATCH_MS
-    cost += _away_ms(asked, engine)
+    cost += _away_ms(asked, engine) + _body_ms(asked, engine)
     return Candidate(cost, wait_ms, engine_ms, engine)
 
 
@@ -157,10 +160,17 @@
     batch_ms = loads.running_at(engine.instance) * _BATCH_MS
     cost = wait_ms + batch_ms + _away_ms(asked, engine)
     # Memory that moves is paid for besides its time.
-    cost += moved * _MS_PER_TOKEN_MOVED * factor
+    cost += moved * _MS_PER_TOKEN_MOVED * factor + _body_ms(asked, engine)
     return Candidate(cost, wait_ms, 0.0, engine)
 
 
+def _body_ms(asked: PlanNeed, engine: Backend) -> float:
+    """Return the cost of sending a body to another zone."""
+    if engine.zone == asked.zone:
+        return 0.0
+    return asked.need.prompt_tokens * _MS_PER_TOKEN_SENT
+
+
 def _away_ms(asked: PlanNeed, engine: Backend) -> float:
     """Return a cost between nothing and `_AWAY_MS` by the home rank."""
     parts = asked.need.parts
--- a/packages/trestle-entry/src/trestle_entry/direct/prompt_reading.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/prompt_reading.py
@@ -28,9 +28,10 @@
 from trestle_links.direct_messages import Backend
 
 # A reader that takes this many times as long as predicted, and the extra, is
-# given up: it is dark or stands still.
+# given up: it stands still, or many callers came at once and its queue holds
+# less worth than the prompt read twice.
 _PATIENCE: Final = 2.5
-_PATIENCE_MS: Final = 400.0
+_PATIENCE_MS: Final = 900.0
 _FREE_SECONDS: Final = 1.0
 _MS_PER_SECOND: Final = 1000
 # Share of an engine's memory that prompts are believed to stay in.
--- a/packages/trestle-links/src/trestle_links/control_client.py
+++ b/packages/trestle-links/src/trestle_links/control_client.py
@@ -87,6 +87,7 @@
         self.on_contents: list[Hook] = []
         self.on_document: list[Hook] = []
         self.on_backends: list[Hook] = []
+        self.on_stamp: list[Hook] = []
         # Where the leader listens, as the followed host last told.
         self.leader_address = ''
         self.freshness = Freshness()
@@ -268,6 +269,7 @@
             spawn(_fetch_set, self)
             return
         self.freshness.take(stamp)
+        _run_hooks(self.on_stamp)
 
     def _should_move(self, opened_at: float) -> bool:
         limit_seconds = self.watcher.stale_seconds * _MOVE_SHARE
