--- a/features/direct_rules.feature
+++ b/features/direct_rules.feature
@@ -44,6 +44,15 @@
     When another host sends document 5
     Then the node still holds document 7
 
+  Scenario: An entry that starts takes no table before a fresh stamp
+    Given an entry that follows a control host which replays its log
+    When documents 3 and 9 come without a stamp
+    Then the entry holds no table
+    When a fresh stamp comes
+    Then the entry holds table 9
+    When document 12 comes without a stamp
+    Then the entry holds table 12
+
   Scenario: Only whole events pass, wherever the bytes are cut
     Then a stream of 20 events cut at any place gives the same events
     And the id of the last whole event is known
--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -76,3 +76,11 @@
     When document 3 is published at "core-1"
     Then every entry is ready within its bound
     And a stream that runs while its entry is stopped comes back whole
+
+  Scenario: An entry that restarts with its control hosts takes no older document
+    Given a platform with 5 control hosts, 2 entries, 2 services and 3 engines
+    When document 3 is published at "core-1"
+    Then every entry is ready within its bound
+    When 30 documents follow and the last one drops the route "/look/"
+    And every process is killed and started again
+    Then no call of "/look/plain" is served while the entry comes back
--- a/features/steps/direct_placement_steps.py
+++ b/features/steps/direct_placement_steps.py
@@ -154,6 +154,7 @@
     context.counts = {reader.instance: 0 for reader in context.readers}
     for number in range(count):
         planned = plan(context, context.loads, long_prompt(number))
+        assert planned.reader, planned
         instance = planned.reader.instance
         context.counts[instance] += 1
         reading = context.loads.reading(instance, planned.read_ms)
--- a/features/steps/direct_rules_steps.py
+++ b/features/steps/direct_rules_steps.py
@@ -22,17 +22,23 @@
     Service,
     Share,
 )
+from trestle_core.settings import DirectSettings
 from trestle_entry.direct.admission import Prospect, refusal_of
 from trestle_entry.direct.crash_guard import CrashGuard
+from trestle_entry.direct.direct_app import follow_control
+from trestle_entry.direct.direct_context import DirectContext
 from trestle_entry.direct.event_stream import EventCutter
 from trestle_entry.direct.request_log import RequestLog, RequestStory
 from trestle_entry.direct.retry_limits import RetryLimits
+from trestle_links.control_client import ControlClient
 from trestle_links.direct_messages import (
     Backend,
     DocumentDelta,
     PublishDocument,
 )
+from trestle_links.link import Identity
 from trestle_links.node_view import NodeView
+from trestle_links.watch_messages import Stamp
 
 TARGET_MS = 600.0
 LEFT_MS = 5000.0
@@ -229,6 +235,64 @@
     assert context.view.document == b'seven'
 
 
+@given('an entry that follows a control host which replays its log')
+def step_follows(context: Context) -> None:
+    """Join a context and a client that is connected to nothing."""
+    settings = DirectSettings(
+        host='e1', zone='z', key_file='', control=['127.0.0.1:1']
+    )
+    metrics = Metrics()
+    context.client = ControlClient.from_config(
+        settings, Identity('e1', b'', metrics), 'entry', [], metrics
+    )
+    wire: Any = None
+    context.direct = DirectContext(settings, wire, wire, metrics)
+
+    def read_table(content: bytes) -> RouteTable:
+        return RouteTable(int(content), [], {}, DEFAULT_LIMITS)
+
+    follow_control(context.direct, context.client, read_table)
+    context.client.freshness.begin_stream()
+
+
+@when('documents 3 and 9 come without a stamp')
+def step_documents(context: Context) -> None:
+    """Deliver what a replayed log gives first."""
+    for version in (3, 9):
+        deliver_document(context, version)
+
+
+@when('document {version:d} comes without a stamp')
+def step_one_document(context: Context, version: int) -> None:
+    """Deliver a later document."""
+    deliver_document(context, version)
+
+
+def deliver_document(context: Context, version: int) -> None:
+    """Deliver a document as the stream does."""
+    delta = DocumentDelta(version, str(version).encode(), version)
+    context.client.takers[DocumentDelta](delta)
+
+
+@when('a fresh stamp comes')
+def step_stamp(context: Context) -> None:
+    """Deliver a stamp that confirms the state."""
+    context.client.freshness.note_ask(0)
+    context.client.takers[Stamp](Stamp(0, 9, 0, 0))
+
+
+@then('the entry holds no table')
+def step_no_table(context: Context) -> None:
+    """Check that nothing is served yet."""
+    assert context.direct.table is None
+
+
+@then('the entry holds table {version:d}')
+def step_holds_table(context: Context, version: int) -> None:
+    """Check the table in force."""
+    assert context.direct.table.version == version
+
+
 @then('a stream of {count:d} events cut at any place gives the same events')
 def step_cut(context: Context, count: int) -> None:
     """Cut the stream in two at every byte."""
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -375,3 +375,44 @@
     answer = task.get()
     assert answer.status == 200 and answer.whole, answer
     assert not fleet_of(context).is_ready('front-1')
+
+
+@when('{count:d} documents follow and the last one drops the route "/look/"')
+def step_many_documents(context: Context, count: int) -> None:
+    """Publish versions one after another; each is acknowledged."""
+    fleet = fleet_of(context)
+    for version in range(4, 4 + count):
+        sent = document(version)
+        if version == 3 + count:
+            sent['routes'] = [
+                route
+                for route in sent['routes']
+                if route['pathPrefix'] != '/look/'
+            ]
+        assert fleet.publish('core-2', sent).status == 200, version
+
+
+@when('every process is killed and started again')
+def step_restart_all(context: Context) -> None:
+    """Kill control hosts and entries at once."""
+    for host in (*CORES, *ENTRIES):
+        context.processes.started[host].kill()
+    for host in (*CORES, *ENTRIES):
+        fleet_of(context).start(host, bootstrap=False)
+
+
+@then('no call of "{path}" is served while the entry comes back')
+def step_never_served(context: Context, path: str) -> None:
+    """Call all the time until the entry answers by the newest document."""
+    fleet = fleet_of(context)
+
+    def is_back() -> bool:
+        try:
+            answer = call(context, path)
+        except OSError:
+            return False
+        assert answer.status in {0, 503, 404}, answer
+        return answer.status == 404
+
+    fleet.wait_for(is_back, 'the entry answers by the newest document')
+    assert fleet.is_ready('front-1')
--- a/packages/trestle-entry/src/trestle_entry/direct/direct_app.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/direct_app.py
@@ -64,7 +64,7 @@
     app = Application(
         f'entry {settings.host}', settings.drain_ms / _MS_PER_SECOND
     )
-    _follow_control(context, control, platform.read_table)
+    follow_control(context, control, platform.read_table)
     links = LinkPool(me)
     app.add(start=control.start, stop=control.stop)
     app.add(stop=links.close)
@@ -91,11 +91,13 @@
     return app
 
 
-def _follow_control(
+def follow_control(
     context: DirectContext,
     control: ControlClient,
     read_table: Callable[[bytes], RouteTable],
 ) -> None:
+    """Keep the table and the back ends of a context up to date."""
+
     def take_document() -> None:
         if context.table is None and not control.is_fresh():
             # A control host that restarted sends older documents first.
