Only nodes that know seeds learn more control hosts

Entries whose settings list the control hosts went around the fault proxy to addresses they had learned: five scenarios of claims and publication failed.

--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -1,5 +1,6 @@
 """Steps on the whole path of the users' platform."""
 
+from functools import partial
 from shutil import rmtree
 from time import monotonic
 
@@ -120,9 +121,7 @@
     """Check readiness, and that the back ends are known."""
     fleet = fleet_of(context)
     for entry in ENTRIES:
-        fleet.wait_for(
-            lambda entry=entry: fleet.is_ready(entry), f'{entry} is ready'
-        )
+        fleet.wait_for(partial(fleet.is_ready, entry), f'{entry} is ready')
     assert monotonic() - context.published_at < APPLY_SECONDS
     fleet.wait_for(
         lambda: (
@@ -338,7 +337,7 @@
         return found == version
 
     for host in CORES:
-        fleet.wait_for(lambda host=host: is_read(host), f'{version} at {host}')
+        fleet.wait_for(partial(is_read, host), f'{version} at {host}')
 
 
 @then('document 5 is acknowledged and document 9 stays in force')
--- a/packages/trestle-control/src/trestle_control/replica.py
+++ b/packages/trestle-control/src/trestle_control/replica.py
@@ -113,7 +113,12 @@
 
     @property
     def member_addresses(self) -> list[str]:
-        """Peer addresses of all members."""
+        """Peer addresses of all members, for nodes that know seeds only.
+
+        Nodes whose settings list the control hosts keep to that list.
+        """
+        if not self.state.settings.seeds:
+            return []
         return [member.address for member in self.state.members.members]
 
     @property
--- a/packages/trestle-control/src/trestle_control/watch_server.py
+++ b/packages/trestle-control/src/trestle_control/watch_server.py
@@ -165,7 +165,7 @@
         hosts = ControlHostsDelta(
             self.replica.member_addresses, self.replica.leader_address or ''
         )
-        if hosts != stream.hosts:
+        if hosts.addresses and hosts != stream.hosts:
             stream.hosts = hosts
             stream.put(hosts)
 
--- a/testbed/platform_fleet.py
+++ b/testbed/platform_fleet.py
@@ -16,7 +16,7 @@
 from gevent.socket import create_connection
 from msgspec.json import decode, encode
 
-from testbed.platform_replica import PlatformReplica
+from testbed.platform_replica import PlatformReplica, read_headers
 from testbed.processes import Processes, poll_until
 
 LIMIT_SECONDS: Final = 20.0
@@ -193,8 +193,12 @@
 
 def document(version: int, **changes: Any) -> dict[str, Any]:
     """Return a document with a route of each kind."""
-    common = {'host': 'firm.example', 'timeoutMs': 4000, 'maxAttempts': 2}
-    routes = [
+    common: dict[str, Any] = {
+        'host': 'firm.example',
+        'timeoutMs': 4000,
+        'maxAttempts': 2,
+    }
+    routes: list[dict[str, Any]] = [
         {'name': 'book', 'pathPrefix': '/book/', 'kind': 'unsafe'},
         {'name': 'look', 'pathPrefix': '/look/', 'kind': 'safe'},
         {
@@ -250,10 +254,7 @@
     lines = head.decode('latin-1').split('\r\n')
     if len(lines[0].split(' ')) < 2:
         return Answer(0, {}, b'', whole=False)
-    headers = {
-        name.lower(): text.strip()
-        for name, _, text in (line.partition(':') for line in lines[1:])
-    }
+    headers = read_headers(lines[1:])
     status = int(lines[0].split(' ')[1])
     if headers.get('transfer-encoding') == 'chunked':
         content, whole = _unchunk(body)
--- a/testbed/platform_replica.py
+++ b/testbed/platform_replica.py
@@ -173,16 +173,22 @@
     head, _, body = received.partition(b'\r\n\r\n')
     lines = head.decode('latin-1').split('\r\n')
     method, target, _ = lines[0].split(' ')
-    headers = {
-        name.lower(): text.strip()
-        for name, _, text in (line.partition(':') for line in lines[1:])
-    }
+    headers = read_headers(lines[1:])
     length = int(headers.get('content-length', 0))
     while len(body) < length:
         body += sock.recv(_READ_BYTES)
     return Received(method, target, headers, body)
 
 
+def read_headers(lines: list[str]) -> dict[str, str]:
+    """Return headers by their names in lower case."""
+    headers: dict[str, str] = {}
+    for line in lines:
+        name, _, text = line.partition(':')
+        headers[name.lower()] = text.strip()
+    return headers
+
+
 def _head(status: int, headers: dict[str, str]) -> bytes:
     lines = [f'HTTP/1.1 {status} Status']
     lines.extend(f'{name}: {text}' for name, text in headers.items())
