--- a/packages/trestle-control/src/trestle_control/control_app.py
+++ b/packages/trestle-control/src/trestle_control/control_app.py
@@ -49,7 +49,12 @@
     `ValueError` when the key cannot be read.
     """
     metrics = Metrics.empty()
-    me = Identity(settings.host, read_key(settings.key_file), metrics)
+    me = Identity(
+        settings.host,
+        read_key(settings.key_file),
+        metrics,
+        settings.connect_ms / _MS_PER_SECOND,
+    )
     machine = ControlMachine()
     replica = Replica.from_config(settings, machine, me)
     app = Application(
--- a/packages/trestle-core/src/trestle_core/settings.py
+++ b/packages/trestle-core/src/trestle_core/settings.py
@@ -63,6 +63,10 @@
     drain_ms: Annotated[
         Milliseconds, Meta(description='longest wait for work at a stop, ms')
     ] = 60_000
+    connect_ms: Annotated[
+        Milliseconds,
+        Meta(description='longest wait for a connection to a peer, ms'),
+    ] = 2000
     stale_after_ms: Annotated[
         Milliseconds, Meta(description='age at which state is stale, ms')
     ] = 10_000
--- a/packages/trestle-entry/src/trestle_entry/direct/direct_app.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/direct_app.py
@@ -55,7 +55,12 @@
 ) -> Application:
     """Join the parts of a direct entry; `read_settings` reads them anew."""
     metrics = Metrics.empty()
-    me = Identity(settings.host, read_key(settings.key_file), metrics)
+    me = Identity(
+        settings.host,
+        read_key(settings.key_file),
+        metrics,
+        settings.connect_ms / _MS_PER_SECOND,
+    )
     control = ControlClient.from_config(settings, me, 'entry', [], metrics)
     context = DirectContext(
         settings, platform.callers, platform.backends, metrics
--- a/packages/trestle-links/src/trestle_links/handshake.py
+++ b/packages/trestle-links/src/trestle_links/handshake.py
@@ -20,8 +20,7 @@
 from trestle_links.codec import FrameReader, encode_frame
 from trestle_links.link_messages import Challenge, Hello, Welcome
 
-# A host that is overloaded takes longer than a round trip.
-HANDSHAKE_SECONDS: Final = 2
+HANDSHAKE_SECONDS: Final = 5.0
 _NONCE_BYTES: Final = 32
 _MIN_KEY_BYTES: Final = 16
 _READ_BYTES: Final = 4096
@@ -48,12 +47,17 @@
     return key
 
 
-def prove_as_dialler(sock: socket, key: bytes, name: str) -> str:
+def prove_as_dialler(
+    sock: socket,
+    key: bytes,
+    name: str,
+    seconds: float = HANDSHAKE_SECONDS,
+) -> str:
     """Prove the key and check the listener's proof; return its name.
 
     Raises `BadHandshakeError`, `OSError`, or `gevent.Timeout`.
     """
-    with Timeout(HANDSHAKE_SECONDS):
+    with Timeout(seconds):
         challenge = _read_one(sock, Challenge)
         nonce = token_bytes(_NONCE_BYTES)
         proof = _proof(key, _DIALLER, challenge.nonce, nonce, name)
--- a/packages/trestle-links/src/trestle_links/link.py
+++ b/packages/trestle-links/src/trestle_links/link.py
@@ -17,11 +17,13 @@
 from trestle_core.metrics import Metrics
 from trestle_links.codec import BadFrameError, Frame, Message
 from trestle_links.connection import Channel, Connection, LinkDownError
-from trestle_links.handshake import BadHandshakeError, prove_as_dialler
+from trestle_links.handshake import (
+    HANDSHAKE_SECONDS,
+    BadHandshakeError,
+    prove_as_dialler,
+)
 
-# Hosts of a region answer within milliseconds; one that is cut off answers
-# nothing.
-CONNECT_SECONDS: Final = 0.5
+CONNECT_SECONDS: Final = 2.0
 
 Reply = TypeVar('Reply')
 ResolveAddress = Callable[[], Address]
@@ -32,11 +34,24 @@
 class Identity:
     """What a process presents on its links: its name and the shared key."""
 
-    def __init__(self, name: str, key: bytes, metrics: Metrics) -> None:
-        """Keep the process-wide values that every link needs."""
+    def __init__(
+        self,
+        name: str,
+        key: bytes,
+        metrics: Metrics,
+        connect_seconds: float = CONNECT_SECONDS,
+    ) -> None:
+        """Keep the process-wide values that every link needs.
+
+        The handshake may take as many times longer than a connect as its
+        own limit says.
+        """
         self.name = name
         self.key = key
         self.metrics = metrics
+        self.connect_seconds = connect_seconds
+        scale = connect_seconds / CONNECT_SECONDS
+        self.handshake_seconds = HANDSHAKE_SECONDS * scale
 
 
 class Link:
@@ -112,9 +127,13 @@
             raise LinkDownError('the handshake failed', sent=False) from error
 
     def _dial_once(self) -> Connection:
-        sock = create_connection(self.resolve(), timeout=CONNECT_SECONDS)
+        sock = create_connection(
+            self.resolve(), timeout=self.me.connect_seconds
+        )
         try:
-            peer = prove_as_dialler(sock, self.me.key, self.me.name)
+            peer = prove_as_dialler(
+                sock, self.me.key, self.me.name, self.me.handshake_seconds
+            )
         except BaseException:
             sock.close()
             raise
