--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -84,3 +84,10 @@
     When 30 documents follow and the last one drops the route "/look/"
     And every process is killed and started again
     Then no call of "/look/plain" is served while the entry comes back
+
+  Scenario: A hang-up signal and changed settings cut nothing
+    Given a platform with 5 control hosts, 2 entries, 2 services and 3 engines
+    When document 3 is published at "core-1"
+    Then every entry is ready within its bound
+    And a stream that runs while every process gets SIGHUP comes back whole
+    And every process still runs
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -2,6 +2,7 @@
 
 from functools import partial
 from shutil import rmtree
+from signal import SIGHUP
 from time import monotonic
 
 from behave import given, then, when
@@ -415,3 +416,26 @@
 
     fleet.wait_for(is_back, 'the entry answers by the newest document')
     assert fleet.is_ready('front-1')
+
+
+@then('a stream that runs while every process gets SIGHUP comes back whole')
+def step_hangup(context: Context) -> None:
+    """Change a settings file and send the signal in the middle of a stream."""
+    task = spawn(call, context, '/grade/slow', **LONG_NEED)
+    sleep(0.6)
+    node_file = context.processes.folder / 'front-1.json'
+    content = node_file.read_text(encoding='utf-8')
+    node_file.write_text(f'{content}\n', encoding='utf-8')
+    for host in (*CORES, *ENTRIES):
+        context.processes.started[host].popen.send_signal(SIGHUP)
+    answer = task.get()
+    assert answer.status == 200 and answer.whole, answer
+
+
+@then('every process still runs')
+def step_still_run(context: Context) -> None:
+    """Check that nobody ended, some seconds after the signal."""
+    sleep(1.5)
+    for host in (*CORES, *ENTRIES):
+        assert context.processes.started[host].running(), host
+    assert call(context, '/look/plain').status == 200
