--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -32,6 +32,7 @@
     Given a platform with 5 control hosts, 2 entries, 2 services and 3 engines
     When document 3 is published at "core-1"
     Then every entry is ready within its bound
+    And a head of 20,000 bytes gets 431 and a body of 5,000 bytes gets 413
     And a call of "/book/a%2Fb?x=%20y" with forged system headers passes clean
 
   Scenario: A caller that leaves ends the work
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -439,3 +439,15 @@
     for host in (*CORES, *ENTRIES):
         assert context.processes.started[host].running(), host
     assert call(context, '/look/plain').status == 200
+
+
+@then('a head of 20,000 bytes gets 431 and a body of 5,000 bytes gets 413')
+def step_too_large(context: Context) -> None:
+    """Send more than the limits allow; nothing of it runs."""
+    assert call(context, '/book/plain', Padding='x' * 20_000).status == 431
+    assert not context.ran
+    fleet = fleet_of(context)
+    address = f'{fleet.ip("front-1")}:{fleet.port + 7}'
+    headers = {'Kingcuptrestle-Request-Id': 'large'}
+    answer = fleet.call(address, 'POST', '/book/plain', b'x' * 5_000, headers)
+    assert answer.status == 413, answer
--- a/packages/trestle-control/src/trestle_control/direct_roles.py
+++ b/packages/trestle-control/src/trestle_control/direct_roles.py
@@ -17,10 +17,7 @@
 from trestle_control.apply import ControlMachine
 from trestle_control.load_table import LoadTable
 from trestle_control.replica_api import ReplicaApi
-from trestle_control.split_policy import (
-    OfferedTime,
-    common_prefill,
-)
+from trestle_control.split_policy import common_prefill
 from trestle_core.errors import TrestleError
 from trestle_core.logs import part_logger
 from trestle_core.metrics import Metrics
@@ -29,8 +26,6 @@
 PREFILL: Final = 'prefill'
 DECODE: Final = 'decode'
 LOOK_SECONDS: Final = 0.5
-# Seconds of load that a decision on a running fleet looks back on.
-_WINDOW_SECONDS: Final = 6.0
 # How long a pool must ask for the same change: an engine that crashed is
 # back before that, and the list fills up within a second of a start.
 _SETTLED_SECONDS: Final = 4.0
@@ -39,7 +34,6 @@
 # change itself and the lag of the list.
 _SETTLE_SECONDS: Final = 18.0
 _BARRIER_SECONDS: Final = 0.5
-_MS_PER_SECOND: Final = 1000
 
 
 class RoleOrder(NamedTuple):
@@ -85,11 +79,8 @@
         self.loads = loads
         self.metrics = metrics
         self.pending: dict[str, Pending] = {}
-        self.changed_at = 0.0
-        self.offered: dict[str, OfferedTime] = {}
         # Size of a pool and the change it asks for, and since when.
         self.asked: dict[str, tuple[tuple[int, int], float]] = {}
-        self.window_began = monotonic()
 
     def run(self) -> None:
         """Look at every pool while this host leads."""
@@ -101,7 +92,6 @@
         """Order what the pools ask for, if this host leads."""
         if self.replica.leading_seconds <= self._wait_seconds():
             return
-        self._measure()
         for pool, engines in self._pools().items():
             self._look_at(pool, engines)
 
@@ -116,31 +106,18 @@
                 pools.setdefault(backend.service, []).append(backend)
         return pools
 
-    def _measure(self) -> None:
-        seconds = monotonic() - self.window_began
-        if seconds < _WINDOW_SECONDS:
-            return
-        self.window_began = monotonic()
-        self.offered.clear()
-        for figure, offered_ms in self.loads.take_offered().items():
-            kind, _, pool = figure.partition(':')
-            rate = offered_ms / _MS_PER_SECOND / seconds
-            known = self.offered.get(pool, OfferedTime(0, 0))
-            self.offered[pool] = known._replace(**{kind: rate})
-
     def _look_at(self, pool: str, engines: list[Backend]) -> None:
         now = monotonic()
         roles = {
             engine.instance: self._role_of(engine, now) for engine in engines
         }
         prefill = sum(role == PREFILL for role in roles.values())
-        offered = self.offered.get(pool)
         wanted = common_prefill(len(engines))
         if not self._is_settled(pool, len(engines), wanted - prefill, now):
             return
         if wanted != prefill:
             role = PREFILL if wanted > prefill else DECODE
-            self._change(engines, roles, role, abs(wanted - prefill), offered)
+            self._change(engines, roles, role, abs(wanted - prefill))
 
     def _is_settled(
         self, pool: str, engines: int, missing: int, now: float
@@ -171,7 +148,6 @@
         roles: dict[str, str],
         role: str,
         count: int,
-        offered: OfferedTime | None,
     ) -> None:
         running = self.loads.running()
         candidates = [
@@ -188,18 +164,15 @@
             )
         )
         for engine in candidates[:count]:
-            self._order(engine, role, offered)
+            self._order(engine, role)
 
-    def _order(
-        self, engine: Backend, role: str, offered: OfferedTime | None
-    ) -> None:
+    def _order(self, engine: Backend, role: str) -> None:
         try:
             self.replica.read_barrier(_BARRIER_SECONDS)
         except TrestleError as error:
             _log.warning('No order to {}: {}.', engine.instance, error)
             return
         order = RoleOrder(engine, role, self.host, self.replica.term)
-        self.changed_at = monotonic()
         try:
             accepted = self.send(order)
         except (OSError, ValueError) as error:
@@ -209,12 +182,11 @@
             self.metrics.count('role_orders', 'unanswered')
             accepted = True
         _log.info(
-            '{} ordered to {}: fence {}, accepted {}, offered {}.',
+            '{} ordered to {}: fence {}, accepted {}.',
             engine.instance,
             role,
             order.fence,
             accepted,
-            offered,
         )
         self.metrics.count('role_orders', role)
         if accepted:
--- a/packages/trestle-control/src/trestle_control/load_table.py
+++ b/packages/trestle-control/src/trestle_control/load_table.py
@@ -60,7 +60,6 @@
         )
         self.number = 0
         self.suspects: deque[str] = deque(maxlen=_SUSPECTS_KEPT)
-        self.offered: dict[str, float] = {}
         # Engines whose role was ordered to change, and when.
         self.changing: dict[str, float] = {}
 
@@ -101,12 +100,6 @@
             age_ms=int((now - oldest) * _MS_PER_SECOND),
         )
 
-    def take_offered(self) -> dict[str, float]:
-        """Return the work offered since the last call, by figure."""
-        offered = self.offered
-        self.offered = {}
-        return offered
-
     def running(self) -> dict[str, int]:
         """Return the requests in work by back end, over all entries."""
         now = monotonic()
@@ -119,8 +112,6 @@
 
     def _note(self, report: LoadReport, now: float) -> None:
         self.reported[report.host] = Reported(report, now)
-        for figure, amount in report.offered.items():
-            self.offered[figure] = self.offered.get(figure, 0) + amount
         for placement in report.placements:
             self.number += 1
             self.placements.append(
--- a/packages/trestle-core/src/trestle_core/errorcodes.py
+++ b/packages/trestle-core/src/trestle_core/errorcodes.py
@@ -53,6 +53,9 @@
 UNKNOWN_ROUTE: Final = _in_doubt('unknown-route', 404, 'No such route.')
 NOT_FOUND: Final = _in_doubt('not-found', 404, 'No such page or object.')
 BODY_TOO_LARGE: Final = _in_doubt('body-too-large', 413, 'Body over the limit.')
+HEADERS_TOO_LARGE: Final = _in_doubt(
+    'headers-too-large', 431, 'Headers over the limit.'
+)
 DRAINING: Final = _in_doubt('draining', 503, 'The process is draining.')
 
 # Refusals: nothing was started.
--- a/packages/trestle-core/src/trestle_core/settings.py
+++ b/packages/trestle-core/src/trestle_core/settings.py
@@ -135,9 +135,6 @@
     retry_window_ms: Annotated[
         Milliseconds, Meta(description='time that the retry limits span, ms')
     ] = 10_000
-    cache_window_ms: Annotated[
-        Milliseconds, Meta(description='how long a read prompt is kept, ms')
-    ] = 10_000
     drain_notice_ms: Annotated[
         Milliseconds,
         Meta(
--- a/packages/trestle-entry/src/trestle_entry/direct/caller_server.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/caller_server.py
@@ -14,7 +14,11 @@
 from gevent.pywsgi import WSGIServer
 
 from trestle_core.addresses import Address, resolve_address
-from trestle_core.errorcodes import BAD_REQUEST, BODY_TOO_LARGE
+from trestle_core.errorcodes import (
+    BAD_REQUEST,
+    BODY_TOO_LARGE,
+    HEADERS_TOO_LARGE,
+)
 from trestle_core.errors import TrestleError
 from trestle_core.route_table import DEFAULT_LIMITS, CallerLimits
 from trestle_entry.caller_watch import CallerGoneError
@@ -167,6 +171,7 @@
         return reply.body
 
     def _read_body(self, environ: dict[str, Any]) -> bytes:
+        self._check_head(environ)
         limit = self.limits().body_bytes
         length = int(environ.get('CONTENT_LENGTH') or 0)
         if length > limit:
@@ -181,3 +186,10 @@
         if length and len(body) != length:
             raise TrestleError(BAD_REQUEST, 'the body broke off')
         return body
+
+    def _check_head(self, environ: dict[str, Any]) -> None:
+        headers = environ[_HEADERS_KEY]
+        size = sum(len(name) + len(text) for name, text in headers)
+        limit = self.limits().header_bytes
+        if size + len(environ[_TARGET_KEY]) > limit:
+            raise TrestleError(HEADERS_TOO_LARGE, f'the limit is {limit} bytes')
--- a/packages/trestle-entry/src/trestle_entry/direct/connection_pool.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/connection_pool.py
@@ -30,7 +30,6 @@
         """Start with none."""
         self.metrics = metrics
         self.idle: dict[str, list[BackendConnection]] = {}
-        self.open_count: dict[str, int] = {}
 
     def take(
         self, address: str, instance: str, seconds: float, *, once: bool
--- a/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
@@ -46,7 +46,6 @@
         # Set when the exchange has something new to report.
         self.changed = Event()
         self.running: defaultdict[str, int] = defaultdict(int)
-        self.offered: defaultdict[str, float] = defaultdict(float)
         self.slowness: dict[str, float] = {}
         self.cached: dict[str, CachedParts] = {}
         self.placements: list[Placement] = []
@@ -146,12 +145,10 @@
             self.host,
             prefill_ms,
             dict(self.running),
-            dict(self.offered),
             self.placements[-_PLACEMENTS_KEPT:],
             self.suspects,
             self.view.seen,
         )
-        self.offered.clear()
         self.placements = []
         self.suspects = []
         return report
--- a/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
@@ -172,10 +172,6 @@
             code = OVERLOADED
         text = f'{plan.first_token_ms:.0f} ms to the first token'
         raise RefusedError(code, text, refusal.retry_after)
-    pool = run.service.name
-    offered = run.context.loads.offered
-    kind = 'prefill' if plan.reader else 'decode'
-    offered[f'{kind}:{pool}'] += plan.read_ms
 
 
 def _try(
--- a/packages/trestle-entry/src/trestle_entry/direct/wire_types.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/wire_types.py
@@ -12,16 +12,10 @@
 # HTTP status codes that the system itself answers or tells apart.
 OK: Final = 200
 MULTIPLE_CHOICES: Final = 300
-BAD_REQUEST: Final = 400
-NOT_FOUND: Final = 404
-REQUEST_TIMEOUT: Final = 408
-TOO_LARGE: Final = 413
 MISDIRECTED: Final = 421
-HEADERS_TOO_LARGE: Final = 431
 SERVER_ERROR: Final = 500
 BAD_GATEWAY: Final = 502
 UNAVAILABLE: Final = 503
-GATEWAY_TIMEOUT: Final = 504
 
 
 class PromptPart(NamedTuple):
--- a/packages/trestle-links/src/trestle_links/direct_messages.py
+++ b/packages/trestle-links/src/trestle_links/direct_messages.py
@@ -86,14 +86,13 @@
     """What one entry has in work, by back end.
 
     `prefill_ms` is predicted engine time of prompts that are not read yet,
-    `running` counts requests in work, `offered` holds engine time offered
-    since the last report, by figure.
+    `running` counts requests in work, `seen` is the number of the last
+    placement that the entry knows.
     """
 
     host: str
     prefill_ms: dict[str, float]
     running: dict[str, int]
-    offered: dict[str, float]
     placements: list[Placement]
     suspects: list[str]
     seen: int
