--- a/features/documents.feature
+++ b/features/documents.feature
@@ -10,3 +10,6 @@
   Scenario: Each series of the metrics has its row
     Then each series that the code counts or times is on its page
     And no row is for a series that the code does not have
+
+  Scenario: Nothing outside the platform's folder knows its names
+    Then no module of the packages has a name of the platform's wire
--- a/features/steps/documents_steps.py
+++ b/features/steps/documents_steps.py
@@ -8,6 +8,22 @@
 from testbed.settings_page import PAGE, page_text
 from trestle_core.errorcodes import ERROR_CODES
 
+# Headers, fields and paths of the platform.
+PLATFORM_NAMES = (
+    'Kingcuptrestle-',
+    'KINGCUPTRESTLE_NODE_FILE',
+    'Not-Executed',
+    'Server-Seal',
+    'Last-Event-Id',
+    'kvHandle',
+    'kv-handle',
+    'pathPrefix',
+    'trafficSplit',
+    'portRange',
+    'pageToken',
+    '/instances',
+    '/report',
+)
 PAGES = ROOT / 'docs' / 'operators' / 'errors'
 
 
@@ -45,3 +61,11 @@
     assert documented_names() <= series_names(), (
         documented_names() - series_names()
     )
+
+
+@then("no module of the packages has a name of the platform's wire")
+def step_names(context: Context) -> None:
+    for path in (ROOT / 'packages').glob('*/src/**/*.py'):
+        text = path.read_text(encoding='utf-8')
+        found = [name for name in PLATFORM_NAMES if name in text]
+        assert not found, (path, found)
--- a/testbed/platform_fleet.py
+++ b/testbed/platform_fleet.py
@@ -249,7 +249,8 @@
         while more := sock.recv(_READ_BYTES):
             received += more
     except ConnectionResetError:
-        received += b''
+        # What came before the reset is judged like any early end.
+        pass
     head, _, body = received.partition(b'\r\n\r\n')
     lines = head.decode('latin-1').split('\r\n')
     if len(lines[0].split(' ')) < 2:
