--- a/testbed/run_features.py
+++ b/testbed/run_features.py
@@ -91,7 +91,7 @@
     except (OSError, ValueError):
         features = []
     outcomes = [
-        Outcome(f'{feature.name}: {element["name"]}', element['status'])
+        Outcome(f'{feature.name}: {element["name"].strip()}', element['status'])
         for content in features
         for element in content.get('elements', [])
         if element['type'] == 'scenario'
