--- a/features/direct_rules.feature
+++ b/features/direct_rules.feature
@@ -83,3 +83,12 @@
   Scenario: A full pipe of the log holds nothing up
     When 5000 request lines are written while nobody reads
     Then the lines that did not fit are counted
+
+  Scenario: Memory of a prompt is freed when no further send is allowed
+    Given a model request whose prompt was read, and no resend is allowed
+    When the engine that should take the memory cannot be reached
+    Then the request is refused as not run and the memory is freed
+
+  Scenario: A failure after a run never says "not run"
+    Then a request that ran once and has no time left fails in doubt
+    And a request that never ran and has no time left is refused
--- a/features/steps/direct_rules_steps.py
+++ b/features/steps/direct_rules_steps.py
@@ -2,16 +2,10 @@
 
 from random import Random
 from typing import Any
-from unittest.mock import patch
 
 from behave import given, then, when
 from behave.runner import Context
 
-from trestle_control import direct_roles
-from trestle_control.apply import ControlMachine
-from trestle_control.control_errors import NoQuorumError
-from trestle_control.direct_roles import DirectRoles, RoleOrder
-from trestle_control.load_table import LoadTable
 from trestle_core.errors import TrestleError
 from trestle_core.metrics import Metrics
 from trestle_core.route_table import (
@@ -22,23 +16,11 @@
     Service,
     Share,
 )
-from trestle_core.settings import DirectSettings
 from trestle_entry.direct.admission import Prospect, refusal_of
 from trestle_entry.direct.crash_guard import CrashGuard
-from trestle_entry.direct.direct_app import follow_control
-from trestle_entry.direct.direct_context import DirectContext
 from trestle_entry.direct.event_stream import EventCutter
 from trestle_entry.direct.request_log import RequestLog, RequestStory
 from trestle_entry.direct.retry_limits import RetryLimits
-from trestle_links.control_client import ControlClient
-from trestle_links.direct_messages import (
-    Backend,
-    DocumentDelta,
-    PublishDocument,
-)
-from trestle_links.link import Identity
-from trestle_links.node_view import NodeView
-from trestle_links.watch_messages import Stamp
 
 TARGET_MS = 600.0
 LEFT_MS = 5000.0
@@ -183,116 +165,6 @@
     raise AssertionError('the table was taken')
 
 
-@given('an empty control state')
-def step_state(context: Context) -> None:
-    """Make a state machine."""
-    context.machine = ControlMachine()
-
-
-@when('versions 3, 7, 5 and again 7 with other content are published')
-def step_publish(context: Context) -> None:
-    """Apply the publications."""
-    sent = [(3, b'three'), (7, b'seven'), (5, b'five'), (7, b'other')]
-    context.replies = [
-        context.machine.apply(index, PublishDocument(*document))
-        for index, document in enumerate(sent, start=1)
-    ]
-
-
-@then('version 7 is in force with its first content')
-def step_in_force(context: Context) -> None:
-    """Check the state and a copy made from its snapshot."""
-    copy = ControlMachine()
-    copy.restore(context.machine.snapshot())
-    for machine in (context.machine, copy):
-        assert machine.state.document_version == 7
-        assert machine.state.document == b'seven'
-
-
-@then('each publication was acknowledged')
-def step_acknowledged(context: Context) -> None:
-    """Check that every reply names the version in force."""
-    assert [reply.version for reply in context.replies] == [3, 7, 7, 7]
-
-
-@given('a node that holds document 7')
-def step_node(context: Context) -> None:
-    """Make a node's view."""
-    context.view = NodeView()
-    assert context.view.take_document(DocumentDelta(7, b'seven', 4))
-
-
-@when('another host sends document 5')
-def step_older(context: Context) -> None:
-    """Offer an older document from a host that lags."""
-    context.taken = context.view.take_document(DocumentDelta(5, b'five', 9))
-
-
-@then('the node still holds document 7')
-def step_still(context: Context) -> None:
-    """Check that nothing went back."""
-    assert not context.taken
-    assert context.view.document == b'seven'
-
-
-@given('an entry that follows a control host which replays its log')
-def step_follows(context: Context) -> None:
-    """Join a context and a client that is connected to nothing."""
-    settings = DirectSettings(
-        host='e1', zone='z', key_file='', control=['127.0.0.1:1']
-    )
-    metrics = Metrics()
-    context.client = ControlClient.from_config(
-        settings, Identity('e1', b'', metrics), 'entry', [], metrics
-    )
-    wire: Any = None
-    context.direct = DirectContext(settings, wire, wire, metrics)
-
-    def read_table(content: bytes) -> RouteTable:
-        return RouteTable(int(content), [], {}, DEFAULT_LIMITS)
-
-    follow_control(context.direct, context.client, read_table)
-    context.client.freshness.begin_stream()
-
-
-@when('documents 3 and 9 come without a stamp')
-def step_documents(context: Context) -> None:
-    """Deliver what a replayed log gives first."""
-    for version in (3, 9):
-        deliver_document(context, version)
-
-
-@when('document {version:d} comes without a stamp')
-def step_one_document(context: Context, version: int) -> None:
-    """Deliver a later document."""
-    deliver_document(context, version)
-
-
-def deliver_document(context: Context, version: int) -> None:
-    """Deliver a document as the stream does."""
-    delta = DocumentDelta(version, str(version).encode(), version)
-    context.client.takers[DocumentDelta](delta)
-
-
-@when('a fresh stamp comes')
-def step_stamp(context: Context) -> None:
-    """Deliver a stamp that confirms the state."""
-    context.client.freshness.note_ask(0)
-    context.client.takers[Stamp](Stamp(0, 9, 0, 0))
-
-
-@then('the entry holds no table')
-def step_no_table(context: Context) -> None:
-    """Check that nothing is served yet."""
-    assert context.direct.table is None
-
-
-@then('the entry holds table {version:d}')
-def step_holds_table(context: Context, version: int) -> None:
-    """Check the table in force."""
-    assert context.direct.table.version == version
-
-
 @then('a stream of {count:d} events cut at any place gives the same events')
 def step_cut(context: Context, count: int) -> None:
     """Cut the stream in two at every byte."""
@@ -341,98 +213,6 @@
     assert not context.other.is_barred('other')
 
 
-class StandInReplica:
-    """What roles need of the replicated log."""
-
-    def __init__(self, *, is_leader: bool) -> None:
-        """Lead since long, or follow."""
-        self.is_leader = is_leader
-        self.leading_seconds = 100.0 if is_leader else 0.0
-        self.leader_address = None
-        self.term = 4
-        self.has_quorum = True
-
-    def read_barrier(self, _timeout_seconds: float) -> int:
-        """Confirm that this host leads."""
-        if not self.has_quorum:
-            raise NoQuorumError
-        return 1
-
-
-def make_roles(context: Context, engines: int, *, is_leader: bool) -> None:
-    """Make the role manager and note what it orders."""
-    context.orders = []
-    context.now = 1000.0
-
-    def send(order: RoleOrder) -> bool:
-        context.orders.append(order)
-        return True
-
-    machine = ControlMachine()
-    machine.state.backends = [
-        Backend(
-            f'e{number}',
-            'llm',
-            f'10.0.0.{number}:80',
-            'z',
-            False,
-            'prefill' if number < 3 else 'decode',
-            64,
-        )
-        for number in range(engines)
-    ]
-    context.replica = StandInReplica(is_leader=is_leader)
-    replica: Any = context.replica
-    context.roles = DirectRoles(
-        send, 'c1', 3.0, machine, replica, LoadTable(replica), Metrics()
-    )
-
-
-@given('a leader with {engines:d} engines of which 3 read')
-def step_leader(context: Context, engines: int) -> None:
-    """Make a leader."""
-    make_roles(context, engines, is_leader=True)
-
-
-@given('a follower with {engines:d} engines of which 3 read')
-def step_follower(context: Context, engines: int) -> None:
-    """Make a follower."""
-    make_roles(context, engines, is_leader=False)
-
-
-@given('it has no quorum')
-def step_no_quorum(context: Context) -> None:
-    """Take the quorum away."""
-    context.replica.has_quorum = False
-
-
-@when('it looks at them for {seconds:d} second')
-@when('it looks at them for {seconds:d} seconds')
-def step_look(context: Context, seconds: int) -> None:
-    """Run looks on a clock of their own."""
-    steps = int(seconds / direct_roles.LOOK_SECONDS)
-    with patch.object(direct_roles, 'monotonic', lambda: context.now):
-        for _ in range(steps):
-            context.now += direct_roles.LOOK_SECONDS
-            context.roles.look()
-
-
-@then('it has ordered nothing')
-def step_nothing(context: Context) -> None:
-    """Check that no order left."""
-    assert context.orders == [], context.orders
-
-
-@then('it has ordered {count:d} engines to read, each with the term as fence')
-def step_ordered(context: Context, count: int) -> None:
-    """Check the orders."""
-    orders = context.orders
-    assert len(orders) == count, orders
-    assert {order.role for order in orders} == {'prefill'}
-    assert {order.fence for order in orders} == {4}
-    assert len({order.backend.instance for order in orders}) == count
-
-
 @when('{count:d} request lines are written while nobody reads')
 def step_lines(context: Context, count: int) -> None:
     """Queue lines without letting the writer run."""
--- /dev/null
+++ b/features/steps/direct_run_steps.py
@@ -0,0 +1,133 @@
+"""Steps on the state of one request: what is freed, what may be said."""
+
+from time import monotonic
+from typing import Any
+from unittest.mock import patch
+
+from behave import given, then, when
+from behave.runner import Context
+
+from trestle_core.errorcodes import DEADLINE_UNREACHABLE
+from trestle_core.errors import TrestleError
+from trestle_core.metrics import Metrics
+from trestle_core.route_table import EngineTraits, Repeat, Route, Service, Share
+from trestle_core.settings import DirectSettings
+from trestle_core.verdict import Verdict
+from trestle_entry.direct import model_dispatch
+from trestle_entry.direct.backend_exchange import NotSentError
+from trestle_entry.direct.direct_context import DirectContext, Matched
+from trestle_entry.direct.model_run import ModelRun
+from trestle_entry.direct.prompt_reading import Handle
+from trestle_entry.direct.request_log import RequestStory
+from trestle_entry.direct.request_run import failure_of
+from trestle_entry.direct.wire_types import CallerRequest, ModelNeed, PromptPart
+from trestle_links.direct_messages import Backend
+
+SECONDS = 5.0
+NEED = ModelNeed('m', 17_000, 13, (PromptPart(1, 13_000), PromptPart(2, 4_000)))
+
+
+def make_run() -> ModelRun:
+    """Return a model request on three engines, with no resend allowed."""
+    settings = DirectSettings(
+        host='e1',
+        zone='z',
+        key_file='',
+        control=['127.0.0.1:1'],
+        retry_share=0,
+        retry_extra=0,
+    )
+    wire: Any = None
+    context = DirectContext(settings, wire, wire, Metrics())
+    roles = {'read': 'prefill', 'write1': 'decode', 'write2': 'decode'}
+    context.fleet.take_list(
+        [
+            Backend(name, 'llm', '127.0.0.1:1', 'z', False, role, 64)
+            for name, role in roles.items()
+        ]
+    )
+    route = Route(
+        name='check',
+        host='h',
+        prefix='/check/',
+        repeat=Repeat.STREAM,
+        timeout_ms=5000,
+        target_ms=600,
+        gap_ms=250,
+        priority=2,
+        max_attempts=1,
+        resumable=False,
+        shares=(Share('llm', 1),),
+    )
+    service = Service('llm', 10, EngineTraits(64, 500_000, 1, 1.0, 5000))
+    now = monotonic()
+    request = CallerRequest(
+        'r1',
+        'POST',
+        'h',
+        '/check/1',
+        [],
+        b'',
+        NEED,
+        '',
+        now,
+        now + SECONDS,
+        None,
+    )
+    story = RequestStory('r1', now)
+    return ModelRun(context, request, Matched(route, service), story)
+
+
+@given('a model request whose prompt was read, and no resend is allowed')
+def step_read(context: Context) -> None:
+    """Make the request and the memory of its prompt."""
+    context.run = make_run()
+    reader = context.run.context.fleet.backends['read']
+    context.handle = Handle(reader, 'h1')
+
+
+@when('the engine that should take the memory cannot be reached')
+def step_unreachable(context: Context) -> None:
+    """Open the stream while no connection can be made."""
+    context.freed = []
+
+    def unreachable(*_call: Any, **_options: Any) -> None:
+        raise NotSentError('no route to it')
+
+    def free(_context: DirectContext, handle: Handle) -> None:
+        context.freed.append(handle)
+
+    with (
+        patch.object(model_dispatch, 'read_prompt', lambda *_: context.handle),
+        patch.object(model_dispatch, 'open_answer', unreachable),
+        patch.object(model_dispatch, 'free_handle', free),
+    ):
+        try:
+            model_dispatch.open_stream(context.run)
+        except TrestleError as error:
+            context.error = error
+
+
+@then('the request is refused as not run and the memory is freed')
+def step_freed(context: Context) -> None:
+    """Check the refusal and that the memory was freed once."""
+    assert context.error.code.code == 'retry-budget', context.error.code
+    assert context.error.verdict is Verdict.NOT_RUN
+    assert context.freed == [context.handle], context.freed
+
+
+@then('a request that ran once and has no time left fails in doubt')
+def step_in_doubt(context: Context) -> None:
+    """Check a failure after a run."""
+    run = make_run()
+    run.runs = 1
+    error = failure_of(run, DEADLINE_UNREACHABLE, 'no time is left')
+    assert error.verdict is Verdict.MAY_HAVE_RUN
+    assert error.code.status not in {408, 421, 429, 503}, error.code
+
+
+@then('a request that never ran and has no time left is refused')
+def step_not_run(context: Context) -> None:
+    """Check a failure without a run."""
+    error = failure_of(make_run(), DEADLINE_UNREACHABLE, 'no time is left')
+    assert error.verdict is Verdict.NOT_RUN
--- a/packages/trestle-core/src/trestle_core/settings.py
+++ b/packages/trestle-core/src/trestle_core/settings.py
@@ -22,6 +22,15 @@
 Name = Annotated[str, Meta(pattern=r'^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$')]
 
 
+DrainNotice = Annotated[
+    Milliseconds,
+    Meta(
+        description='time at a stop for the balancer to see that the '
+        'entry is not ready, while requests are still taken, ms',
+    ),
+]
+
+
 class CommonSettings(
     Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
 ):
@@ -103,13 +112,7 @@
         Milliseconds,
         Meta(description='longest time from arrival to dispatch, ms'),
     ] = 30_000
-    drain_notice_ms: Annotated[
-        Milliseconds,
-        Meta(
-            description='time at a stop for the balancer to see that the '
-            'entry is not ready, while requests are still taken, ms',
-        ),
-    ] = 3000
+    drain_notice_ms: DrainNotice = 3000
 
 
 class DirectSettings(
@@ -135,13 +138,7 @@
     retry_window_ms: Annotated[
         Milliseconds, Meta(description='time that the retry limits span, ms')
     ] = 10_000
-    drain_notice_ms: Annotated[
-        Milliseconds,
-        Meta(
-            description='time at a stop for the balancer to see that the '
-            'entry is not ready, while requests are still taken, ms',
-        ),
-    ] = 3000
+    drain_notice_ms: DrainNotice = 3000
 
 
 class MemberSettings(Struct, frozen=True, forbid_unknown_fields=True):
--- a/packages/trestle-entry/src/trestle_entry/direct/backend_calls.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/backend_calls.py
@@ -15,6 +15,7 @@
     encode_request,
 )
 from trestle_entry.direct.direct_context import DirectContext
+from trestle_entry.direct.replies import DirectReply
 from trestle_entry.direct.wire_types import (
     MULTIPLE_CHOICES,
     OK,
@@ -85,6 +86,13 @@
     return WholeAnswer(opened.head, body)
 
 
+def whole_reply(answer: WholeAnswer) -> DirectReply:
+    """Return a back end's whole answer as the caller gets it."""
+    length = ('Content-Length', str(len(answer.body)))
+    headers = [*answer.head.passed_on, length]
+    return DirectReply(answer.head.status, headers, [answer.body])
+
+
 def give_back(context: DirectContext, opened: OpenAnswer) -> None:
     """Keep the connection of a whole answer, or close it."""
     head = opened.head
--- a/packages/trestle-entry/src/trestle_entry/direct/backend_exchange.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/backend_exchange.py
@@ -90,7 +90,6 @@
         self.sock = sock
         self.address = address
         self.instance = instance
-        self.requests = 0
         self.idle_since = 0.0
         self.idle_seconds = 0.0
 
@@ -112,7 +111,6 @@
 
     def send(self, packed: bytes) -> None:
         """Send a request; raises `BrokenAnswerError`."""
-        self.requests += 1
         try:
             self.sock.sendall(packed)
         except OSError as error:
--- a/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
@@ -18,11 +18,10 @@
 
 
 class Matched(NamedTuple):
-    """A route, the service that was drawn for a request, and the version."""
+    """A route and the service that was drawn for a request."""
 
     route: Route
     service: Service
-    version: int
 
 
 class DirectContext:
@@ -48,7 +47,6 @@
         self.log = RequestLog(metrics)
         self.limits: dict[str, RetryLimits] = {}
         self.random = Random(settings.host)
-        self.inflight = 0
 
     def change_settings(self, settings: DirectSettings) -> None:
         """Take over what may change in a running process."""
--- a/packages/trestle-entry/src/trestle_entry/direct/dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/dispatch.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from time import monotonic
-from typing import Any, NamedTuple
+from typing import Any, Final, NamedTuple
 
 from trestle_core.errorcodes import INTERNAL, STALE_NODE, UNKNOWN_ROUTE
 from trestle_core.errors import TrestleError
@@ -21,7 +21,7 @@
 from trestle_entry.direct.request_log import RequestStory
 from trestle_entry.direct.wire_types import CallerRequest, Headers
 
-_MS_PER_SECOND = 1000
+_MS_PER_SECOND: Final = 1000
 
 _log = part_logger('entry')
 
@@ -53,7 +53,7 @@
         context.log.write(story, INTERNAL.code, 'may-have-run')
         failure = TrestleError(INTERNAL, verdict=Verdict.MAY_HAVE_RUN)
         return error_answer(context.callers, story.request_id, failure)
-    if not story.fields.pop('log_later', False):
+    if not reply.logs_itself:
         context.log.write(story, str(reply.status), Verdict.RAN.value)
     return reply
 
@@ -93,4 +93,4 @@
     service = table.services[pick_share(route, context.random.random())]
     story.fields['route'] = route.name
     story.fields['version'] = table.version
-    return Matched(route, service, table.version)
+    return Matched(route, service)
--- a/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
@@ -1,9 +1,8 @@
 """Work in progress at engines: this entry's, and the sums of the others.
 
 Prompts that are not read yet count in predicted engine time; the engine goes
-on reading while they wait, so what is left of the first one shrinks. Reading speed is learned
-from this entry's own calls; an engine that takes longer than predicted is
-counted slower by the ratio.
+on reading while they wait, so what is left of the first one shrinks. An
+engine that takes longer than predicted is counted slower by the ratio.
 """
 
 from collections import defaultdict
@@ -20,7 +19,8 @@
 from trestle_entry.direct.wire_types import ModelNeed
 from trestle_links.direct_messages import LoadReport, LoadView, Placement
 
-# Prompt tokens that an engine reads in a millisecond until it is measured.
+# Prompt tokens that an engine reads in a millisecond; how far one differs
+# from it is learned as its slowness.
 OPENING_SPEED: Final = 50.0
 # A decode engine reads at half the speed of a prefill engine.
 DECODE_SLOWDOWN: Final = 2.0
@@ -170,9 +170,9 @@
         return queue.remaining_ms(now) if queue else 0.0
 
     def _others_ms(self, instance: str, now: float) -> float:
-        age_ms = (now - self.viewed_at) * _MS_PER_SECOND
-        if age_ms > _VIEW_MS:
+        if not self._is_fresh():
             return 0.0
+        age_ms = (now - self.viewed_at) * _MS_PER_SECOND
         reported = self.view.prefill_ms.get(instance, 0.0)
         # The engine went on reading since the view was made.
         return max(0.0, reported - age_ms)
--- a/packages/trestle-entry/src/trestle_entry/direct/event_stream.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/event_stream.py
@@ -16,7 +16,6 @@
         """Start at the first byte of an event."""
         self.tail = b''
         self.last_id = ''
-        self.last_event = b''
 
     def feed(self, received: bytes) -> bytes:
         """Return the bytes of all events that are whole now."""
@@ -32,8 +31,6 @@
         for line in whole.splitlines():
             if line.startswith(b'id:'):
                 self.last_id = line[3:].strip().decode('latin-1')
-        stripped = whole.rstrip(b'\r\n').replace(b'\r\n', b'\n')
-        self.last_event = stripped.rpartition(b'\n\n')[2]
 
 
 def _end_of_last(waiting: bytes, mark: bytes) -> int:
--- a/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
@@ -5,20 +5,16 @@
 which an engine that may stream took it, so a refusal after that is none.
 """
 
-from time import monotonic
 from typing import Final
 
 from gevent import Timeout
 
 from trestle_core.errorcodes import (
     ANSWER_INCOMPLETE,
-    DEADLINE_PASSED,
     DEADLINE_UNREACHABLE,
     NO_ENDPOINT,
     OVERLOADED,
-    RETRY_BUDGET,
     SUSPECT_HELD,
-    ErrorCode,
 )
 from trestle_core.errors import TrestleError
 from trestle_core.verdict import Verdict
@@ -36,6 +32,7 @@
 )
 from trestle_entry.direct.model_run import ModelRun
 from trestle_entry.direct.placement import (
+    PREFILL,
     Plan,
     PlanNeed,
     choose_decoder,
@@ -48,6 +45,11 @@
     read_prompt,
 )
 from trestle_entry.direct.replies import RefusedError
+from trestle_entry.direct.request_run import (
+    check_resend,
+    failure_of,
+    within_deadline,
+)
 from trestle_entry.direct.wire_types import (
     MISDIRECTED,
     OK,
@@ -57,7 +59,6 @@
 from trestle_links.direct_messages import Backend
 
 _MOST_READS: Final = 2
-_MOST_SENDS: Final = 4
 _CRASH_RETURN_SECONDS: Final = 2.0
 
 
@@ -66,18 +67,12 @@
 
     Raises `TrestleError`.
     """
-    if run.context.guard.is_barred(run.digest):
+    if run.is_barred:
         raise RefusedError(
             SUSPECT_HELD, 'it ended several back ends', _CRASH_RETURN_SECONDS
         )
-    limit = Timeout(max(0.001, run.request.deadline - monotonic()))
-    try:
-        with limit:
-            return _open(run, admit=True)
-    except Timeout as error:
-        if error is not limit:
-            raise
-        raise TrestleError(DEADLINE_PASSED, verdict=run.verdict) from error
+    with within_deadline(run):
+        return _open(run, admit=True)
 
 
 def reopen_stream(run: ModelRun) -> OpenAnswer:
@@ -99,7 +94,7 @@
         admit = False
         handle = read_prompt(run, plan)
         if plan.reader and handle is None and run.reads < _MOST_READS:
-            _check_resend(run)
+            check_resend(run)
             continue
         if handle:
             # Engines come and go while a prompt is read.
@@ -128,7 +123,7 @@
     )
     if decoder is None:
         free_handle(run.context, handle)
-        raise _failure(run, NO_ENDPOINT, 'no engine to decode is left')
+        raise failure_of(run, NO_ENDPOINT, 'no engine to decode is left')
     return plan._replace(decoder=decoder)
 
 
@@ -144,14 +139,14 @@
     context = run.context
     engines = _engines(run)
     if run.reads >= _MOST_READS:
-        engines = [entry for entry in engines if entry.role != 'prefill']
+        engines = [entry for entry in engines if entry.role != PREFILL]
     plan = plan_request(engines, context.loads, _asked(run))
     if plan is None:
-        raise _failure(run, NO_ENDPOINT, f'no engine of {run.service.name}')
+        raise failure_of(run, NO_ENDPOINT, f'no engine of {run.service.name}')
     if admit:
         _admit(run, plan)
     elif run.left_ms <= 0:
-        raise _failure(run, DEADLINE_UNREACHABLE, 'no time is left')
+        raise failure_of(run, DEADLINE_UNREACHABLE, 'no time is left')
     return plan
 
 
@@ -183,9 +178,6 @@
 ) -> OpenAnswer | WholeAnswer | None:
     """Send once to a decode engine; None means to start again."""
     instance = plan.decoder.instance
-    if run.sends:
-        _check_resend(run)
-    run.sends += 1
     options = SendOptions(
         instance,
         left_ms(run.request.deadline),
@@ -193,9 +185,14 @@
         priority=run.route.priority,
         resume_from=run.events.last_id,
     )
-    run.story.add('send', instance if handle else f'{instance}: reads itself')
-    run.count_at(instance)
     try:
+        if run.sends:
+            check_resend(run)
+        run.sends += 1
+        run.story.add(
+            'send', instance if handle else f'{instance}: reads itself'
+        )
+        run.count_at(instance)
         opened = _send(run, plan, options, is_read=handle is not None)
     except BaseException:
         _give_up(run, handle)
@@ -276,16 +273,3 @@
         if run.may_run_again and run.context.may_resend(run.service.name):
             return None
     return whole
-
-
-def _check_resend(run: ModelRun) -> None:
-    if run.sends >= _MOST_SENDS:
-        raise _failure(run, RETRY_BUDGET, 'no send is left')
-    if not run.context.may_resend(run.service.name):
-        raise _failure(run, RETRY_BUDGET, 'the retry limits are reached')
-
-
-def _failure(run: ModelRun, code: ErrorCode, text: str) -> TrestleError:
-    if run.runs:
-        return TrestleError(ANSWER_INCOMPLETE, text, Verdict.MAY_HAVE_RUN)
-    return RefusedError(code, text)
--- a/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
@@ -19,6 +19,7 @@
     OpenAnswer,
     WholeAnswer,
     give_back,
+    whole_reply,
 )
 from trestle_entry.direct.backend_exchange import BrokenAnswerError
 from trestle_entry.direct.direct_context import DirectContext, Matched
@@ -43,20 +44,20 @@
         run.count_at('')
         raise
     if isinstance(opened, WholeAnswer):
-        headers = [
-            *opened.head.passed_on,
-            ('Content-Length', str(len(opened.body))),
-        ]
-        story.fields['log_later'] = False
-        return DirectReply(opened.head.status, headers, [opened.body])
-    story.fields['log_later'] = True
+        return whole_reply(opened)
     return DirectReply(
-        opened.head.status, opened.head.passed_on, RelayedStream(run, opened)
+        opened.head.status,
+        opened.head.passed_on,
+        RelayedStream(run, opened),
+        logs_itself=True,
     )
 
 
 class RelayedStream:
-    """The body of a streamed answer; `close` ends what still runs."""
+    """The body of a streamed answer.
+
+    `close` ends what still runs and writes the request's line.
+    """
 
     def __init__(self, run: ModelRun, opened: OpenAnswer) -> None:
         """Own an open answer."""
@@ -113,16 +114,12 @@
             if answer.message_complete:
                 break
             opened.connection.read_more(answer)
-        if events.tail or not self._is_whole():
+        if events.tail:
             raise BrokenAnswerError('the stream ended early')
         self.opened = None
         give_back(self.run.context, opened)
         self.run.context.fleet.note_served(opened.backend.instance)
 
-    def _is_whole(self) -> bool:
-        is_last = self.run.context.backends.is_last_event
-        return is_last(self.run.events.last_event)
-
     def _resume(self, opened: OpenAnswer, error: BrokenAnswerError) -> None:
         run = self.run
         instance = opened.backend.instance
--- a/packages/trestle-entry/src/trestle_entry/direct/placement.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/placement.py
@@ -21,7 +21,6 @@
 from trestle_links.direct_messages import Backend
 
 PREFILL: Final = 'prefill'
-DECODE: Final = 'decode'
 
 # Cost of reading a shared beginning away from its home, ms: less than a
 # short queue, more than the noise of the estimates.
--- a/packages/trestle-entry/src/trestle_entry/direct/plain_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/plain_dispatch.py
@@ -5,18 +5,15 @@
 the route says that a request may run twice.
 """
 
-from time import monotonic
 from typing import Final
 
 from gevent import Timeout
 
 from trestle_core.errorcodes import (
     ANSWER_INCOMPLETE,
-    DEADLINE_PASSED,
     DEADLINE_UNREACHABLE,
     NO_ENDPOINT,
     OVERLOADED,
-    RETRY_BUDGET,
 )
 from trestle_core.errors import TrestleError
 from trestle_core.verdict import Verdict
@@ -25,15 +22,21 @@
     left_ms,
     open_answer,
     read_whole,
+    whole_reply,
 )
 from trestle_entry.direct.backend_exchange import (
     BrokenAnswerError,
     NotSentError,
 )
-from trestle_entry.direct.crash_guard import request_digest
 from trestle_entry.direct.direct_context import DirectContext, Matched
 from trestle_entry.direct.replies import DirectReply, RefusedError
 from trestle_entry.direct.request_log import RequestStory
+from trestle_entry.direct.request_run import (
+    RequestRun,
+    check_resend,
+    failure_of,
+    within_deadline,
+)
 from trestle_entry.direct.wire_types import (
     SERVER_ERROR,
     CallerRequest,
@@ -47,33 +50,6 @@
 # its queue would use up most callers' time.
 _QUEUE_FACTOR: Final = 2.5
 _LEAST_PLACES: Final = 2
-_MOST_SENDS: Final = 4
-
-
-class PlainRun:
-    """The sends of one request."""
-
-    def __init__(
-        self,
-        context: DirectContext,
-        request: CallerRequest,
-        matched: Matched,
-        story: RequestStory,
-    ) -> None:
-        """Start with no send."""
-        self.context = context
-        self.request = request
-        self.route = matched.route
-        self.service = matched.service.name
-        self.story = story
-        self.sends = 0
-        self.runs = 0
-        self.tried: set[str] = set()
-
-    @property
-    def verdict(self) -> Verdict:
-        """Whether any send may have run."""
-        return Verdict.MAY_HAVE_RUN if self.runs else Verdict.NOT_RUN
 
 
 def serve_plain(
@@ -83,38 +59,27 @@
     story: RequestStory,
 ) -> DirectReply:
     """Return the whole answer of a back end; raises `TrestleError`."""
-    run = PlainRun(context, request, matched, story)
-    limit = Timeout(max(0.001, request.deadline - monotonic()))
-    try:
-        with limit:
-            answer = _answer_of(run)
-    except Timeout as error:
-        if error is not limit:
-            raise
-        raise TrestleError(DEADLINE_PASSED, verdict=run.verdict) from error
-    body = answer.body
-    headers = [
-        *answer.head.passed_on,
-        ('Content-Length', str(len(body))),
-    ]
-    return DirectReply(answer.head.status, headers, [body])
-
-
-def _answer_of(run: PlainRun) -> WholeAnswer:
+    run = RequestRun(context, request, matched, story)
+    with within_deadline(run):
+        answer = _answer_of(run)
+    return whole_reply(answer)
+
+
+def _answer_of(run: RequestRun) -> WholeAnswer:
     while True:
         backend = _choose(run)
         answer = _try(run, backend)
         if answer is not None:
             return answer
-        run.tried.add(backend.instance)
+        run.avoided.add(backend.instance)
 
 
-def _try(run: PlainRun, backend: Backend) -> WholeAnswer | None:
+def _try(run: RequestRun, backend: Backend) -> WholeAnswer | None:
     """Send once; return None to send again, or raise the final error."""
     fleet = run.context.fleet
     instance = backend.instance
     if run.sends:
-        _check_resend(run)
+        check_resend(run)
     run.sends += 1
     try:
         answer = _send(run, backend)
@@ -126,8 +91,7 @@
         run.runs += 1
         run.story.add('broken', f'{instance}: {error}')
         fleet.note_failed(instance, str(error))
-        _note_end(run, instance)
-        if _may_run_again(run):
+        if run.may_run_again:
             return None
         raise TrestleError(
             ANSWER_INCOMPLETE, str(error), Verdict.MAY_HAVE_RUN
@@ -140,14 +104,14 @@
         run.story.add('declined', f'{instance}: {answer.head.status}')
         return None
     run.runs += 1
-    if answer.head.status >= SERVER_ERROR and _may_run_again(run):
+    if answer.head.status >= SERVER_ERROR and run.may_run_again:
         run.story.add('failed', f'{instance}: {answer.head.status}')
         return None
     fleet.note_served(instance)
     return answer
 
 
-def _send(run: PlainRun, backend: Backend) -> WholeAnswer:
+def _send(run: RequestRun, backend: Backend) -> WholeAnswer:
     context = run.context
     options = SendOptions(backend.instance, left_ms(run.request.deadline))
     run.story.add('send', backend.instance)
@@ -162,40 +126,17 @@
         return read_whole(context, opened)
 
 
-def _may_run_again(run: PlainRun) -> bool:
-    return run.route.is_idempotent and run.runs < run.route.max_attempts
-
-
-def _check_resend(run: PlainRun) -> None:
-    if run.sends >= _MOST_SENDS or not run.context.may_resend(run.service):
-        if run.runs:
-            raise TrestleError(
-                ANSWER_INCOMPLETE, 'no send is left', Verdict.MAY_HAVE_RUN
-            )
-        raise RefusedError(RETRY_BUDGET, 'no further send is allowed')
-
-
-def _note_end(run: PlainRun, instance: str) -> None:
-    request = run.request
-    digest = request_digest(request.method, request.target, request.body)
-    notice = run.context.guard.note(digest, instance)
-    run.context.loads.suspects.append(notice)
-
-
-def _choose(run: PlainRun) -> Backend:
+def _choose(run: RequestRun) -> Backend:
     context = run.context
-    without = frozenset(run.tried)
-    candidates = context.fleet.usable(run.service, without)
-    if not candidates and run.tried:
-        candidates = context.fleet.usable(run.service, frozenset())
+    without = frozenset(run.avoided)
+    candidates = context.fleet.usable(run.service.name, without)
+    if not candidates and run.avoided:
+        candidates = context.fleet.usable(run.service.name, frozenset())
     if not candidates:
-        if run.runs:
-            raise TrestleError(
-                ANSWER_INCOMPLETE, 'no back end is left', Verdict.MAY_HAVE_RUN
-            )
-        raise RefusedError(NO_ENDPOINT, f'no back end of {run.service}')
-    if run.request.deadline <= monotonic():
-        raise RefusedError(DEADLINE_UNREACHABLE, 'no time is left')
+        text = f'no back end of {run.service.name}'
+        raise failure_of(run, NO_ENDPOINT, text)
+    if run.left_ms <= 0:
+        raise failure_of(run, DEADLINE_UNREACHABLE, 'no time is left')
     chosen = min(candidates, key=lambda entry: _cost(run, entry))
     running = context.loads.running_at(chosen.instance)
     places = max(_LEAST_PLACES, chosen.slots)
@@ -204,7 +145,7 @@
     return chosen
 
 
-def _cost(run: PlainRun, backend: Backend) -> tuple[float, float]:
+def _cost(run: RequestRun, backend: Backend) -> tuple[float, float]:
     context = run.context
     cost = float(context.loads.running_at(backend.instance))
     if backend.zone != context.settings.zone:
--- a/packages/trestle-entry/src/trestle_entry/direct/replies.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/replies.py
@@ -19,11 +19,15 @@
 
 
 class DirectReply(NamedTuple):
-    """An answer to a caller; the body may be a stream."""
+    """An answer to a caller; the body may be a stream.
+
+    One that `logs_itself` writes the request's line when its body ends.
+    """
 
     status: int
     headers: Headers
     body: Iterable[bytes]
+    logs_itself: bool = False
 
 
 class RefusedError(TrestleError):
--- /dev/null
+++ b/packages/trestle-entry/src/trestle_entry/direct/request_run.py
@@ -0,0 +1,95 @@
+"""State of one request while it is dispatched, and what follows from it.
+
+The verdict rests on the runs: a back end that took the request and did not
+decline it may have run it. Every failure of a request is made here, so that
+none says `not-run` after a run.
+"""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from time import monotonic
+from typing import Final
+
+from gevent import Timeout
+
+from trestle_core.errorcodes import (
+    ANSWER_INCOMPLETE,
+    DEADLINE_PASSED,
+    RETRY_BUDGET,
+    ErrorCode,
+)
+from trestle_core.errors import TrestleError
+from trestle_core.verdict import Verdict
+from trestle_entry.direct.direct_context import DirectContext, Matched
+from trestle_entry.direct.replies import RefusedError
+from trestle_entry.direct.request_log import RequestStory
+from trestle_entry.direct.wire_types import CallerRequest
+
+# Sends of one request, those that back ends declined included.
+_MOST_SENDS: Final = 4
+_SHORTEST_SECONDS: Final = 0.001
+_MS_PER_SECOND: Final = 1000
+
+
+class RequestRun:
+    """Sends and runs of one request, and the back ends it keeps away from."""
+
+    def __init__(
+        self,
+        context: DirectContext,
+        request: CallerRequest,
+        matched: Matched,
+        story: RequestStory,
+    ) -> None:
+        """Start with no send."""
+        self.context = context
+        self.request = request
+        self.route = matched.route
+        self.service = matched.service
+        self.story = story
+        self.sends = 0
+        self.runs = 0
+        self.avoided: set[str] = set()
+
+    @property
+    def verdict(self) -> Verdict:
+        """Whether any send may have run."""
+        return Verdict.MAY_HAVE_RUN if self.runs else Verdict.NOT_RUN
+
+    @property
+    def left_ms(self) -> float:
+        """Time until the deadline, ms."""
+        return (self.request.deadline - monotonic()) * _MS_PER_SECOND
+
+    @property
+    def may_run_again(self) -> bool:
+        """Tell whether one more run is allowed after one that broke off."""
+        return self.route.is_idempotent and self.runs < self.route.max_attempts
+
+
+def failure_of(run: RequestRun, code: ErrorCode, text: str) -> TrestleError:
+    """Return a refusal if nothing ran, or else a failure in doubt."""
+    if run.runs:
+        return TrestleError(ANSWER_INCOMPLETE, text, Verdict.MAY_HAVE_RUN)
+    return RefusedError(code, text)
+
+
+def check_resend(run: RequestRun) -> None:
+    """Count a further send; raises `TrestleError` when none is allowed."""
+    if run.sends >= _MOST_SENDS:
+        raise failure_of(run, RETRY_BUDGET, 'no send is left')
+    if not run.context.may_resend(run.service.name):
+        raise failure_of(run, RETRY_BUDGET, 'the retry limits are reached')
+
+
+@contextmanager
+def within_deadline(run: RequestRun) -> Iterator[None]:
+    """Raise `TrestleError` in the block when the caller's time is over."""
+    limit = Timeout(max(_SHORTEST_SECONDS, run.request.deadline - monotonic()))
+    try:
+        with limit:
+            yield
+    except Timeout as error:
+        if error is not limit:
+            raise
+        raise TrestleError(DEADLINE_PASSED, verdict=run.verdict) from error
--- a/packages/trestle-entry/src/trestle_entry/direct/wire_types.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/wire_types.py
@@ -103,4 +103,3 @@
     read_head: Callable[[int, Headers], AnswerHead]
     read_handle: Callable[[bytes], str]
     free_path: Callable[[str], str]
-    is_last_event: Callable[[bytes], bool]
