--- a/features/direct_rules.feature
+++ b/features/direct_rules.feature
@@ -44,6 +44,16 @@
     When another host sends document 5
     Then the node still holds document 7
 
+  Scenario: A document of hundreds of routes is small on the way
+    Given a document of 300 routes
+    When it is packed
+    Then it takes a tenth of its bytes
+    And unpacked it is byte for byte the same
+
+  Scenario: Foreign bytes in place of a packed document
+    Given a document of 300 routes
+    Then its packed form cut, doubled or plain is refused
+
   Scenario: An entry that starts takes no table before a fresh stamp
     Given an entry that follows a control host which replays its log
     When documents 3 and 9 come without a stamp
--- a/features/steps/direct_documents_steps.py
+++ b/features/steps/direct_documents_steps.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 from behave.runner import Context
+from msgspec.json import encode
 
 from trestle_control.apply import ControlMachine
 from trestle_core.metrics import Metrics
@@ -11,10 +12,12 @@
 from trestle_core.settings import DirectSettings
 from trestle_entry.direct.direct_app import follow_control
 from trestle_entry.direct.direct_context import DirectContext
+from trestle_links.codec import BadFrameError
 from trestle_links.control_client import ControlClient
 from trestle_links.direct_messages import DocumentDelta, PublishDocument
 from trestle_links.link import Identity
 from trestle_links.node_view import NodeView
+from trestle_links.packed_document import pack_document, unpack_document
 from trestle_links.watch_messages import Stamp
 
 
@@ -105,7 +108,9 @@
 
 def deliver_document(context: Context, version: int) -> None:
     """Deliver a document as the stream does."""
-    delta = DocumentDelta(version, str(version).encode(), version)
+    delta = DocumentDelta(
+        version, pack_document(str(version).encode()), version
+    )
     context.client.takers[DocumentDelta](delta)
 
 
@@ -126,3 +131,52 @@
 def step_holds_table(context: Context, version: int) -> None:
     """Check the table in force."""
     assert context.direct.table.version == version
+
+
+@given('a document of {count:d} routes')
+def step_long_document(context: Context, count: int) -> None:
+    """Make a document as operators write it."""
+    routes = [
+        {
+            'name': f'r-{number}',
+            'host': f'host{number % 7}.example',
+            'pathPrefix': f'/path{number * 7919}/',
+            'timeoutMs': 3000,
+            'priority': 1,
+            'service': f'service-{number % 5}',
+            'maxAttempts': 2,
+        }
+        for number in range(count)
+    ]
+    context.content = encode({'version': 7, 'routes': routes})
+
+
+@when('it is packed')
+def step_pack(context: Context) -> None:
+    """Pack the document."""
+    context.packed = pack_document(context.content)
+
+
+@then('it takes a tenth of its bytes')
+def step_tenth(context: Context) -> None:
+    """Compare the sizes."""
+    assert len(context.packed) * 10 < len(context.content)
+
+
+@then('unpacked it is byte for byte the same')
+def step_same(context: Context) -> None:
+    """Unpack the document."""
+    assert unpack_document(context.packed) == context.content
+
+
+@then('its packed form cut, doubled or plain is refused')
+def step_foreign(context: Context) -> None:
+    """Unpack what no control host sends."""
+    packed = pack_document(context.content)
+    for foreign in (packed[:-5], packed * 2, context.content, b''):
+        refused = False
+        try:
+            unpack_document(foreign)
+        except BadFrameError:
+            refused = True
+        assert refused, foreign[:20]
--- a/packages/trestle-control/src/trestle_control/document_service.py
+++ b/packages/trestle-control/src/trestle_control/document_service.py
@@ -13,6 +13,7 @@
 from trestle_core.errors import TrestleError
 from trestle_core.logs import part_logger
 from trestle_links.direct_messages import DocumentReply, PublishDocument
+from trestle_links.packed_document import pack_document, unpack_document
 
 # Both stay under the second after which an operator's client moves on.
 _PUBLISH_SECONDS: Final = 0.9
@@ -46,7 +47,7 @@
             # the rest of them could be too few to go on.
             raise TrestleError(NO_QUORUM, 'too few voters have joined')
         reply = self.replica.submit(
-            PublishDocument(document.version, document.content),
+            PublishDocument(document.version, pack_document(document.content)),
             _PUBLISH_SECONDS,
         )
         if not isinstance(reply, DocumentReply):
@@ -67,4 +68,6 @@
         state = self.machine.state
         if not state.document_version:
             return None
-        return RouteDocument(state.document_version, state.document)
+        return RouteDocument(
+            state.document_version, unpack_document(state.document)
+        )
--- a/packages/trestle-entry/src/trestle_entry/direct/direct_app.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/direct_app.py
@@ -27,6 +27,7 @@
 from trestle_links.control_client import ControlClient
 from trestle_links.handshake import read_key
 from trestle_links.link import Identity, LinkPool
+from trestle_links.packed_document import unpack_document
 
 _MS_PER_SECOND: Final = 1000
 _POLL_SECONDS: Final = 0.05
@@ -110,7 +111,7 @@
         if control.view.document_version in {0, _version_of(context)}:
             return
         try:
-            table = read_table(control.view.document)
+            table = read_table(unpack_document(control.view.document))
         except TrestleError as error:
             # It was checked before it was published.
             _log.error('The route document cannot be used: {}.', error)
--- a/packages/trestle-links/src/trestle_links/direct_messages.py
+++ b/packages/trestle-links/src/trestle_links/direct_messages.py
@@ -28,7 +28,7 @@
 
 @message(140)
 class PublishDocument(NamedTuple):
-    """Put a route document in force if its version is the highest."""
+    """Put a packed route document in force if its version is the highest."""
 
     version: int
     content: bytes
@@ -43,7 +43,7 @@
 
 @message(142)
 class DocumentDelta(NamedTuple):
-    """The route document in force, byte for byte as it was published."""
+    """The route document in force, packed as in `packed_document`."""
 
     version: int
     content: bytes
