Engines that the list shows without a role get no requests

Cause: the list shows an engine that crashed without a role for about a second. Placement took every engine that does not read for one that decodes, so each entry sent streams to the dead addresses; the new process there declined each (421). As all engines without a role rested, the fall-back to the resting ones chose them again.

Ruled out: late orders (no role was ordered then), other roles after a restart.

Change: where any engine of a pool has a role, only those that decode answer. The request's line tells events and pauses of a stream, which showed that the streams cut at their deadline were slow, not stopped.

Test: direct_placement, engines that crashed; failed before.

--- a/features/direct_placement.feature
+++ b/features/direct_placement.feature
@@ -52,6 +52,20 @@
     When a burst of 24 different long prompts is planned without an answer
     Then every reader has prompts and none has over twice the mean
 
+  Scenario: Engines that crashed are listed without a role
+    Given 6 engines that read and 3 that decode
+    And 2 engines whose role the list does not tell
+    And every decoder streams to 10 callers
+    And the others report 900 ms of prompts at every reader
+    When a short prompt is planned
+    Then an engine with a role answers it
+
+  Scenario: A pool without roles still has a plan
+    Given 0 engines that read and 0 that decode
+    And 3 engines whose role the list does not tell
+    When a short prompt is planned
+    Then an engine without a role reads and answers it
+
   Scenario: Grey decoders are not hidden by trusted readers
     Given 6 engines that read and 3 that decode
     When every decoder fails 20 calls
--- a/features/steps/direct_placement_steps.py
+++ b/features/steps/direct_placement_steps.py
@@ -52,6 +52,12 @@
     context.stack = ExitStack()
 
 
+@given('{count:d} engines whose role the list does not tell')
+def step_no_role(context: Context, count: int) -> None:
+    """Add engines as a list shows them after a crash."""
+    context.engines += [engine('', number) for number in range(count)]
+
+
 @given('reader {number:d} holds the beginning of a long prompt')
 def step_holds(context: Context, number: int) -> None:
     """Let the entry know that a reader has read the prompt."""
@@ -199,3 +205,16 @@
     """Check what the reader would still have to read."""
     uncached = context.loads.uncached_tokens(f'prefill-{number}', LONG)
     assert uncached == LONG.parts[1].tokens, uncached
+
+
+@then('an engine with a role answers it')
+def step_with_role(context: Context) -> None:
+    """Check who decodes."""
+    assert context.plan.decoder.role == 'decode', context.plan
+
+
+@then('an engine without a role reads and answers it')
+def step_without_role(context: Context) -> None:
+    """Check that the only engines are used."""
+    assert context.plan.reader is None
+    assert context.plan.decoder.role == '', context.plan
--- a/packages/trestle-entry/src/trestle_entry/direct/event_stream.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/event_stream.py
@@ -16,6 +16,8 @@
         """Start at the first byte of an event."""
         self.tail = b''
         self.last_id = ''
+        # Whole events that passed.
+        self.count = 0
 
     def feed(self, received: bytes) -> bytes:
         """Return the bytes of all events that are whole now."""
@@ -31,6 +33,7 @@
         for line in whole.splitlines():
             if line.startswith(b'id:'):
                 self.last_id = line[3:].strip().decode('latin-1')
+                self.count += 1
 
 
 def _end_of_last(waiting: bytes, mark: bytes) -> int:
--- a/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterator
 from time import monotonic
+from typing import Final
 
 from gevent import Timeout
 
@@ -29,6 +30,8 @@
 from trestle_entry.direct.request_log import RequestStory
 from trestle_entry.direct.wire_types import CallerRequest
 
+_MS_PER_SECOND: Final = 1000
+
 
 def serve_model(
     context: DirectContext,
@@ -64,6 +67,8 @@
         self.run = run
         self.opened: OpenAnswer | None = opened
         self.outcome = 'caller-gone'
+        self.last_event_at = 0.0
+        self.longest_pause = 0.0
 
     def __iter__(self) -> Iterator[bytes]:
         """Yield whole events as they come."""
@@ -92,6 +97,7 @@
             self.opened = None
         self.run.count_at('')
         story = self.run.story
+        story.fields.update(self._pauses())
         self.run.context.log.write(story, self.outcome, self.run.verdict.value)
 
     def _events(self) -> Iterator[bytes]:
@@ -107,9 +113,7 @@
         while True:
             whole = events.feed(answer.take_body())
             if whole:
-                if not self.run.delivered:
-                    self.run.delivered = True
-                    self.run.story.add('first event')
+                self._note_events()
                 yield whole
             if answer.message_complete:
                 break
@@ -120,6 +124,27 @@
         give_back(self.run.context, opened)
         self.run.context.fleet.note_served(opened.backend.instance)
 
+    def _note_events(self) -> None:
+        now = monotonic()
+        if self.run.delivered:
+            pause = now - self.last_event_at
+            self.longest_pause = max(self.longest_pause, pause)
+        else:
+            self.run.delivered = True
+            self.run.story.add('first event')
+        self.last_event_at = now
+
+    def _pauses(self) -> dict[str, int]:
+        """Return how the stream went: events, longest and last pause in ms."""
+        if not self.run.delivered:
+            return {}
+        last = monotonic() - self.last_event_at
+        return {
+            'events': self.run.events.count,
+            'longest_pause_ms': round(self.longest_pause * _MS_PER_SECOND),
+            'last_event_ago_ms': round(last * _MS_PER_SECOND),
+        }
+
     def _resume(self, opened: OpenAnswer, error: BrokenAnswerError) -> None:
         run = self.run
         instance = opened.backend.instance
--- a/packages/trestle-entry/src/trestle_entry/direct/placement.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/placement.py
@@ -21,6 +21,7 @@
 from trestle_links.direct_messages import Backend
 
 PREFILL: Final = 'prefill'
+DECODE: Final = 'decode'
 
 # Cost of reading a shared beginning away from its home, ms: less than a
 # short queue, more than the noise of the estimates.
@@ -32,7 +33,7 @@
 _MS_PER_TOKEN_MOVED: Final = 0.0007
 _OTHER_ZONE: Final = 2.0
 # What a token of a body that crosses zones costs, in engine time.
-_MS_PER_TOKEN_SENT: Final = 0.0006
+_MS_PER_TOKEN_SENT: Final = 0.003
 # How much dearer a token that was read twice is than its engine time.
 _REREAD: Final = 3.0
 _HIGHEST_SCORE: Final = 2**64 - 1
@@ -78,7 +79,7 @@
     engines: list[Backend], loads: EngineLoads, asked: PlanNeed
 ) -> Plan | None:
     """Return the plan with the earliest first token, or None."""
-    decoders = [entry for entry in engines if entry.role != PREFILL]
+    decoders = _decoders_of(engines)
     readers = [entry for entry in engines if entry.role == PREFILL]
     if not decoders:
         return None
@@ -114,7 +115,7 @@
     engines: list[Backend], loads: EngineLoads, asked: PlanNeed, zone: str
 ) -> Backend | None:
     """Return who takes over memory from a zone, by the loads of now."""
-    decoders = [entry for entry in engines if entry.role != PREFILL]
+    decoders = _decoders_of(engines)
     if not decoders:
         return None
     return min(
@@ -122,6 +123,17 @@
     ).backend
 
 
+def _decoders_of(engines: list[Backend]) -> list[Backend]:
+    """Return who may answer.
+
+    A list shows an engine that crashed without a role for a while; such
+    engines are used only where no engine of the pool has one.
+    """
+    if any(entry.role for entry in engines):
+        return [entry for entry in engines if entry.role == DECODE]
+    return engines
+
+
 def _as_reader(
     loads: EngineLoads, asked: PlanNeed, engine: Backend
 ) -> Candidate:
