A request is explained from the log files alone

Cause: on-call engineers have only logs; a line of a request named no host, no time and no objective, so that it could not be set beside other lines, and nothing read such files.

--- a/features/steps/direct_rules_steps.py
+++ b/features/steps/direct_rules_steps.py
@@ -217,7 +217,7 @@
 def step_lines(context: Context, count: int) -> None:
     """Queue lines without letting the writer run."""
     context.metrics = Metrics()
-    context.log = RequestLog(context.metrics)
+    context.log = RequestLog(context.metrics, 'entry-1')
     context.log.started = True
     for number in range(count):
         context.log.write(RequestStory(str(number), 0), 'served', 'ran')
--- a/packages/kingcuptrestle/src/kingcuptrestle/fleet_cli.py
+++ b/packages/kingcuptrestle/src/kingcuptrestle/fleet_cli.py
@@ -1,6 +1,6 @@
 """Commands on the fleet: status, explain, withdraw, restore and release."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import UTC, datetime
 from typing import Annotated, Any, Final
 
@@ -8,6 +8,7 @@
 
 from kingcuptrestle.control_session import ControlOptions, control_session
 from kingcuptrestle.exit_codes import DONE, REFUSED
+from kingcuptrestle.explain_log import explain_from_logs
 from kingcuptrestle.output import (
     print_error,
     print_json,
@@ -39,7 +40,9 @@
 
 
 def explain_name(options: 'Explain') -> int:
-    """Print the records of a name, oldest first."""
+    """Print the records of a name, oldest first, or a request's log."""
+    if options.log:
+        return explain_from_logs(options.name, options.log)
     with control_session(options) as session:
         answer = session.query('explain', options.name)
     found = answer['records'] or answer['claims']
@@ -96,10 +99,15 @@
     """Tell why something happened to an endpoint, order or version.
 
     NAME is a host, `order-N`, `version-N`, a content digest, a request id or
-    an idempotency key.
+    an idempotency key. With --log it is a request id, and the control hosts
+    are not asked.
     """
 
     name: Annotated[str, Arg(help='what to explain')]
+    log: Annotated[
+        list[str],
+        Arg(long='--log', help='log file of processes, - for standard input'),
+    ] = field(default_factory=list)
     json: Annotated[bool, Arg(long='--json', help='print as JSON')] = False
 
 
--- a/packages/trestle-core/src/trestle_core/logs.py
+++ b/packages/trestle-core/src/trestle_core/logs.py
@@ -6,6 +6,7 @@
 
 from os import set_blocking, write
 from sys import stderr
+from time import time
 from typing import TYPE_CHECKING, Any, Final, Literal
 
 from loguru import logger
@@ -41,6 +42,7 @@
                 {
                     'part': record['extra'].get('part', 'process'),
                     'host': host,
+                    'time': time_of_day(),
                     'level': record['level'].name,
                     'text': record['message'],
                     'error': _error_text(record['exception']),
@@ -54,6 +56,11 @@
     logger.add(sink, level=level, format='{message}')
 
 
+def time_of_day() -> float:
+    """Return the time of day in seconds; for people only, it may jump."""
+    return round(time(), 3)
+
+
 def write_line(line: bytes) -> bool:
     """Write a line to standard output unless that would block.
 
--- a/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
@@ -44,7 +44,7 @@
         self.pool = ConnectionPool(metrics)
         self.loads = EngineLoads(settings.host)
         self.guard = CrashGuard()
-        self.log = RequestLog(metrics)
+        self.log = RequestLog(metrics, settings.host)
         self.limits: dict[str, RetryLimits] = {}
         self.random = Random(settings.host)
 
--- a/packages/trestle-entry/src/trestle_entry/direct/dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/dispatch.py
@@ -93,4 +93,6 @@
     service = table.services[pick_share(route, context.random.random())]
     story.fields['route'] = route.name
     story.fields['version'] = table.version
+    story.fields['target_ms'] = route.target_ms
+    story.fields['gap_ms'] = route.gap_ms
     return Matched(route, service)
--- a/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
@@ -31,6 +31,8 @@
 from trestle_entry.direct.wire_types import CallerRequest
 
 _MS_PER_SECOND: Final = 1000
+# Outcome of a stream that reached its end.
+_SERVED: Final = 'served'
 
 
 def serve_model(
@@ -78,7 +80,7 @@
         try:
             with cancel_when_gone(self.run.request.socket):
                 yield from self._events()
-            self.outcome = 'served'
+            self.outcome = _SERVED
         except Timeout as error:
             if error is not limit:
                 raise
@@ -98,7 +100,9 @@
         self.run.count_at('')
         story = self.run.story
         story.fields.update(self._pauses())
-        self.run.context.log.write(story, self.outcome, self.run.verdict.value)
+        is_whole = self.outcome == _SERVED
+        verdict = Verdict.RAN if is_whole else self.run.verdict
+        self.run.context.log.write(story, self.outcome, verdict.value)
 
     def _events(self) -> Iterator[bytes]:
         while self.opened:
--- a/packages/trestle-entry/src/trestle_entry/direct/request_log.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/request_log.py
@@ -13,7 +13,7 @@
 from gevent.event import Event
 from msgspec.json import encode
 
-from trestle_core.logs import write_line
+from trestle_core.logs import time_of_day, write_line
 from trestle_core.metrics import Metrics
 
 _QUEUE_LINES: Final = 2000
@@ -47,9 +47,10 @@
 class RequestLog:
     """The queue and the writer."""
 
-    def __init__(self, metrics: Metrics) -> None:
-        """Start the writer on the first line."""
+    def __init__(self, metrics: Metrics, host: str) -> None:
+        """Start the writer on the first line; `host` names this entry."""
         self.metrics = metrics
+        self.host = host
         self.lines: deque[bytes] = deque()
         self.wake = Event()
         self.dropped = 0
@@ -64,6 +65,8 @@
         self._put(
             {
                 'part': 'request',
+                'host': self.host,
+                'time': time_of_day(),
                 'request': story.request_id,
                 'outcome': outcome,
                 'verdict': verdict,
