--- a/features/steps/direct_placement_steps.py
+++ b/features/steps/direct_placement_steps.py
@@ -203,8 +203,8 @@
 @then('the beginning counts as held by reader {number:d}')
 def step_held(context: Context, number: int) -> None:
     """Check what the reader would still have to read."""
-    uncached = context.loads.uncached_tokens(f'prefill-{number}', LONG)
-    assert uncached == LONG.parts[1].tokens, uncached
+    held = context.loads.held_tokens(f'prefill-{number}', LONG)
+    assert held == LONG.parts[0].tokens, held
 
 
 @then('an engine with a role answers it')
--- a/features/steps/direct_run_steps.py
+++ b/features/steps/direct_run_steps.py
@@ -65,7 +65,7 @@
         resumable=False,
         shares=(Share('llm', 1),),
     )
-    service = Service('llm', 10, EngineTraits(64, 500_000, 1, 1.0, 5000))
+    service = Service('llm', 10, EngineTraits(500_000, 1, 1.0))
     now = monotonic()
     request = CallerRequest(
         'r1',
--- a/features/steps/explain_logs_steps.py
+++ b/features/steps/explain_logs_steps.py
@@ -32,7 +32,7 @@
         'last_event_ago_ms': 203,
     },
     'deadline in a read': {'outcome': 'deadline-passed', 'steps': [READ]},
-    'caller gone': {'outcome': 'caller-gone', 'ms': 900, 'steps': [READ]},
+    'caller gone': {'outcome': 'cancelled', 'ms': 900, 'steps': [READ]},
     'broken': {
         'outcome': 'answer-incomplete',
         'steps': [[1.0, 'send', 'i-2'], BROKEN],
--- a/packages/kingcuptrestle/src/kingcuptrestle/request_cause.py
+++ b/packages/kingcuptrestle/src/kingcuptrestle/request_cause.py
@@ -23,7 +23,6 @@
 _OK: Final = '200'
 _LOST: Final = ('broken', 'reader lost', 'unreachable')
 _DECLINED: Final = ('declined', 'read declined')
-_GONE: Final = ('caller-gone', CANCELLED.code)
 
 
 def cause_of(line: RequestLine) -> str:
@@ -58,7 +57,7 @@
 
 
 def _stopped(line: RequestLine) -> str:
-    if line.outcome not in {DEADLINE_PASSED.code, *_GONE}:
+    if line.outcome not in {DEADLINE_PASSED.code, CANCELLED.code}:
         return ''
     ended = 'The caller left'
     if line.outcome == DEADLINE_PASSED.code:
--- a/packages/trestle-control/src/trestle_control/direct_roles.py
+++ b/packages/trestle-control/src/trestle_control/direct_roles.py
@@ -21,20 +21,22 @@
 from trestle_core.errors import TrestleError
 from trestle_core.logs import part_logger
 from trestle_core.metrics import Metrics
-from trestle_links.direct_messages import Backend
+from trestle_links.direct_messages import DECODE, PREFILL, Backend
 
-PREFILL: Final = 'prefill'
-DECODE: Final = 'decode'
 LOOK_SECONDS: Final = 0.5
 # How long a pool must ask for the same change: an engine that crashed is
-# back before that, and the list fills up within a second of a start.
-_SETTLED_SECONDS: Final = 4.0
-_IDLE_SECONDS: Final = 1.8
+# back before that.
+_ASKED_SECONDS: Final = 4.0
+# The same while no request is in work: the list fills up within a second of
+# a start.
+_ASKED_IDLE_SECONDS: Final = 1.8
 # Longest time after which an unanswered order may be carried out, with the
 # change itself and the lag of the list.
-_SETTLE_SECONDS: Final = 18.0
+_ORDER_OPEN_SECONDS: Final = 18.0
 _BARRIER_SECONDS: Final = 0.5
 
+_log = part_logger('roles')
+
 
 class RoleOrder(NamedTuple):
     """One order to one engine."""
@@ -129,7 +131,7 @@
             since = now
         self.asked[pool] = (asked, since)
         wait_seconds = (
-            _SETTLED_SECONDS if self.loads.running() else _IDLE_SECONDS
+            _ASKED_SECONDS if self.loads.running() else _ASKED_IDLE_SECONDS
         )
         return now - since >= wait_seconds
 
@@ -191,12 +193,9 @@
         self.metrics.count('role_orders', role)
         if accepted:
             self.loads.changing[engine.instance] = monotonic()
-            until = monotonic() + _SETTLE_SECONDS
+            until = monotonic() + _ORDER_OPEN_SECONDS
             self.pending[engine.instance] = Pending(role, until)
 
 
-_log = part_logger('roles')
-
-
 def _in_zone(engines: list[Backend], zone: str) -> int:
     return sum(engine.zone == zone for engine in engines)
--- a/packages/trestle-control/src/trestle_control/load_table.py
+++ b/packages/trestle-control/src/trestle_control/load_table.py
@@ -78,8 +78,8 @@
         self._note(report, now)
         others = [
             entry
-            for host, entry in self.reported.items()
-            if host != report.host and now - entry.came_at < _STALE_SECONDS
+            for entry in self._recent(now)
+            if entry.report.host != report.host
         ]
         oldest = min((entry.came_at for entry in others), default=now)
         seen = report.seen if report.seen <= self.number else 0
@@ -87,12 +87,7 @@
         return LoadView(
             entries=self._entries(now),
             prefill_ms=_sum(entry.report.prefill_ms for entry in others),
-            running={
-                name: int(total)
-                for name, total in _sum(
-                    entry.report.running for entry in others
-                ).items()
-            },
+            running=_running(others),
             placements=[entry.placement for entry in placements],
             suspects=list(self.suspects),
             seen=self.number,
@@ -102,13 +97,14 @@
 
     def running(self) -> dict[str, int]:
         """Return the requests in work by back end, over all entries."""
-        now = monotonic()
-        recent = [
-            entry.report.running
+        return _running(self._recent(monotonic()))
+
+    def _recent(self, now: float) -> list[Reported]:
+        return [
+            entry
             for entry in self.reported.values()
             if now - entry.came_at < _STALE_SECONDS
         ]
-        return {name: int(total) for name, total in _sum(recent).items()}
 
     def _note(self, report: LoadReport, now: float) -> None:
         self.reported[report.host] = Reported(report, now)
@@ -145,6 +141,11 @@
         return after
 
 
+def _running(entries: list[Reported]) -> dict[str, int]:
+    totals = _sum(entry.report.running for entry in entries)
+    return {name: int(total) for name, total in totals.items()}
+
+
 def _sum(
     tables: Iterable[dict[str, float] | dict[str, int]],
 ) -> dict[str, float]:
--- a/packages/trestle-core/src/trestle_core/route_table.py
+++ b/packages/trestle-core/src/trestle_core/route_table.py
@@ -23,13 +23,15 @@
 
 
 class EngineTraits(NamedTuple):
-    """What all engines of a pool share; times in ms, sizes in tokens."""
+    """What all engines of a pool share.
+
+    `kv_tokens` is the memory of one, in tokens; a token takes `token_bytes`
+    of it and moves over links of `link_mbps`.
+    """
 
-    slots: int
     kv_tokens: int
     token_bytes: int
     link_mbps: float
-    handle_ms: float
 
 
 class Service(NamedTuple):
--- a/packages/trestle-entry/src/trestle_entry/direct/backend_exchange.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/backend_exchange.py
@@ -31,6 +31,11 @@
 # Time after which unacknowledged bytes end a connection that went silent; a
 # link that loses packets sends them again twice in it.
 SILENT_MS: Final = 700
+# Time between keep-alive probes of an idle connection.
+_PROBE_SECONDS: Final = 1
+# Not exported by gevent's socket module.
+_TCP_USER_TIMEOUT: Final = 18
+_BODILESS: Final = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 _READ_BYTES: Final = 65_536
 _FIRST_FINAL_STATUS: Final = 200
 
@@ -161,9 +166,3 @@
         lines.append(f'Content-Length: {len(body)}')
     head = '\r\n'.join(lines)
     return f'{head}\r\n\r\n'.encode('latin-1') + body
-
-
-_PROBE_SECONDS: Final = 1
-# Not exported by gevent's socket module.
-_TCP_USER_TIMEOUT: Final = 18
-_BODILESS: Final = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
--- a/packages/trestle-entry/src/trestle_entry/direct/cached_parts.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/cached_parts.py
@@ -42,8 +42,3 @@
         known = self.parts.pop(part, None)
         self.tokens += tokens - (known or 0)
         self.parts[part] = tokens
-
-    def clear(self) -> None:
-        """Forget everything, as after a restart."""
-        self.parts.clear()
-        self.tokens = 0
--- a/packages/trestle-entry/src/trestle_entry/direct/dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/dispatch.py
@@ -41,8 +41,8 @@
     story = RequestStory('', monotonic())
     try:
         reply = _serve(context, incoming, story)
-    except CallerGoneError:
-        context.log.write(story, 'caller-gone', 'may-have-run')
+    except CallerGoneError as error:
+        context.log.write(story, error.code.code, error.verdict.value)
         raise
     except TrestleError as error:
         story.fields['reason'] = error.message
@@ -50,8 +50,8 @@
         return error_answer(context.callers, story.request_id, error)
     except Exception:
         _log.exception('Request {} failed unexpectedly.', story.request_id)
-        context.log.write(story, INTERNAL.code, 'may-have-run')
         failure = TrestleError(INTERNAL, verdict=Verdict.MAY_HAVE_RUN)
+        context.log.write(story, failure.code.code, failure.verdict.value)
         return error_answer(context.callers, story.request_id, failure)
     if not reply.logs_itself:
         context.log.write(story, str(reply.status), Verdict.RAN.value)
--- a/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
@@ -84,10 +84,6 @@
         cached = self.cached.get(instance)
         return cached.cached_tokens(need.parts) if cached else 0
 
-    def uncached_tokens(self, instance: str, need: ModelNeed) -> int:
-        """Return the tokens that an engine would have to read."""
-        return max(1, need.prompt_tokens - self.held_tokens(instance, need))
-
     @contextmanager
     def reading(self, instance: str, engine_ms: float) -> Iterator[None]:
         """Count a prompt as being read during the block."""
--- a/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
@@ -5,10 +5,9 @@
 which an engine that may stream took it, so a refusal after that is none.
 """
 
+from functools import partial
 from typing import Final
 
-from gevent import Timeout
-
 from trestle_core.errorcodes import (
     ANSWER_INCOMPLETE,
     DEADLINE_UNREACHABLE,
@@ -26,13 +25,9 @@
     open_answer,
     read_whole,
 )
-from trestle_entry.direct.backend_exchange import (
-    BrokenAnswerError,
-    NotSentError,
-)
+from trestle_entry.direct.backend_exchange import BrokenAnswerError
 from trestle_entry.direct.model_run import ModelRun
 from trestle_entry.direct.placement import (
-    PREFILL,
     Plan,
     PlanNeed,
     choose_decoder,
@@ -46,8 +41,11 @@
 )
 from trestle_entry.direct.replies import RefusedError
 from trestle_entry.direct.request_run import (
+    broken_answer,
     check_resend,
     failure_of,
+    note_broken,
+    send_once,
     within_deadline,
 )
 from trestle_entry.direct.wire_types import (
@@ -56,7 +54,7 @@
     SERVER_ERROR,
     SendOptions,
 )
-from trestle_links.direct_messages import Backend
+from trestle_links.direct_messages import PREFILL, Backend
 
 _MOST_READS: Final = 2
 _CRASH_RETURN_SECONDS: Final = 2.0
@@ -189,21 +187,17 @@
         resume_from=run.events.last_id,
     )
     try:
-        if run.sends:
-            check_resend(run)
-        run.sends += 1
-        run.story.add(
-            'send', instance if handle else f'{instance}: reads itself'
+        opened = send_once(
+            run, instance, partial(_send, run, plan, options, handle)
         )
-        run.count_at(instance)
-        opened = _send(run, plan, options, is_read=handle is not None)
     except BaseException:
         _give_up(run, handle)
         raise
-    if opened is None or opened.head.refused:
+    if opened is None or _is_declined(run, opened):
         is_lost = is_last or bool(run.runs)
         _give_up(run, handle if is_lost else None)
         return None
+    run.runs += 1
     if opened.head.status == OK:
         run.context.loads.note_read(instance, run.need, kept_tokens(run))
         return opened
@@ -217,45 +211,30 @@
 
 
 def _send(
-    run: ModelRun, plan: Plan, options: SendOptions, *, is_read: bool
-) -> OpenAnswer | None:
-    decoder = plan.decoder
-    loads = run.context.loads
-    engine_ms = 0.0 if is_read else plan.read_ms
-    try:
-        with loads.reading(decoder.instance, engine_ms):
-            opened = open_answer(
-                run.context, run.request, decoder, options, once=True
-            )
-    except NotSentError as error:
-        run.story.add('unreachable', f'{decoder.instance}: {error}')
-        run.avoided.add(decoder.instance)
-        run.context.fleet.note_unreachable(decoder.instance, str(error))
-        return None
-    except BrokenAnswerError as error:
-        run.runs += 1
-        run.avoided.add(decoder.instance)
-        run.story.add('broken', f'{decoder.instance}: {error}')
-        run.note_end(decoder.instance, str(error))
-        if run.may_run_again:
-            return None
-        raise TrestleError(
-            ANSWER_INCOMPLETE, str(error), Verdict.MAY_HAVE_RUN
-        ) from error
-    except Timeout:
-        # The deadline: the engine had the request and may have run it.
-        run.runs += 1
-        raise
-    if opened.head.refused:
-        read_whole(run.context, opened)
-        run.story.add('declined', f'{decoder.instance}: {opened.head.status}')
-        run.avoided.add(decoder.instance)
-        run.context.fleet.note_declined(
-            decoder.instance, full=opened.head.status != MISDIRECTED
+    run: ModelRun, plan: Plan, options: SendOptions, handle: Handle | None
+) -> OpenAnswer:
+    instance = plan.decoder.instance
+    run.story.add('send', instance if handle else f'{instance}: reads itself')
+    run.count_at(instance)
+    engine_ms = 0.0 if handle else plan.read_ms
+    with run.context.loads.reading(instance, engine_ms):
+        return open_answer(
+            run.context, run.request, plan.decoder, options, once=True
         )
-        return opened
-    run.runs += 1
-    return opened
+
+
+def _is_declined(run: ModelRun, opened: OpenAnswer) -> bool:
+    """Tell whether an engine did not run the request, and note it."""
+    if not opened.head.refused:
+        return False
+    instance = opened.backend.instance
+    read_whole(run.context, opened)
+    run.story.add('declined', f'{instance}: {opened.head.status}')
+    run.avoided.add(instance)
+    run.context.fleet.note_declined(
+        instance, full=opened.head.status != MISDIRECTED
+    )
+    return True
 
 
 def _failed_answer(run: ModelRun, opened: OpenAnswer) -> WholeAnswer | None:
@@ -263,10 +242,8 @@
     try:
         whole = read_whole(run.context, opened)
     except BrokenAnswerError as error:
-        run.note_end(instance, str(error))
-        raise TrestleError(
-            ANSWER_INCOMPLETE, str(error), Verdict.MAY_HAVE_RUN
-        ) from error
+        note_broken(run, instance, error)
+        raise broken_answer(error) from error
     finally:
         run.count_at('')
     run.story.add('failed', f'{instance}: {whole.head.status}')
--- a/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
@@ -7,12 +7,13 @@
 """
 
 from collections.abc import Iterator
-from time import monotonic
 from typing import Final
 
-from gevent import Timeout
-
-from trestle_core.errorcodes import ANSWER_INCOMPLETE, DEADLINE_PASSED
+from trestle_core.errorcodes import (
+    ANSWER_INCOMPLETE,
+    CANCELLED,
+    DEADLINE_PASSED,
+)
 from trestle_core.errors import TrestleError
 from trestle_core.verdict import Verdict
 from trestle_entry.caller_watch import CallerGoneError, cancel_when_gone
@@ -24,13 +25,14 @@
 )
 from trestle_entry.direct.backend_exchange import BrokenAnswerError
 from trestle_entry.direct.direct_context import DirectContext, Matched
+from trestle_entry.direct.event_stream import StreamPace
 from trestle_entry.direct.model_dispatch import open_stream, reopen_stream
 from trestle_entry.direct.model_run import ModelRun
 from trestle_entry.direct.replies import AbortedAnswerError, DirectReply
 from trestle_entry.direct.request_log import RequestStory
+from trestle_entry.direct.request_run import note_broken, within_deadline
 from trestle_entry.direct.wire_types import CallerRequest
 
-_MS_PER_SECOND: Final = 1000
 # Outcome of a stream that reached its end.
 _SERVED: Final = 'served'
 
@@ -68,29 +70,22 @@
         """Own an open answer."""
         self.run = run
         self.opened: OpenAnswer | None = opened
-        self.outcome = 'caller-gone'
-        self.last_event_at = 0.0
-        self.longest_pause = 0.0
+        # A caller that leaves ends the iteration without a word.
+        self.outcome = CANCELLED.code
+        self.pace = StreamPace()
 
     def __iter__(self) -> Iterator[bytes]:
         """Yield whole events as they come."""
-        limit = Timeout.start_new(
-            max(0.001, self.run.request.deadline - monotonic())
-        )
+        run = self.run
         try:
-            with cancel_when_gone(self.run.request.socket):
+            with within_deadline(run), cancel_when_gone(run.request.socket):
                 yield from self._events()
             self.outcome = _SERVED
-        except Timeout as error:
-            if error is not limit:
-                raise
-            self.outcome = DEADLINE_PASSED.code
-            raise _aborted('the deadline passed') from error
         except TrestleError as error:
             self.outcome = error.code.code
+            if error.code is DEADLINE_PASSED:
+                raise _aborted('the deadline passed') from error
             raise
-        finally:
-            limit.close()
 
     def close(self) -> None:
         """Drop the engine's connection unless its answer was whole."""
@@ -99,7 +94,7 @@
             self.opened = None
         self.run.count_at('')
         story = self.run.story
-        story.fields.update(self._pauses())
+        story.fields.update(self.pace.fields(self.run.events.count))
         is_whole = self.outcome == _SERVED
         verdict = Verdict.RAN if is_whole else self.run.verdict
         self.run.context.log.write(story, self.outcome, verdict.value)
@@ -117,7 +112,8 @@
         while True:
             whole = events.feed(answer.take_body())
             if whole:
-                self._note_events()
+                if self.pace.note():
+                    self.run.story.add('first event')
                 yield whole
             if answer.message_complete:
                 break
@@ -128,36 +124,12 @@
         give_back(self.run.context, opened)
         self.run.context.fleet.note_served(opened.backend.instance)
 
-    def _note_events(self) -> None:
-        now = monotonic()
-        if self.run.delivered:
-            pause = now - self.last_event_at
-            self.longest_pause = max(self.longest_pause, pause)
-        else:
-            self.run.delivered = True
-            self.run.story.add('first event')
-        self.last_event_at = now
-
-    def _pauses(self) -> dict[str, int]:
-        """Return how the stream went: events, longest and last pause in ms."""
-        if not self.run.delivered:
-            return {}
-        last = monotonic() - self.last_event_at
-        return {
-            'events': self.run.events.count,
-            'longest_pause_ms': round(self.longest_pause * _MS_PER_SECOND),
-            'last_event_ago_ms': round(last * _MS_PER_SECOND),
-        }
-
     def _resume(self, opened: OpenAnswer, error: BrokenAnswerError) -> None:
         run = self.run
-        instance = opened.backend.instance
-        run.story.add('broken', f'{instance}: {error}')
+        note_broken(run, opened.backend.instance, error)
         opened.connection.close()
         self.opened = None
         run.count_at('')
-        run.note_end(instance, str(error))
-        run.avoided.add(instance)
         if not run.may_run_again:
             raise _aborted(str(error)) from error
         run.events.tail = b''
--- a/packages/trestle-entry/src/trestle_entry/direct/model_run.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_run.py
@@ -28,7 +28,6 @@
         self.reads = 0
         self.events = EventCutter()
         self.events.last_id = request.resume_from
-        self.delivered = False
         # Instance whose load this request counts in, while one runs it.
         self.counted_at = ''
 
@@ -57,7 +56,7 @@
             running[instance] += 1
 
     def note_end(self, instance: str, reason: str) -> None:
-        """Note that a back end broke off under this request."""
-        self.context.fleet.note_failed(instance, reason)
+        """Note it for the count of requests that end engines too."""
+        super().note_end(instance, reason)
         notice = self.context.guard.note(self.digest, instance)
         self.context.loads.suspects.append(notice)
--- a/packages/trestle-entry/src/trestle_entry/direct/placement.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/placement.py
@@ -26,10 +26,7 @@
     work_at,
 )
 from trestle_entry.direct.wire_types import ModelNeed
-from trestle_links.direct_messages import Backend
-
-PREFILL: Final = 'prefill'
-DECODE: Final = 'decode'
+from trestle_links.direct_messages import DECODE, PREFILL, Backend
 
 # Cost of reading a shared beginning away from its home, ms: less than a
 # short queue, more than the noise of the estimates.
@@ -43,8 +40,6 @@
 # How much dearer a token that was read twice is than its engine time.
 _REREAD: Final = 3.0
 _HIGHEST_SCORE: Final = 2**64 - 1
-# A decode engine that takes over a prompt reads nothing.
-_TAKEN_OVER: Final = PromptWork(0, 0, None, 0.0, 0.0)
 # What reading at a decode engine costs besides its time, and for each stream
 # that it holds up.
 _INTERFERENCE: Final = 1.5
@@ -74,8 +69,21 @@
     zone: str
 
 
-class Candidate(NamedTuple):
-    """An engine with its cost and the engine time of the prompt there."""
+class Case(NamedTuple):
+    """What the costs of one request rest on.
+
+    By instance: `held` leading tokens of the prompt, and `away_ms`, the cost
+    of an engine that is not the home of the prompt's beginning.
+    """
+
+    asked: PlanNeed
+    loads: EngineLoads
+    held: dict[str, int]
+    away_ms: dict[str, float]
+
+
+class Reading(NamedTuple):
+    """An engine that reads the prompt: its cost, wait and engine time, ms."""
 
     cost: float
     wait_ms: float
@@ -84,6 +92,14 @@
     work: PromptWork
 
 
+class TakeOver(NamedTuple):
+    """An engine that goes on from memory that another one made; ms."""
+
+    cost: float
+    wait_ms: float
+    backend: Backend
+
+
 def plan_request(
     engines: list[Backend],
     loads: EngineLoads,
@@ -99,26 +115,19 @@
     readers = [entry for entry in engines if entry.role == PREFILL]
     if not decoders:
         return None
-    alone = min(_decode_alone(loads, asked, entry) for entry in decoders)
-    whole_plan = Plan(
-        None,
-        alone.backend,
-        alone.engine_ms,
-        alone.wait_ms + alone.engine_ms,
-        alone.work,
-    )
+    case = _case_of(engines, loads, asked)
+    alone = min(_read_alone(case, entry) for entry in decoders)
     if not readers:
-        return whole_plan
+        return _plan_alone(alone)
     # A decode engine copies nothing: what is left to read holds up streams.
-    holders = holders_of(engines, loads, asked.need) if may_copy else []
-    reader = min(_as_reader(loads, asked, entry, holders) for entry in readers)
+    holders = holders_of(engines, case.held) if may_copy else []
+    reader = min(_read_apart(case, entry, holders) for entry in readers)
     decoder = min(
-        _as_decoder(loads, asked, entry, reader.backend.zone)
-        for entry in decoders
+        _take_over(case, entry, reader.backend.zone) for entry in decoders
     )
     is_short = alone.engine_ms < read_ms(_MOST_ALONE_TOKENS) * DECODE_SLOWDOWN
     if is_short and alone.cost < reader.cost + decoder.cost:
-        return whole_plan
+        return _plan_alone(alone)
     first_token_ms = reader.wait_ms + reader.engine_ms + decoder.wait_ms
     return Plan(
         reader.backend,
@@ -136,9 +145,8 @@
     decoders = _decoders_of(engines)
     if not decoders:
         return None
-    return min(
-        _as_decoder(loads, asked, entry, zone) for entry in decoders
-    ).backend
+    case = _case_of(decoders, loads, asked)
+    return min(_take_over(case, entry, zone) for entry in decoders).backend
 
 
 def _decoders_of(engines: list[Backend]) -> list[Backend]:
@@ -152,24 +160,62 @@
     return engines
 
 
-def _as_reader(
-    loads: EngineLoads,
-    asked: PlanNeed,
-    engine: Backend,
-    holders: list[Holder],
-) -> Candidate:
-    work = work_at(engine, loads, asked.need, holders)
-    wait_ms = loads.wait_ms(engine.instance) + work.copy_ms
-    engine_ms = work.read_ms * loads.slow(engine.instance)
-    cost = wait_ms + engine_ms * _REREAD + _away_ms(asked, engine)
-    cost += work.copy_ms + _body_ms(asked, engine)
-    return Candidate(cost, wait_ms, engine_ms, engine, work)
-
-
-def _decode_alone(
-    loads: EngineLoads, asked: PlanNeed, engine: Backend
-) -> Candidate:
-    work = work_at(engine, loads, asked.need, [])
+def _case_of(
+    engines: list[Backend], loads: EngineLoads, asked: PlanNeed
+) -> Case:
+    need = asked.need
+    home = _home_part(need)
+    return Case(
+        asked,
+        loads,
+        {
+            entry.instance: loads.held_tokens(entry.instance, need)
+            for entry in engines
+        },
+        {entry.instance: _away_ms(home, entry.instance) for entry in engines},
+    )
+
+
+def _home_part(need: ModelNeed) -> str:
+    """Return the part whose engine is the prompt's home, if it has parts."""
+    if not need.parts:
+        return ''
+    # The largest part is the one worth keeping together; the last part is
+    # the request's own.
+    shared = max(need.parts[:-1] or need.parts, key=lambda part: part.tokens)
+    return str(shared.part)
+
+
+def _away_ms(home: str, instance: str) -> float:
+    """Return a cost between nothing and `_AWAY_MS` by the home rank."""
+    if not home:
+        return 0.0
+    return _AWAY_MS * (1 - rendezvous_score(home, instance) / _HIGHEST_SCORE)
+
+
+def _plan_alone(alone: Reading) -> Plan:
+    return Plan(
+        None,
+        alone.backend,
+        alone.engine_ms,
+        alone.wait_ms + alone.engine_ms,
+        alone.work,
+    )
+
+
+def _read_apart(case: Case, engine: Backend, holders: list[Holder]) -> Reading:
+    work = work_at(engine, case.asked.need, case.held, holders)
+    wait_ms = case.loads.wait_ms(engine.instance) + work.copy_ms
+    engine_ms = work.read_ms * case.loads.slow(engine.instance)
+    cost = wait_ms + engine_ms * _REREAD + case.away_ms[engine.instance]
+    # Memory that moves is paid for besides its time.
+    cost += work.copy_ms + _body_ms(case.asked, engine)
+    return Reading(cost, wait_ms, engine_ms, engine, work)
+
+
+def _read_alone(case: Case, engine: Backend) -> Reading:
+    loads = case.loads
+    work = work_at(engine, case.asked.need, case.held, [])
     slow = loads.slow(engine.instance)
     wait_ms = loads.wait_ms(engine.instance)
     engine_ms = work.read_ms * slow * DECODE_SLOWDOWN - BASE_MS
@@ -177,22 +223,22 @@
     # Every stream there stands still while a piece of the prompt is read.
     held_up_ms = engine_ms * (_INTERFERENCE + running * _HELD_UP_SHARE)
     cost = wait_ms + held_up_ms + running * _BATCH_MS
-    cost += _away_ms(asked, engine) + _body_ms(asked, engine)
-    return Candidate(cost, wait_ms, engine_ms, engine, work)
+    cost += case.away_ms[engine.instance] + _body_ms(case.asked, engine)
+    return Reading(cost, wait_ms, engine_ms, engine, work)
 
 
-def _as_decoder(
-    loads: EngineLoads, asked: PlanNeed, engine: Backend, zone: str
-) -> Candidate:
-    moved = loads.uncached_tokens(engine.instance, asked.need)
+def _take_over(case: Case, engine: Backend, zone: str) -> TakeOver:
+    loads = case.loads
+    need = case.asked.need
+    moved = max(1, need.prompt_tokens - case.held[engine.instance])
     factor = 1.0 if engine.zone == zone else OTHER_ZONE
     wait_ms = _TAKE_OVER_MS + moved * MS_PER_TOKEN_MOVED * factor
     wait_ms += loads.wait_ms(engine.instance)
     batch_ms = loads.running_at(engine.instance) * _BATCH_MS
-    cost = wait_ms + batch_ms + _away_ms(asked, engine)
+    cost = wait_ms + batch_ms + case.away_ms[engine.instance]
     # Memory that moves is paid for besides its time.
-    cost += moved * MS_PER_TOKEN_MOVED * factor + _body_ms(asked, engine)
-    return Candidate(cost, wait_ms, 0.0, engine, _TAKEN_OVER)
+    cost += moved * MS_PER_TOKEN_MOVED * factor + _body_ms(case.asked, engine)
+    return TakeOver(cost, wait_ms, engine)
 
 
 def _body_ms(asked: PlanNeed, engine: Backend) -> float:
@@ -200,15 +246,3 @@
     if engine.zone == asked.zone:
         return 0.0
     return asked.need.prompt_tokens * _MS_PER_TOKEN_SENT
-
-
-def _away_ms(asked: PlanNeed, engine: Backend) -> float:
-    """Return a cost between nothing and `_AWAY_MS` by the home rank."""
-    parts = asked.need.parts
-    if not parts:
-        return 0.0
-    # The largest part is the one worth keeping together; the last part is
-    # the request's own.
-    shared = max(parts[:-1] or parts, key=lambda part: part.tokens)
-    score = rendezvous_score(str(shared.part), engine.instance)
-    return _AWAY_MS * (1 - score / _HIGHEST_SCORE)
--- a/packages/trestle-entry/src/trestle_entry/direct/plain_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/plain_dispatch.py
@@ -5,18 +5,14 @@
 the route says that a request may run twice.
 """
 
+from functools import partial
 from typing import Final
 
-from gevent import Timeout
-
 from trestle_core.errorcodes import (
-    ANSWER_INCOMPLETE,
     DEADLINE_UNREACHABLE,
     NO_ENDPOINT,
     OVERLOADED,
 )
-from trestle_core.errors import TrestleError
-from trestle_core.verdict import Verdict
 from trestle_entry.direct.backend_calls import (
     WholeAnswer,
     left_ms,
@@ -24,17 +20,13 @@
     read_whole,
     whole_reply,
 )
-from trestle_entry.direct.backend_exchange import (
-    BrokenAnswerError,
-    NotSentError,
-)
 from trestle_entry.direct.direct_context import DirectContext, Matched
 from trestle_entry.direct.replies import DirectReply, RefusedError
 from trestle_entry.direct.request_log import RequestStory
 from trestle_entry.direct.request_run import (
     RequestRun,
-    check_resend,
     failure_of,
+    send_once,
     within_deadline,
 )
 from trestle_entry.direct.wire_types import (
@@ -68,47 +60,23 @@
 def _answer_of(run: RequestRun) -> WholeAnswer:
     while True:
         backend = _choose(run)
-        answer = _try(run, backend)
-        if answer is not None:
+        answer = send_once(run, backend.instance, partial(_send, run, backend))
+        if answer is not None and _is_final(run, backend.instance, answer):
             return answer
         run.avoided.add(backend.instance)
 
 
-def _try(run: RequestRun, backend: Backend) -> WholeAnswer | None:
-    """Send once; return None to send again, or raise the final error."""
-    fleet = run.context.fleet
-    instance = backend.instance
-    if run.sends:
-        check_resend(run)
-    run.sends += 1
-    try:
-        answer = _send(run, backend)
-    except NotSentError as error:
-        run.story.add('unreachable', f'{instance}: {error}')
-        fleet.note_unreachable(instance, str(error))
-        return None
-    except BrokenAnswerError as error:
-        run.runs += 1
-        run.story.add('broken', f'{instance}: {error}')
-        fleet.note_failed(instance, str(error))
-        if run.may_run_again:
-            return None
-        raise TrestleError(
-            ANSWER_INCOMPLETE, str(error), Verdict.MAY_HAVE_RUN
-        ) from error
-    except Timeout:
-        # The deadline: the back end had the request and may have run it.
-        run.runs += 1
-        raise
+def _is_final(run: RequestRun, instance: str, answer: WholeAnswer) -> bool:
+    """Tell whether an answer goes to the caller, or another one is asked."""
     if answer.head.refused:
         run.story.add('declined', f'{instance}: {answer.head.status}')
-        return None
+        return False
     run.runs += 1
     if answer.head.status >= SERVER_ERROR and run.may_run_again:
         run.story.add('failed', f'{instance}: {answer.head.status}')
-        return None
-    fleet.note_served(instance)
-    return answer
+        return False
+    run.context.fleet.note_served(instance)
+    return True
 
 
 def _send(run: RequestRun, backend: Backend) -> WholeAnswer:
--- a/packages/trestle-entry/src/trestle_entry/direct/prompt_work.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/prompt_work.py
@@ -8,7 +8,7 @@
 
 from typing import Final, NamedTuple
 
-from trestle_entry.direct.engine_loads import EngineLoads, read_ms
+from trestle_entry.direct.engine_loads import read_ms
 from trestle_entry.direct.wire_types import ModelNeed
 from trestle_links.direct_messages import Backend
 
@@ -48,33 +48,35 @@
         return self.source.address if self.source else ''
 
 
-def holders_of(
-    engines: list[Backend], loads: EngineLoads, need: ModelNeed
-) -> list[Holder]:
-    """Return the engine of each zone that holds most of a prompt."""
+def holders_of(engines: list[Backend], held: dict[str, int]) -> list[Holder]:
+    """Return the engine of each zone that holds most of a prompt.
+
+    `held` are the leading tokens that each instance holds.
+    """
     best: dict[str, Holder] = {}
     for engine in engines:
-        held = loads.held_tokens(engine.instance, need)
+        tokens = held[engine.instance]
         known = best.get(engine.zone)
-        if held >= _LEAST_COPIED_TOKENS and (not known or held > known.tokens):
-            best[engine.zone] = Holder(held, engine)
+        most = known.tokens if known else _LEAST_COPIED_TOKENS - 1
+        if tokens > most:
+            best[engine.zone] = Holder(tokens, engine)
     return list(best.values())
 
 
 def work_at(
     engine: Backend,
-    loads: EngineLoads,
     need: ModelNeed,
+    held: dict[str, int],
     holders: list[Holder],
 ) -> PromptWork:
     """Return the cheapest way for an engine to come to a prompt."""
-    held = loads.held_tokens(engine.instance, need)
-    works = [_work(need, held, 0, None, 0.0)]
+    own = held[engine.instance]
+    works = [_work(need, own, 0, None, 0.0)]
     for holder in holders:
-        gained = holder.tokens - held
-        if holder.backend is not engine and gained >= _LEAST_COPIED_TOKENS:
+        gained = holder.tokens - own
+        if gained >= _LEAST_COPIED_TOKENS:
             copy_ms = _copy_ms(engine, holder.backend, gained)
-            works.append(_work(need, held, gained, holder.backend, copy_ms))
+            works.append(_work(need, own, gained, holder.backend, copy_ms))
     return min(works, key=lambda work: work.copy_ms + work.read_ms)
 
 
--- a/packages/trestle-entry/src/trestle_entry/direct/request_run.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/request_run.py
@@ -5,10 +5,10 @@
 none says `not-run` after a run.
 """
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from time import monotonic
-from typing import Final
+from typing import Final, TypeVar
 
 from gevent import Timeout
 
@@ -20,6 +20,10 @@
 )
 from trestle_core.errors import TrestleError
 from trestle_core.verdict import Verdict
+from trestle_entry.direct.backend_exchange import (
+    BrokenAnswerError,
+    NotSentError,
+)
 from trestle_entry.direct.direct_context import DirectContext, Matched
 from trestle_entry.direct.replies import RefusedError
 from trestle_entry.direct.request_log import RequestStory
@@ -30,6 +34,8 @@
 _SHORTEST_SECONDS: Final = 0.001
 _MS_PER_SECOND: Final = 1000
 
+Sent = TypeVar('Sent')
+
 
 class RequestRun:
     """Sends and runs of one request, and the back ends it keeps away from."""
@@ -66,6 +72,10 @@
         """Tell whether one more run is allowed after one that broke off."""
         return self.route.is_idempotent and self.runs < self.route.max_attempts
 
+    def note_end(self, instance: str, reason: str) -> None:
+        """Note that a back end broke off under this request."""
+        self.context.fleet.note_failed(instance, reason)
+
 
 def failure_of(run: RequestRun, code: ErrorCode, text: str) -> TrestleError:
     """Return a refusal if nothing ran, or else a failure in doubt."""
@@ -82,6 +92,49 @@
         raise failure_of(run, RETRY_BUDGET, 'the retry limits are reached')
 
 
+def send_once(
+    run: RequestRun, instance: str, send: Callable[[], Sent]
+) -> Sent | None:
+    """Send to one back end; None when another one is to be tried.
+
+    Raises `TrestleError` when no send is left or what may have run must not
+    run again, and the `Timeout` of the deadline.
+    """
+    if run.sends:
+        check_resend(run)
+    run.sends += 1
+    try:
+        return send()
+    except NotSentError as error:
+        run.story.add('unreachable', f'{instance}: {error}')
+        run.avoided.add(instance)
+        run.context.fleet.note_unreachable(instance, str(error))
+    except BrokenAnswerError as error:
+        run.runs += 1
+        note_broken(run, instance, error)
+        if not run.may_run_again:
+            raise broken_answer(error) from error
+    except Timeout:
+        # The deadline: the back end had the request and may have run it.
+        run.runs += 1
+        raise
+    return None
+
+
+def note_broken(
+    run: RequestRun, instance: str, error: BrokenAnswerError
+) -> None:
+    """Note that the answer of a back end broke off."""
+    run.story.add('broken', f'{instance}: {error}')
+    run.avoided.add(instance)
+    run.note_end(instance, str(error))
+
+
+def broken_answer(error: BrokenAnswerError) -> TrestleError:
+    """Return the failure of a request whose only answer broke off."""
+    return TrestleError(ANSWER_INCOMPLETE, str(error), Verdict.MAY_HAVE_RUN)
+
+
 @contextmanager
 def within_deadline(run: RequestRun) -> Iterator[None]:
     """Raise `TrestleError` in the block when the caller's time is over."""
--- a/packages/trestle-links/src/trestle_links/direct_messages.py
+++ b/packages/trestle-links/src/trestle_links/direct_messages.py
@@ -6,15 +6,20 @@
 deltas of the state stream; loads are exchanged with the leader.
 """
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from trestle_links.codec import message
 
+# Roles of an engine: it reads prompts, or it makes answers.
+PREFILL: Final = 'prefill'
+DECODE: Final = 'decode'
+
 
 class Backend(NamedTuple):
     """One back end as the platform lists it.
 
-    `role` is `prefill` or `decode` for an engine and empty for a service.
+    `role` is `PREFILL` or `DECODE` for an engine, and empty for a service
+    and for an engine that the list shows without one.
     """
 
     instance: str
--- a/testbed/bench_log.py
+++ b/testbed/bench_log.py
@@ -20,7 +20,7 @@
 from hdrh.histogram import HdrHistogram
 
 from testbed.bench_log_recovery import measure_catch_up, measure_recovery
-from testbed.capacity import cpu_seconds
+from testbed.capacity_bench import cpu_seconds
 from testbed.log_group import HOSTS, LogGroup, running_group
 from testbed.log_member import Before
 from testbed.processes import ROOT
