The caller gets the failed answer that there is when no resend is left

Cause: a back end's 500 on a repeatable request was dropped before the limits were asked. With no resend left the caller got a failure of ours in place of the answer that a back end had made. The plain dispatch asked the limits twice.

Ruled out: answering every 500 as it is; where a resend is left another back end may still serve.

Change: `allows_resend` asks without taking, `take_resend` takes; a failed answer is given up only if another send is allowed.

--- a/features/direct_rules.feature
+++ b/features/direct_rules.feature
@@ -67,6 +67,19 @@
     When document 12 comes without a stamp
     Then the entry holds table 12
 
+  Scenario Outline: The only answer of a back end is a failure
+    Given a <kind> request that may run twice, and <resends> resends are left
+    When every back end answers 500
+    Then the caller gets 500 after <sends> sends
+    And <taken> resends were taken from the limits
+
+    Examples:
+      | kind  | resends | sends | taken |
+      | model | 0       | 1     | 0     |
+      | plain | 0       | 1     | 0     |
+      | model | 5       | 2     | 1     |
+      | plain | 5       | 2     | 1     |
+
   Scenario: A back end is told whose memory to copy
     Then a read that copies names the holder's address
     And a read that copies nothing names none
--- a/features/steps/direct_run_steps.py
+++ b/features/steps/direct_run_steps.py
@@ -13,14 +13,17 @@
 from trestle_core.route_table import EngineTraits, Repeat, Route, Service, Share
 from trestle_core.settings import DirectSettings
 from trestle_core.verdict import Verdict
-from trestle_entry.direct import model_dispatch
+from trestle_entry.direct import model_dispatch, plain_dispatch
+from trestle_entry.direct.backend_calls import OpenAnswer, WholeAnswer
 from trestle_entry.direct.backend_exchange import NotSentError
 from trestle_entry.direct.direct_context import DirectContext, Matched
+from trestle_entry.direct.model_relay import serve_model
 from trestle_entry.direct.model_run import ModelRun
 from trestle_entry.direct.prompt_reading import Handle
 from trestle_entry.direct.request_log import RequestStory
 from trestle_entry.direct.request_run import failure_of
 from trestle_entry.direct.wire_types import (
+    AnswerHead,
     CallerRequest,
     ModelNeed,
     PromptPart,
@@ -33,15 +36,19 @@
 NEED = ModelNeed('m', 17_000, 13, (PromptPart(1, 13_000), PromptPart(2, 4_000)))
 
 
-def make_run() -> ModelRun:
-    """Return a model request on three engines, with no resend allowed."""
+def make_run(resends: int = 0, attempts: int = 1) -> ModelRun:
+    """Return a model request on three engines, with so many resends left.
+
+    With more than one attempt it may run again.
+    """
     settings = DirectSettings(
         host='e1',
         zone='z',
         key_file='',
         control=['127.0.0.1:1'],
         retry_share=0,
-        retry_extra=0,
+        # Of the limit only a part is used.
+        retry_extra=resends * 2,
     )
     wire: Any = None
     context = DirectContext(settings, wire, wire, Metrics())
@@ -61,8 +68,8 @@
         target_ms=600,
         gap_ms=250,
         priority=2,
-        max_attempts=1,
-        resumable=False,
+        max_attempts=attempts,
+        resumable=attempts > 1,
         shares=(Share('llm', 1),),
     )
     service = Service('llm', 10, EngineTraits(500_000, 1, 1.0))
@@ -154,3 +161,52 @@
     options = SendOptions('i-1', 900, is_prefill=True)
     names = [name for name, _ in send_headers(make_run().request, options)]
     assert 'Kv-Fetch' not in names, names
+
+
+@given('a {kind} request that may run twice, and {resends:d} resends are left')
+def step_may_run_twice(context: Context, kind: str, resends: int) -> None:
+    """Make the request."""
+    context.kind = kind
+    context.run = make_run(resends, attempts=2)
+
+
+@when('every back end answers 500')
+def step_all_fail(context: Context) -> None:
+    """Serve the request by back ends that fail."""
+    context.sent = []
+    head = AnswerHead(500, 'r1', True, False, False, False, 0, [])
+    run = context.run
+    matched = Matched(run.route, run.service)
+
+    def open_failed(*call: Any, **_options: Any) -> OpenAnswer:
+        context.sent.append(call[2].instance)
+        nothing: Any = None
+        return OpenAnswer(nothing, nothing, head, call[2])
+
+    def read_failed(*_call: Any) -> WholeAnswer:
+        return WholeAnswer(head, b'failed')
+
+    handle = Handle(run.context.fleet.backends['read'], 'h1')
+    is_model = context.kind == 'model'
+    module: Any = model_dispatch if is_model else plain_dispatch
+    serve: Any = serve_model if is_model else plain_dispatch.serve_plain
+    with (
+        patch.object(model_dispatch, 'read_prompt', lambda *_: handle),
+        patch.object(module, 'open_answer', open_failed),
+        patch.object(module, 'read_whole', read_failed),
+    ):
+        context.reply = serve(run.context, run.request, matched, run.story)
+
+
+@then('the caller gets {status:d} after {sends:d} sends')
+def step_status(context: Context, status: int, sends: int) -> None:
+    """Check the answer and that no back end got it twice."""
+    assert context.reply.status == status, context.reply
+    assert len(context.sent) == len(set(context.sent)) == sends, context.sent
+
+
+@then('{taken:d} resends were taken from the limits')
+def step_taken_resends(context: Context, taken: int) -> None:
+    """Check that a resend counts once."""
+    limits = context.run.context.limits_of('llm')
+    assert len(limits.resends) == taken, limits.resends
--- a/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
@@ -68,7 +68,11 @@
             self.limits[service] = limits
         return limits
 
-    def may_resend(self, service: str) -> bool:
+    def allows_resend(self, service: str) -> bool:
+        """Tell whether the limits of a service allow one further send."""
+        return self.limits_of(service).allows(self.loads.entries)
+
+    def take_resend(self, service: str) -> bool:
         """Take one further send from the limits of a service."""
         allowed = self.limits_of(service).take(self.loads.entries)
         reason = 'taken' if allowed else 'refused'
--- a/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
@@ -250,6 +250,6 @@
     if whole.head.status >= SERVER_ERROR:
         run.context.fleet.note_failed(instance, str(whole.head.status))
         run.avoided.add(instance)
-        if run.may_run_again and run.context.may_resend(run.service.name):
+        if run.may_ask_another:
             return None
     return whole
--- a/packages/trestle-entry/src/trestle_entry/direct/plain_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/plain_dispatch.py
@@ -72,7 +72,7 @@
         run.story.add('declined', f'{instance}: {answer.head.status}')
         return False
     run.runs += 1
-    if answer.head.status >= SERVER_ERROR and run.may_run_again:
+    if answer.head.status >= SERVER_ERROR and run.may_ask_another:
         run.story.add('failed', f'{instance}: {answer.head.status}')
         return False
     run.context.fleet.note_served(instance)
--- a/packages/trestle-entry/src/trestle_entry/direct/request_run.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/request_run.py
@@ -72,6 +72,18 @@
         """Tell whether one more run is allowed after one that broke off."""
         return self.route.is_idempotent and self.runs < self.route.max_attempts
 
+    @property
+    def may_ask_another(self) -> bool:
+        """Tell whether a failed answer may be tried for elsewhere.
+
+        Where not, the caller gets the answer that there is.
+        """
+        return (
+            self.may_run_again
+            and self.sends < _MOST_SENDS
+            and self.context.allows_resend(self.service.name)
+        )
+
     def note_end(self, instance: str, reason: str) -> None:
         """Note that a back end broke off under this request."""
         self.context.fleet.note_failed(instance, reason)
@@ -88,7 +100,7 @@
     """Count a further send; raises `TrestleError` when none is allowed."""
     if run.sends >= _MOST_SENDS:
         raise failure_of(run, RETRY_BUDGET, 'no send is left')
-    if not run.context.may_resend(run.service.name):
+    if not run.context.take_resend(run.service.name):
         raise failure_of(run, RETRY_BUDGET, 'the retry limits are reached')
 
 
--- a/packages/trestle-entry/src/trestle_entry/direct/retry_limits.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/retry_limits.py
@@ -30,17 +30,21 @@
         """Count a caller's request."""
         self.requests.append(monotonic())
 
-    def take(self, entries: int) -> bool:
-        """Count a further send if the limits allow it."""
+    def allows(self, entries: int) -> bool:
+        """Tell whether one more send stays within the limits."""
         now = monotonic()
         _drop_before(self.requests, now - self.window_seconds)
         _drop_before(self.resends, now - self.window_seconds)
         allowed = len(self.requests) * self.share
         allowed += self.extra / max(1, entries)
-        if len(self.resends) + 1 > allowed * _USED_SHARE:
-            return False
-        self.resends.append(now)
-        return True
+        return len(self.resends) + 1 <= allowed * _USED_SHARE
+
+    def take(self, entries: int) -> bool:
+        """Count a further send if the limits allow it."""
+        allowed = self.allows(entries)
+        if allowed:
+            self.resends.append(monotonic())
+        return allowed
 
 
 def _drop_before(times: deque[float], oldest: float) -> None:
