Belief in engines' memory is bounded; copies cost what the document says

Cause: three faults in what an entry believes. Placements of other entries were added without a bound until this entry itself read there; the leader sent them latest first, so the oldest ones were kept longest; a token's move was a constant though the document names size and links. A crashed engine, listed without a role, counted as a source of copies.

Change: the bound holds for every note; placements travel in the order of the reads; `EngineTraits.ms_per_token_moved`; sources are engines with a role.

Tests: direct_placement, seven scenarios, without a network.

--- a/features/direct_placement.feature
+++ b/features/direct_placement.feature
@@ -18,6 +18,45 @@
     When the long prompt is planned
     Then another reader reads it
 
+  Scenario: Half the readers are busy and the beginnings lie there
+    Given 6 engines that read and 3 that decode
+    And 12 shared beginnings are held by readers 0, 1 and 2
+    And readers 0, 1 and 2 have 900 ms of prompts ahead
+    When 12 prompts with those beginnings are planned
+    Then the idle readers copy the beginnings and read the rest
+
+  Scenario: A beginning is copied within the zone where it can be
+    Given 6 engines that read and 3 that decode
+    And reader 5 holds the beginning of a long prompt
+    And reader 0 holds the beginning of a long prompt
+    And readers 0, 2 and 5 have 900 ms of prompts ahead
+    When the long prompt is planned
+    Then the beginning is copied from an engine in the reader's zone
+
+  Scenario: No copy from an engine after a read that failed
+    Given 6 engines that read and 3 that decode
+    And reader 5 holds the beginning of a long prompt
+    And readers 5, 5 and 5 have 3000 ms of prompts ahead
+    When the long prompt is planned again after a failed read
+    Then another reader reads it
+    And nothing is copied
+
+  Scenario: No copy from an engine that crashed
+    Given 6 engines that read and 3 that decode
+    And 1 engines whose role the list does not tell
+    And the engine without a role holds the beginning of a long prompt
+    When the long prompt is planned
+    Then nothing is copied
+
+  Scenario: Slow links between engines
+    Given 6 engines that read and 3 that decode
+    And links between engines that move a token in 0.1 ms
+    And reader 5 holds the beginning of a long prompt
+    And readers 5, 5 and 5 have 3000 ms of prompts ahead
+    When the long prompt is planned
+    Then another reader reads it
+    And nothing is copied
+
   Scenario: A step of one kind of request spreads over the readers
     Given 6 engines that read and 3 that decode
     When a burst of 24 different long prompts is planned without an answer
@@ -75,3 +114,15 @@
     Given 6 engines that read and 3 that decode
     When another entry's placement says that reader 4 holds a beginning
     Then the beginning counts as held by reader 4
+
+  Scenario: What others read does not make an engine's memory larger
+    Given 6 engines that read and 3 that decode
+    And this entry read one prompt at reader 4, whose memory is 100000 tokens
+    When other entries place 40 beginnings of 13300 tokens at reader 4
+    Then at most 100000 tokens count as held by reader 4
+    And the beginnings that were placed last are among them
+
+  Scenario: Placements travel in the order in which prompts were read
+    Given a leader that sums the loads of entries
+    When one entry reports 12 placements in 4 reports
+    Then another entry gets them in the same order
--- a/features/steps/direct_placement_steps.py
+++ b/features/steps/direct_placement_steps.py
@@ -1,18 +1,29 @@
 """Steps on placement: plans without any network."""
 
 from contextlib import ExitStack
+from typing import Any
+from unittest.mock import Mock
 
 from behave import given, then, when
 from behave.runner import Context
 
+from trestle_control.load_table import LoadTable
 from trestle_entry.direct.engine_loads import EngineLoads
 from trestle_entry.direct.fleet_view import FleetView
-from trestle_entry.direct.placement import Plan, PlanNeed, plan_request
+from trestle_entry.direct.placement import Plan, plan_request
+from trestle_entry.direct.prompt_work import PlanNeed
 from trestle_entry.direct.wire_types import ModelNeed, PromptPart
-from trestle_links.direct_messages import Backend, LoadView, Placement
+from trestle_links.direct_messages import (
+    Backend,
+    LoadReport,
+    LoadView,
+    Placement,
+)
 
 ZONES = ('plovdiv-a', 'plovdiv-b', 'asenovgrad')
 LIMIT_TOKENS = 500_000
+# 18 KB a token at 200 Gbit/s.
+MS_PER_TOKEN = 0.0007
 LONG = ModelNeed('m', 17_000, 13, (PromptPart(7, 13_300), PromptPart(8, 3_700)))
 SHORT = ModelNeed('m', 1_000, 19, (PromptPart(21, 350), PromptPart(22, 650)))
 
@@ -26,7 +37,8 @@
 
 def plan(context: Context, loads: EngineLoads, need: ModelNeed) -> Plan:
     """Plan a request of an entry in the first zone."""
-    planned = plan_request(context.engines, loads, PlanNeed(need, ZONES[0]))
+    asked = PlanNeed(need, ZONES[0], context.ms_per_token)
+    planned = plan_request(context.engines, loads, asked)
     assert planned
     return planned
 
@@ -49,6 +61,7 @@
     context.decoders = [engine('decode', number) for number in range(decoders)]
     context.engines = [*context.readers, *context.decoders]
     context.loads = EngineLoads('entry-1')
+    context.ms_per_token = MS_PER_TOKEN
     context.stack = ExitStack()
 
 
@@ -58,6 +71,84 @@
     context.engines += [engine('', number) for number in range(count)]
 
 
+@given('links between engines that move a token in {ms:f} ms')
+def step_slow_links(context: Context, ms: float) -> None:
+    """Set what the document says of the engines."""
+    context.ms_per_token = ms
+
+
+@given('the engine without a role holds the beginning of a long prompt')
+def step_crashed_holds(context: Context) -> None:
+    """Let the entry believe in memory that is gone."""
+    instance = context.engines[-1].instance
+    context.loads.note_read(instance, LONG, LIMIT_TOKENS)
+
+
+@given('{count:d} shared beginnings are held by readers 0, 1 and 2')
+def step_spread_holders(context: Context, count: int) -> None:
+    """Let three readers hold the beginnings in turn."""
+    for number in range(count):
+        context.loads.note_read(
+            f'prefill-{number % 3}', long_prompt(number), LIMIT_TOKENS
+        )
+
+
+@given(
+    'readers {one:d}, {two:d} and {three:d} have {engine_ms:d} ms of prompts '
+    'ahead'
+)
+def step_readers_ahead(
+    context: Context, one: int, two: int, three: int, engine_ms: int
+) -> None:
+    """Put prompts in front of some readers."""
+    for number in {one, two, three}:
+        step_ahead(context, number, engine_ms)
+
+
+@when('{count:d} prompts with those beginnings are planned')
+def step_plan_copies(context: Context, count: int) -> None:
+    """Plan prompts of which only the beginnings are known."""
+    context.plans = []
+    for number in range(count):
+        beginning = long_prompt(number).parts[0]
+        own = PromptPart(number + 5000, 3_700)
+        need = ModelNeed('m', 17_000, 13, (beginning, own))
+        context.plans.append(plan(context, context.loads, need))
+
+
+@when('the long prompt is planned again after a failed read')
+def step_plan_without(context: Context) -> None:
+    """Plan without copies."""
+    asked = PlanNeed(LONG, ZONES[0], context.ms_per_token)
+    context.plan = plan_request(
+        context.engines, context.loads, asked, may_copy=False
+    )
+
+
+@then('the idle readers copy the beginnings and read the rest')
+def step_copies(context: Context) -> None:
+    """Check that nothing shared is read again and nobody waits."""
+    idle = {'prefill-3', 'prefill-4', 'prefill-5'}
+    for planned in context.plans:
+        assert planned.reader.instance in idle, planned
+        assert planned.work.copied == 13_300, planned
+        assert planned.work.uncached == 3_700, planned
+
+
+@then("the beginning is copied from an engine in the reader's zone")
+def step_zone_copy(context: Context) -> None:
+    """Check where the copy comes from."""
+    planned = context.plan
+    assert planned.work.source, planned
+    assert planned.work.source.zone == planned.reader.zone, planned
+
+
+@then('nothing is copied')
+def step_no_copy(context: Context) -> None:
+    """Check the work of the reader."""
+    assert context.plan.work.source is None, context.plan
+
+
 @given('reader {number:d} holds the beginning of a long prompt')
 def step_holds(context: Context, number: int) -> None:
     """Let the entry know that a reader has read the prompt."""
@@ -218,3 +309,90 @@
     """Check that the only engines are used."""
     assert context.plan.reader is None
     assert context.plan.decoder.role == '', context.plan
+
+
+@given(
+    'this entry read one prompt at reader {number:d}, whose memory is '
+    '{tokens:d} tokens'
+)
+def step_small_memory(context: Context, number: int, tokens: int) -> None:
+    """Learn the size of an engine's memory."""
+    context.loads.note_read(f'prefill-{number}', SHORT, tokens)
+
+
+@when(
+    'other entries place {count:d} beginnings of {tokens:d} tokens at reader '
+    '{number:d}'
+)
+def step_place_many(
+    context: Context, count: int, tokens: int, number: int
+) -> None:
+    """Take the placements in several views."""
+    context.placed = [
+        Placement(500 + part, tokens, f'prefill-{number}')
+        for part in range(count)
+    ]
+    for first in range(0, count, 8):
+        part = context.placed[first : first + 8]
+        taken = view(context, {})._replace(placements=part)
+        context.loads.take_view(taken)
+
+
+def held_parts(context: Context, instance: str) -> list[int]:
+    """Return the placed parts that count as held."""
+    return [
+        placement.part
+        for placement in context.placed
+        if context.loads.held_tokens(
+            instance, ModelNeed('m', 1, 1, (PromptPart(placement.part, 1),))
+        )
+    ]
+
+
+@then('at most {tokens:d} tokens count as held by reader {number:d}')
+def step_bounded(context: Context, tokens: int, number: int) -> None:
+    """Add up what counts as held."""
+    context.held = held_parts(context, f'prefill-{number}')
+    sizes = {one.part: one.tokens for one in context.placed}
+    total = sum(sizes[part] for part in context.held)
+    assert 0 < total <= tokens, (total, context.held)
+
+
+@then('the beginnings that were placed last are among them')
+def step_latest(context: Context) -> None:
+    """Check which ones were forgotten."""
+    latest = [one.part for one in context.placed][-len(context.held) :]
+    assert context.held == latest, context.held
+
+
+@given('a leader that sums the loads of entries')
+def step_leader(context: Context) -> None:
+    """Make the table of a leading control host."""
+    replica: Any = Mock(is_leader=True)
+    context.load_table = LoadTable(replica)
+
+
+def report(host: str, placements: list[Placement]) -> LoadReport:
+    """Return a report without loads, from an entry that has seen nothing."""
+    return LoadReport(host, {}, {}, placements, [], 0)
+
+
+@when('one entry reports {count:d} placements in {reports:d} reports')
+def step_report(context: Context, count: int, reports: int) -> None:
+    """Send the placements in equal parts."""
+    channel: Any = None
+    context.placed = [
+        Placement(part, 100, 'prefill-1') for part in range(count)
+    ]
+    size = count // reports
+    for first in range(0, count, size):
+        part = context.placed[first : first + size]
+        context.load_table.exchange(report('entry-1', part), channel)
+
+
+@then('another entry gets them in the same order')
+def step_same_order(context: Context) -> None:
+    """Compare with what was reported."""
+    channel: Any = None
+    got = context.load_table.exchange(report('entry-2', []), channel)
+    assert got.placements == context.placed, got.placements
--- a/packages/trestle-control/src/trestle_control/load_table.py
+++ b/packages/trestle-control/src/trestle_control/load_table.py
@@ -138,6 +138,8 @@
                 break
             if entry.host != host:
                 after.append(entry)
+        # Receivers forget first what they heard of first.
+        after.reverse()
         return after
 
 
--- a/packages/trestle-core/src/trestle_core/route_table.py
+++ b/packages/trestle-core/src/trestle_core/route_table.py
@@ -13,6 +13,12 @@
 from trestle_core.errorcodes import INVALID_SET
 from trestle_core.errors import TrestleError
 
+# Where a document does not tell: 18 KB a token at 200 Gbit/s.
+_COMMON_MS_PER_TOKEN: Final = 0.0007
+_BITS: Final = 8
+# Of one Mbit/s.
+_BITS_PER_MS: Final = 1000
+
 
 class Repeat(str, Enum):
     """What may be repeated on a route."""
@@ -33,6 +39,13 @@
     token_bytes: int
     link_mbps: float
 
+    @property
+    def ms_per_token_moved(self) -> float:
+        """Time that a token takes between engines of a zone, ms."""
+        if not self.token_bytes or not self.link_mbps:
+            return _COMMON_MS_PER_TOKEN
+        return self.token_bytes * _BITS / (self.link_mbps * _BITS_PER_MS)
+
 
 class Service(NamedTuple):
     """A pool of back ends; `engine` is None for a plain service."""
--- a/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
@@ -29,7 +29,6 @@
 from trestle_entry.direct.model_run import ModelRun
 from trestle_entry.direct.placement import (
     Plan,
-    PlanNeed,
     choose_decoder,
     plan_request,
 )
@@ -39,6 +38,7 @@
     kept_tokens,
     read_prompt,
 )
+from trestle_entry.direct.prompt_work import PlanNeed
 from trestle_entry.direct.replies import RefusedError
 from trestle_entry.direct.request_run import (
     broken_answer,
@@ -130,7 +130,9 @@
 
 
 def _asked(run: ModelRun) -> PlanNeed:
-    return PlanNeed(run.need, run.context.settings.zone)
+    engine = run.service.engine
+    ms_per_token = engine.ms_per_token_moved if engine else 0.0
+    return PlanNeed(run.need, run.context.settings.zone, ms_per_token)
 
 
 def _plan(run: ModelRun, *, admit: bool) -> Plan:
--- a/packages/trestle-entry/src/trestle_entry/direct/placement.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/placement.py
@@ -18,9 +18,9 @@
     read_ms,
 )
 from trestle_entry.direct.prompt_work import (
-    MS_PER_TOKEN_MOVED,
     OTHER_ZONE,
     Holder,
+    PlanNeed,
     PromptWork,
     holders_of,
     work_at,
@@ -62,13 +62,6 @@
     work: PromptWork
 
 
-class PlanNeed(NamedTuple):
-    """What a plan is made for; `zone` is the entry's."""
-
-    need: ModelNeed
-    zone: str
-
-
 class Case(NamedTuple):
     """What the costs of one request rest on.
 
@@ -120,7 +113,8 @@
     if not readers:
         return _plan_alone(alone)
     # A decode engine copies nothing: what is left to read holds up streams.
-    holders = holders_of(engines, case.held) if may_copy else []
+    sources = [*readers, *decoders] if may_copy else []
+    holders = holders_of(sources, case.held)
     reader = min(_read_apart(case, entry, holders) for entry in readers)
     decoder = min(
         _take_over(case, entry, reader.backend.zone) for entry in decoders
@@ -204,7 +198,7 @@
 
 
 def _read_apart(case: Case, engine: Backend, holders: list[Holder]) -> Reading:
-    work = work_at(engine, case.asked.need, case.held, holders)
+    work = work_at(engine, case.asked, case.held, holders)
     wait_ms = case.loads.wait_ms(engine.instance) + work.copy_ms
     engine_ms = work.read_ms * case.loads.slow(engine.instance)
     cost = wait_ms + engine_ms * _REREAD + case.away_ms[engine.instance]
@@ -215,7 +209,7 @@
 
 def _read_alone(case: Case, engine: Backend) -> Reading:
     loads = case.loads
-    work = work_at(engine, case.asked.need, case.held, [])
+    work = work_at(engine, case.asked, case.held, [])
     slow = loads.slow(engine.instance)
     wait_ms = loads.wait_ms(engine.instance)
     engine_ms = work.read_ms * slow * DECODE_SLOWDOWN - BASE_MS
@@ -232,12 +226,13 @@
     need = case.asked.need
     moved = max(1, need.prompt_tokens - case.held[engine.instance])
     factor = 1.0 if engine.zone == zone else OTHER_ZONE
-    wait_ms = _TAKE_OVER_MS + moved * MS_PER_TOKEN_MOVED * factor
+    moved_ms = moved * case.asked.ms_per_token * factor
+    wait_ms = _TAKE_OVER_MS + moved_ms
     wait_ms += loads.wait_ms(engine.instance)
     batch_ms = loads.running_at(engine.instance) * _BATCH_MS
     cost = wait_ms + batch_ms + case.away_ms[engine.instance]
     # Memory that moves is paid for besides its time.
-    cost += moved * MS_PER_TOKEN_MOVED * factor + _body_ms(case.asked, engine)
+    cost += moved_ms + _body_ms(case.asked, engine)
     return TakeOver(cost, wait_ms, engine)
 
 
--- a/packages/trestle-entry/src/trestle_entry/direct/prompt_work.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/prompt_work.py
@@ -12,8 +12,6 @@
 from trestle_entry.direct.wire_types import ModelNeed
 from trestle_links.direct_messages import Backend
 
-# Moving one token between engines of a zone, ms: 18 KB at 200 Gbit/s.
-MS_PER_TOKEN_MOVED: Final = 0.0007
 # Between zones a transfer takes twice as long.
 OTHER_ZONE: Final = 2.0
 # Set-up of a copy and its wait on the link of the holder, ms.
@@ -22,6 +20,18 @@
 _LEAST_COPIED_TOKENS: Final = 1000
 
 
+class PlanNeed(NamedTuple):
+    """What a plan is made for.
+
+    `zone` is the entry's; moving a token between engines of a zone takes
+    `ms_per_token`.
+    """
+
+    need: ModelNeed
+    zone: str
+    ms_per_token: float
+
+
 class Holder(NamedTuple):
     """An engine and the leading tokens of a prompt that it holds."""
 
@@ -65,18 +75,20 @@
 
 def work_at(
     engine: Backend,
-    need: ModelNeed,
+    asked: PlanNeed,
     held: dict[str, int],
     holders: list[Holder],
 ) -> PromptWork:
     """Return the cheapest way for an engine to come to a prompt."""
     own = held[engine.instance]
-    works = [_work(need, own, 0, None, 0.0)]
+    works = [_work(asked.need, own, 0, None, 0.0)]
     for holder in holders:
         gained = holder.tokens - own
         if gained >= _LEAST_COPIED_TOKENS:
-            copy_ms = _copy_ms(engine, holder.backend, gained)
-            works.append(_work(need, own, gained, holder.backend, copy_ms))
+            source = holder.backend
+            factor = 1.0 if source.zone == engine.zone else OTHER_ZONE
+            copy_ms = _COPY_MS + gained * asked.ms_per_token * factor
+            works.append(_work(asked.need, own, gained, source, copy_ms))
     return min(works, key=lambda work: work.copy_ms + work.read_ms)
 
 
@@ -89,8 +101,3 @@
 ) -> PromptWork:
     uncached = max(1, need.prompt_tokens - held - copied)
     return PromptWork(uncached, copied, source, copy_ms, read_ms(uncached))
-
-
-def _copy_ms(engine: Backend, holder: Backend, tokens: int) -> float:
-    factor = 1.0 if engine.zone == holder.zone else OTHER_ZONE
-    return _COPY_MS + tokens * MS_PER_TOKEN_MOVED * factor
