Entries know what engines hold, from the engines' own cache events

Ruled out: the process beside each engine (it sees one engine, and entries would have to ask all of them); each entry asking each engine (an engine keeps few such calls waiting, and entries are many).

Change: the leader follows the cache events of every engine and passes on changes of shared parts with the loads (`cache_follower`, `placement_log`). An entry or leader that starts anew gets whole memories. After a gap or another start of the engine its cache is listed again.

Tests: engine_memory, twelve scenarios without a network; the stand-in of the platform's engines has a cache, so the whole path runs with it.

--- a/packages/trestle-control/src/trestle_control/load_table.py
+++ b/packages/trestle-control/src/trestle_control/load_table.py
@@ -5,8 +5,7 @@
 sees. Reports are kept in memory only: a new leader has them within one
 round, and meanwhile each entry goes by its own figures.
 
-Prompt parts that engines have read travel on as a numbered list; an entry
-asks for what came after the number it has seen.
+What engines hold of shared prompt parts travels along (`placement_log`).
 """
 
 from collections import deque
@@ -15,9 +14,10 @@
 from typing import Final, NamedTuple
 
 from trestle_control.control_errors import NotLeaderError
+from trestle_control.placement_log import PlacementLog
 from trestle_control.replica_api import ReplicaApi
 from trestle_links.connection import Channel
-from trestle_links.direct_messages import LoadReport, LoadView, Placement
+from trestle_links.direct_messages import LoadReport, LoadView
 from trestle_links.link_server import Handlers
 
 # Reports older than this say nothing of the present load.
@@ -27,8 +27,6 @@
 # An engine that changes its role is back after three seconds, and the list
 # shows the new role a second later.
 _CHANGE_SECONDS: Final = 4.5
-_PLACEMENTS_KEPT: Final = 4000
-_PLACEMENTS_SENT: Final = 400
 _SUSPECTS_KEPT: Final = 64
 _MS_PER_SECOND: Final = 1000
 
@@ -40,14 +38,6 @@
     came_at: float
 
 
-class NumberedPlacement(NamedTuple):
-    """A placement, its place in the list and who reported it."""
-
-    number: int
-    host: str
-    placement: Placement
-
-
 class LoadTable:
     """The last report of every entry."""
 
@@ -55,10 +45,7 @@
         """Start with no report."""
         self.replica = replica
         self.reported: dict[str, Reported] = {}
-        self.placements: deque[NumberedPlacement] = deque(
-            maxlen=_PLACEMENTS_KEPT
-        )
-        self.number = 0
+        self.placements = PlacementLog()
         self.suspects: deque[str] = deque(maxlen=_SUSPECTS_KEPT)
         # Engines whose role was ordered to change, and when.
         self.changing: dict[str, float] = {}
@@ -82,17 +69,19 @@
             if entry.report.host != report.host
         ]
         oldest = min((entry.came_at for entry in others), default=now)
-        seen = report.seen if report.seen <= self.number else 0
-        placements = self._placements_after(seen, report.host)
+        # Numbers of another leader say nothing here.
+        seen = report.seen if report.term == self.replica.term else 0
         return LoadView(
             entries=self._entries(now),
             prefill_ms=_sum(entry.report.prefill_ms for entry in others),
             running=_running(others),
-            placements=[entry.placement for entry in placements],
+            placements=self.placements.placements_after(seen, report.host),
             suspects=list(self.suspects),
-            seen=self.number,
+            seen=self.placements.number,
             changing=self._changing(now),
             age_ms=int((now - oldest) * _MS_PER_SECOND),
+            term=self.replica.term,
+            memories=self.placements.memories_after(seen),
         )
 
     def running(self) -> dict[str, int]:
@@ -108,11 +97,7 @@
 
     def _note(self, report: LoadReport, now: float) -> None:
         self.reported[report.host] = Reported(report, now)
-        for placement in report.placements:
-            self.number += 1
-            self.placements.append(
-                NumberedPlacement(self.number, report.host, placement)
-            )
+        self.placements.note_report(report.host, report.placements)
         self.suspects.extend(report.suspects)
 
     def _changing(self, now: float) -> list[str]:
@@ -129,19 +114,6 @@
             for entry in self.reported.values()
         )
 
-    def _placements_after(
-        self, seen: int, host: str
-    ) -> list[NumberedPlacement]:
-        after: list[NumberedPlacement] = []
-        for entry in reversed(self.placements):
-            if entry.number <= seen or len(after) >= _PLACEMENTS_SENT:
-                break
-            if entry.host != host:
-                after.append(entry)
-        # Receivers forget first what they heard of first.
-        after.reverse()
-        return after
-
 
 def _running(entries: list[Reported]) -> dict[str, int]:
     totals = _sum(entry.report.running for entry in entries)
--- a/packages/trestle-entry/src/trestle_entry/direct/cached_parts.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/cached_parts.py
@@ -1,15 +1,24 @@
 """Which prompt parts each engine probably still holds.
 
 The belief rests on what was sent where, by this entry and, as placements of
-the load exchange, by the others. It is bounded like the engine's memory: the
-parts that were used least lately go first.
+the load exchange, by the others. Where the leader follows the engine's own
+cache, what left it is told too; otherwise a part of the memory is taken to be
+used by running requests. Either way the parts that were used least lately go
+first.
 """
 
 from collections import OrderedDict
 from math import inf
+from typing import Final
 
 from trestle_entry.direct.wire_types import PromptPart
 
+# Share of an engine's memory that prompts are believed to stay in while
+# nobody tells what left it (docs/BENCH.md has the runs).
+_KEPT_SHARE: Final = 0.55
+# Memory goes by blocks: a part may be kept without its last tokens.
+_BLOCK_TOKENS: Final = 16
+
 
 class CachedParts:
     """The parts of one engine, least recently used first."""
@@ -19,29 +28,47 @@
         self.parts: OrderedDict[int, int] = OrderedDict()
         self.tokens = 0
         self.limit_tokens = inf
+        # Whether the leader tells what leaves the memory.
+        self.is_followed = False
 
     def cached_tokens(self, parts: tuple[PromptPart, ...]) -> int:
         """Return the tokens of the leading parts that are held."""
         total = 0
         for part in parts:
-            if part.part not in self.parts:
+            known = self.parts.get(part.part, 0)
+            total += min(known, part.tokens)
+            if known + _BLOCK_TOKENS <= part.tokens:
                 break
-            total += part.tokens
         return total
 
     def note_used(
-        self, parts: tuple[PromptPart, ...], limit_tokens: int
+        self, parts: tuple[PromptPart, ...], memory_tokens: int
     ) -> None:
-        """Note that the engine has read or fetched a prompt."""
-        self.limit_tokens = limit_tokens
+        """Note that an engine of so much memory has read a prompt."""
+        if self.is_followed:
+            # Nobody tells when a part that is not shared leaves.
+            parts = parts[:-1]
+            self.limit_tokens = memory_tokens
+        else:
+            self.limit_tokens = memory_tokens * _KEPT_SHARE
         for part in parts:
             self.note_part(part.part, part.tokens)
 
     def note_part(self, part: int, tokens: int) -> None:
-        """Note one part; the oldest ones leave a full memory."""
+        """Note one part; the oldest ones leave a full memory.
+
+        A part without tokens is no longer held.
+        """
         known = self.parts.pop(part, None)
         self.tokens += tokens - (known or 0)
-        self.parts[part] = tokens
+        if tokens:
+            self.parts[part] = tokens
         while self.tokens > self.limit_tokens and self.parts:
             _, dropped = self.parts.popitem(last=False)
             self.tokens -= dropped
+
+    def replace(self, parts: dict[int, int]) -> None:
+        """Take over what the engine itself told."""
+        self.is_followed = True
+        self.parts = OrderedDict(parts)
+        self.tokens = sum(parts.values())
--- a/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
@@ -108,11 +108,11 @@
                 self.running.pop(instance)
 
     def note_read(
-        self, instance: str, need: ModelNeed, limit_tokens: int
+        self, instance: str, need: ModelNeed, memory_tokens: int
     ) -> None:
-        """Note that an engine holds a prompt now."""
+        """Note that an engine of so much memory holds a prompt now."""
         cached = self.cached.setdefault(instance, CachedParts())
-        cached.note_used(need.parts, limit_tokens)
+        cached.note_used(need.parts, memory_tokens)
         # The last part belongs to one request or session.
         for part in need.parts[:-1]:
             self.placements.append(Placement(part.part, part.tokens, instance))
@@ -147,6 +147,7 @@
             self.placements[-_PLACEMENTS_KEPT:],
             self.suspects,
             self.view.seen,
+            self.view.term,
         )
         self.placements = []
         self.suspects = []
@@ -156,6 +157,9 @@
         """Take the sums of the others and what their engines hold."""
         self.view = view
         self.viewed_at = monotonic()
+        for memory in view.memories:
+            cached = self.cached.setdefault(memory.instance, CachedParts())
+            cached.replace(memory.parts)
         for placement in view.placements:
             cached = self.cached.setdefault(placement.instance, CachedParts())
             cached.note_part(placement.part, placement.tokens)
--- a/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
@@ -35,7 +35,7 @@
 from trestle_entry.direct.prompt_reading import (
     Handle,
     free_handle,
-    kept_tokens,
+    memory_tokens,
     read_prompt,
 )
 from trestle_entry.direct.prompt_work import PlanNeed
@@ -201,7 +201,7 @@
         return None
     run.runs += 1
     if opened.head.status == OK:
-        run.context.loads.note_read(instance, run.need, kept_tokens(run))
+        run.context.loads.note_read(instance, run.need, memory_tokens(run))
         return opened
     return _failed_answer(run, opened)
 
--- a/packages/trestle-entry/src/trestle_entry/direct/prompt_reading.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/prompt_reading.py
@@ -34,9 +34,6 @@
 _PATIENCE_MS: Final = 900.0
 _FREE_SECONDS: Final = 1.0
 _MS_PER_SECOND: Final = 1000
-# Share of an engine's memory that prompts are believed to stay in: the rest is
-# taken by running requests (docs/BENCH.md has the runs).
-_KEPT_SHARE: Final = 0.55
 
 
 class Handle(NamedTuple):
@@ -88,10 +85,10 @@
     spawn(_free, context, handle)
 
 
-def kept_tokens(run: ModelRun) -> int:
-    """Return how many tokens an engine is believed to keep."""
+def memory_tokens(run: ModelRun) -> int:
+    """Return the size of an engine's memory."""
     engine = run.service.engine
-    return int(engine.kv_tokens * _KEPT_SHARE) if engine else 0
+    return engine.kv_tokens if engine else 0
 
 
 def _read_at(run: ModelRun, plan: Plan, reader: Backend) -> Handle | None:
@@ -116,7 +113,7 @@
         (waited_ms + plan.work.copy_ms + plan.read_ms) or 1.0,
         took_ms,
     )
-    loads.note_read(reader.instance, run.need, kept_tokens(run))
+    loads.note_read(reader.instance, run.need, memory_tokens(run))
     run.context.fleet.note_served(reader.instance)
     run.story.add('read done', f'{took_ms:.0f} ms')
     key = run.context.backends.read_handle(answer.body)
--- a/packages/trestle-links/src/trestle_links/direct_messages.py
+++ b/packages/trestle-links/src/trestle_links/direct_messages.py
@@ -79,20 +79,27 @@
 
 
 class Placement(NamedTuple):
-    """A prompt part that an engine has read or fetched."""
+    """A prompt part that an engine holds; without tokens it left the memory."""
 
     part: int
     tokens: int
     instance: str
 
 
+class EngineMemory(NamedTuple):
+    """The prompt parts that an engine holds, with their tokens."""
+
+    instance: str
+    parts: dict[int, int]
+
+
 @message(146)
 class LoadReport(NamedTuple):
     """What one entry has in work, by back end.
 
     `prefill_ms` is predicted engine time of prompts that are not read yet,
     `running` counts requests in work, `seen` is the number of the last
-    placement that the entry knows.
+    placement that the entry knows, of the leader of `term`.
     """
 
     host: str
@@ -101,6 +108,7 @@
     placements: list[Placement]
     suspects: list[str]
     seen: int
+    term: int = 0
 
 
 @message(147)
@@ -109,6 +117,8 @@
 
     `entries` counts the entries that reported lately, the asking one
     included; `age_ms` is the age of the oldest report in the sums.
+    `memories` replace what is known of an engine's memory, before the
+    placements.
     """
 
     entries: int
@@ -119,3 +129,5 @@
     seen: int
     age_ms: int
     changing: list[str] = []
+    term: int = 0
+    memories: list[EngineMemory] = []
--- a/testbed/platform_replica.py
+++ b/testbed/platform_replica.py
@@ -11,6 +11,8 @@
 from gevent.socket import SO_LINGER, SOL_SOCKET, socket
 from msgspec.json import encode
 
+from testbed.platform_cache import StandInCache
+
 EVENTS: Final = 6
 SEAL: Final = 'standin.seal'
 _PREFIX: Final = 'Kingcuptrestle-'
@@ -50,6 +52,7 @@
         self.freed: list[str] = []
         self.orders: list[bytes] = []
         self.cut_streams = 0
+        self.cache = StandInCache(instance)
         ip, _, port = listen.rpartition(':')
         self.server = StreamServer((ip, int(port)), self._serve)
         self.server.start()
@@ -77,6 +80,10 @@
             return _send(sock, 200, {}, b'{}')
         if received.target == '/report':
             return _send(sock, 200, {}, encode({'seq': len(self.orders)}))
+        if received.target == '/kv-list':
+            return _send(sock, 200, {}, self.cache.listing())
+        if received.target.startswith('/kv-events'):
+            return _send(sock, 200, {}, self.cache.page(received.target))
         if received.target == '/order':
             self.orders.append(received.body)
             return _send(sock, 202, {}, b'{}')
@@ -97,6 +104,7 @@
             return self._decline(sock, received, 421)
         handle = f'h{len(self.handles) + len(self.freed)}{self.instance}'
         self.handles.add(handle)
+        self.cache.note_read(received.named('Prefix-Hash'))
         return _send(sock, 200, {}, encode({'kvHandle': handle}))
 
     def _run(self, sock: socket, received: Received) -> bool:
