Engines slow to take over memory are avoided; parts being read are known

(2) A beginning that one engine was just reading counted as unread, so callers at the same moment had it read again elsewhere.

Change: the time from the send to the first event teaches how slowly an engine takes over; the leader joins what all entries saw (`engine_slowness`), and an engine that is left out drifts back in. Reads that have begun travel as placements that are `arriving`: they count where the prompt would wait behind them, not as a source of copies, and for 1.5 s at most.

Tests: direct_placement, four scenarios without a network.

--- a/features/direct_placement.feature
+++ b/features/direct_placement.feature
@@ -126,3 +126,28 @@
     Given a leader that sums the loads of entries
     When one entry reports 12 placements in 4 reports
     Then another entry gets them in the same order
+
+  Scenario: Two of three engines that answer are slow to take over memory
+    Given 6 engines that read and 3 that decode
+    When 6 prompts took 20 times as long to reach decoders 0 and 1
+    Then 12 long prompts in a row go on at decoder 2
+    And after 20 s without a move the slow decoders are tried again
+
+  Scenario: One beginning is asked for by several callers at one moment
+    Given 6 engines that read and 3 that decode
+    When 4 prompts with one new beginning are planned while the first is read
+    Then one reader reads them all, and the beginning is read once
+
+  Scenario: Nothing is copied from an engine that has not read yet
+    Given 6 engines that read and 3 that decode
+    And reader 5 was asked to read the beginning of a long prompt
+    And readers 5, 5 and 5 have 3000 ms of prompts ahead
+    When the long prompt is planned
+    Then another reader reads it
+    And nothing is copied
+
+  Scenario: A read that never ended is not believed in for long
+    Given 6 engines that read and 3 that decode
+    And reader 5 was asked to read the beginning of a long prompt
+    When 2 s pass without an answer
+    Then the beginning does not count as held by reader 5
--- a/features/steps/direct_placement_steps.py
+++ b/features/steps/direct_placement_steps.py
@@ -1,18 +1,21 @@
 """Steps on placement: plans without any network."""
 
 from contextlib import ExitStack
+from time import monotonic
 from typing import Any
-from unittest.mock import Mock
+from unittest.mock import Mock, patch
 
 from behave import given, then, when
 from behave.runner import Context
 
 from trestle_control.load_table import LoadTable
+from trestle_entry.direct import cached_parts
 from trestle_entry.direct.engine_loads import EngineLoads
 from trestle_entry.direct.fleet_view import FleetView
 from trestle_entry.direct.placement import Plan, plan_request
 from trestle_entry.direct.prompt_work import PlanNeed
 from trestle_entry.direct.wire_types import ModelNeed, PromptPart
+from trestle_links import engine_slowness
 from trestle_links.direct_messages import (
     Backend,
     LoadReport,
@@ -368,7 +371,7 @@
 @given('a leader that sums the loads of entries')
 def step_leader(context: Context) -> None:
     """Make the table of a leading control host."""
-    replica: Any = Mock(is_leader=True)
+    replica: Any = Mock(is_leader=True, term=1)
     context.load_table = LoadTable(replica)
 
 
@@ -396,3 +399,87 @@
     channel: Any = None
     got = context.load_table.exchange(report('entry-2', []), channel)
     assert got.placements == context.placed, got.placements
+
+
+@when(
+    '{count:d} prompts took {times:d} times as long to reach decoders 0 and 1'
+)
+def step_slow_moves(context: Context, count: int, times: int) -> None:
+    """Let an entry see slow moves, and fast ones at the third decoder."""
+    for _ in range(count):
+        for number in (0, 1):
+            context.loads.note_move_time(f'decode-{number}', 30, 30 * times)
+        context.loads.note_move_time('decode-2', 30, 30)
+
+
+def decoders_of(context: Context, count: int) -> set[str]:
+    """Plan long prompts with new beginnings; return who would answer."""
+    return {
+        plan(context, context.loads, long_prompt(number)).decoder.instance
+        for number in range(count)
+    }
+
+
+@then('{count:d} long prompts in a row go on at decoder 2')
+def step_third_decoder(context: Context, count: int) -> None:
+    """Check who takes over."""
+    assert decoders_of(context, count) == {'decode-2'}
+
+
+@then('after {seconds:d} s without a move the slow decoders are tried again')
+def step_tried_again(context: Context, seconds: int) -> None:
+    """Check that after a while the choice is that of a new entry."""
+    later = monotonic() + seconds
+    with patch.object(engine_slowness, 'monotonic', lambda: later):
+        chosen = decoders_of(context, 40)
+    context.loads = EngineLoads('entry-2')
+    assert chosen == decoders_of(context, 40) != {'decode-2'}, chosen
+
+
+@when(
+    '{count:d} prompts with one new beginning are planned while the first is '
+    'read'
+)
+def step_same_moment(context: Context, count: int) -> None:
+    """Plan prompts that share a beginning, none of which is read yet."""
+    beginning = PromptPart(900, 13_300)
+    context.plans = []
+    for number in range(count):
+        own = PromptPart(5000 + number, 1_700)
+        need = ModelNeed('m', 15_000, 13, (beginning, own))
+        planned = plan(context, context.loads, need)
+        assert planned.reader, planned
+        instance = planned.reader.instance
+        context.loads.note_arriving(instance, need)
+        context.plans.append(planned)
+        reading = context.loads.reading(instance, planned.read_ms)
+        context.stack.enter_context(reading)
+
+
+@then('one reader reads them all, and the beginning is read once')
+def step_read_once(context: Context) -> None:
+    """Check who reads, and how much."""
+    readers = {planned.reader.instance for planned in context.plans}
+    assert len(readers) == 1, readers
+    uncached = [planned.work.uncached for planned in context.plans]
+    assert uncached == [15_000, 1_700, 1_700, 1_700], uncached
+
+
+@given('reader {number:d} was asked to read the beginning of a long prompt')
+def step_asked(context: Context, number: int) -> None:
+    """Note a read that has begun."""
+    context.loads.note_arriving(f'prefill-{number}', LONG)
+
+
+@when('{seconds:d} s pass without an answer')
+def step_pass(context: Context, seconds: int) -> None:
+    """Set what the clock says from now on."""
+    context.later = monotonic() + seconds
+
+
+@then('the beginning does not count as held by reader {number:d}')
+def step_not_held(context: Context, number: int) -> None:
+    """Check what an entry believes then."""
+    with patch.object(cached_parts, 'monotonic', lambda: context.later):
+        held = context.loads.held_tokens(f'prefill-{number}', LONG)
+    assert held == 0, held
--- a/packages/trestle-control/src/trestle_control/load_table.py
+++ b/packages/trestle-control/src/trestle_control/load_table.py
@@ -18,6 +18,7 @@
 from trestle_control.replica_api import ReplicaApi
 from trestle_links.connection import Channel
 from trestle_links.direct_messages import LoadReport, LoadView
+from trestle_links.engine_slowness import SlownessTable
 from trestle_links.link_server import Handlers
 
 # Reports older than this say nothing of the present load.
@@ -46,6 +47,7 @@
         self.replica = replica
         self.reported: dict[str, Reported] = {}
         self.placements = PlacementLog()
+        self.moving = SlownessTable()
         self.suspects: deque[str] = deque(maxlen=_SUSPECTS_KEPT)
         # Engines whose role was ordered to change, and when.
         self.changing: dict[str, float] = {}
@@ -82,6 +84,7 @@
             age_ms=int((now - oldest) * _MS_PER_SECOND),
             term=self.replica.term,
             memories=self.placements.memories_after(seen),
+            move_slowness=self.moving.figures(),
         )
 
     def running(self) -> dict[str, int]:
@@ -98,6 +101,8 @@
     def _note(self, report: LoadReport, now: float) -> None:
         self.reported[report.host] = Reported(report, now)
         self.placements.note_report(report.host, report.placements)
+        for instance, slowness in report.move_slowness.items():
+            self.moving.note(instance, slowness)
         self.suspects.extend(report.suspects)
 
     def _changing(self, now: float) -> list[str]:
--- a/packages/trestle-entry/src/trestle_entry/direct/cached_parts.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/cached_parts.py
@@ -8,7 +8,9 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Callable
 from math import inf
+from time import monotonic
 from typing import Final
 
 from trestle_entry.direct.wire_types import PromptPart
@@ -18,6 +20,8 @@
 _KEPT_SHARE: Final = 0.55
 # Memory goes by blocks: a part may be kept without its last tokens.
 _BLOCK_TOKENS: Final = 16
+# Longest time that a read which was asked for is believed in, s.
+_ARRIVAL_SECONDS: Final = 1.5
 
 
 class CachedParts:
@@ -28,18 +32,30 @@
         self.parts: OrderedDict[int, int] = OrderedDict()
         self.tokens = 0
         self.limit_tokens = inf
+        # Parts that the engine was asked to read, and until when to believe.
+        self.arriving: dict[int, float] = {}
         # Whether the leader tells what leaves the memory.
         self.is_followed = False
 
     def cached_tokens(self, parts: tuple[PromptPart, ...]) -> int:
-        """Return the tokens of the leading parts that are held."""
-        total = 0
-        for part in parts:
-            known = self.parts.get(part.part, 0)
-            total += min(known, part.tokens)
-            if known + _BLOCK_TOKENS <= part.tokens:
-                break
-        return total
+        """Return the leading tokens that will be held when it is their turn.
+
+        A prompt that is asked for now is read after those that are being
+        read.
+        """
+        now = monotonic()
+        return _leading(parts, lambda part: self._expected(part, now))
+
+    def read_tokens(self, parts: tuple[PromptPart, ...]) -> int:
+        """Return the leading tokens that are held already."""
+        return _leading(parts, lambda part: self.parts.get(part.part, 0))
+
+    def note_arriving(self, part: int, tokens: int) -> bool:
+        """Note a part that is being read; return whether it is news."""
+        is_news = self.parts.get(part, 0) < tokens
+        if is_news:
+            self.arriving[part] = monotonic() + _ARRIVAL_SECONDS
+        return is_news
 
     def note_used(
         self, parts: tuple[PromptPart, ...], memory_tokens: int
@@ -61,6 +77,7 @@
         """
         known = self.parts.pop(part, None)
         self.tokens += tokens - (known or 0)
+        self.arriving.pop(part, None)
         if tokens:
             self.parts[part] = tokens
         while self.tokens > self.limit_tokens and self.parts:
@@ -72,3 +89,20 @@
         self.is_followed = True
         self.parts = OrderedDict(parts)
         self.tokens = sum(parts.values())
+
+    def _expected(self, part: PromptPart, now: float) -> int:
+        if self.arriving.get(part.part, 0.0) > now:
+            return part.tokens
+        return self.parts.get(part.part, 0)
+
+
+def _leading(
+    parts: tuple[PromptPart, ...], held: Callable[[PromptPart], int]
+) -> int:
+    total = 0
+    for part in parts:
+        known = held(part)
+        total += min(known, part.tokens)
+        if known + _BLOCK_TOKENS <= part.tokens:
+            break
+    return total
--- a/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
@@ -17,7 +17,12 @@
 from trestle_entry.direct.cached_parts import CachedParts
 from trestle_entry.direct.prompt_queue import PromptQueue
 from trestle_entry.direct.wire_types import ModelNeed
-from trestle_links.direct_messages import LoadReport, LoadView, Placement
+from trestle_links.direct_messages import (
+    LoadReport,
+    LoadView,
+    Placement,
+)
+from trestle_links.engine_slowness import SlownessTable
 
 # Prompt tokens that an engine reads in a millisecond; how far one differs
 # from it is learned as its slowness.
@@ -47,6 +52,9 @@
         self.changed = Event()
         self.running: defaultdict[str, int] = defaultdict(int)
         self.slowness: dict[str, float] = {}
+        # How slowly engines take over memory.
+        self.moving = SlownessTable()
+        self.move_samples: dict[str, float] = {}
         self.cached: dict[str, CachedParts] = {}
         self.placements: list[Placement] = []
         self.suspects: list[str] = []
@@ -84,6 +92,21 @@
         cached = self.cached.get(instance)
         return cached.cached_tokens(need.parts) if cached else 0
 
+    def copyable_tokens(self, instance: str, need: ModelNeed) -> int:
+        """Return the leading tokens that an engine has read already."""
+        cached = self.cached.get(instance)
+        return cached.read_tokens(need.parts) if cached else 0
+
+    def note_arriving(self, instance: str, need: ModelNeed) -> None:
+        """Note that an engine is asked to read a prompt."""
+        cached = self.cached.setdefault(instance, CachedParts())
+        for part in need.parts[:-1]:
+            if cached.note_arriving(part.part, part.tokens):
+                self.placements.append(
+                    Placement(part.part, part.tokens, instance, arriving=True)
+                )
+        self.changed.set()
+
     @contextmanager
     def reading(self, instance: str, engine_ms: float) -> Iterator[None]:
         """Count a prompt as being read during the block."""
@@ -127,10 +150,19 @@
         known = self.slow(instance)
         self.slowness[instance] = known + _SLOWNESS_WEIGHT * (ratio - known)
 
+    def note_move_time(
+        self, instance: str, expected_ms: float, took_ms: float
+    ) -> None:
+        """Learn from memory that an engine took over."""
+        ratio = took_ms / expected_ms
+        self.moving.note(instance, ratio)
+        self.move_samples[instance] = ratio
+
     def forget(self, instance: str) -> None:
         """Forget what an engine that ended had cached."""
         self.cached.pop(instance, None)
         self.slowness.pop(instance, None)
+        self.moving.forget(instance)
 
     def take_report(self) -> LoadReport:
         """Return the report of this entry and start the next one."""
@@ -148,7 +180,9 @@
             self.suspects,
             self.view.seen,
             self.view.term,
+            self.move_samples,
         )
+        self.move_samples = {}
         self.placements = []
         self.suspects = []
         return report
@@ -157,12 +191,16 @@
         """Take the sums of the others and what their engines hold."""
         self.view = view
         self.viewed_at = monotonic()
+        self.moving.take(view.move_slowness)
         for memory in view.memories:
             cached = self.cached.setdefault(memory.instance, CachedParts())
             cached.replace(memory.parts)
         for placement in view.placements:
             cached = self.cached.setdefault(placement.instance, CachedParts())
-            cached.note_part(placement.part, placement.tokens)
+            if placement.arriving:
+                cached.note_arriving(placement.part, placement.tokens)
+            else:
+                cached.note_part(placement.part, placement.tokens)
 
     def _is_fresh(self) -> bool:
         age_ms = (monotonic() - self.viewed_at) * _MS_PER_SECOND
--- a/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
@@ -6,6 +6,7 @@
 """
 
 from functools import partial
+from time import monotonic
 from typing import Final
 
 from trestle_core.errorcodes import (
@@ -26,7 +27,7 @@
     read_whole,
 )
 from trestle_entry.direct.backend_exchange import BrokenAnswerError
-from trestle_entry.direct.model_run import ModelRun
+from trestle_entry.direct.model_run import ModelRun, Move
 from trestle_entry.direct.placement import (
     Plan,
     choose_decoder,
@@ -122,7 +123,14 @@
     if decoder is None:
         free_handle(run.context, handle)
         raise failure_of(run, NO_ENDPOINT, 'no engine to decode is left')
-    return plan._replace(decoder=decoder)
+    instance = decoder.backend.instance
+    run.move = Move(
+        instance,
+        decoder.move_ms,
+        run.context.loads.wait_ms(instance),
+        monotonic(),
+    )
+    return plan._replace(decoder=decoder.backend)
 
 
 def _engines(run: ModelRun) -> list[Backend]:
--- a/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
@@ -114,6 +114,7 @@
             if whole:
                 if self.pace.note():
                     self.run.story.add('first event')
+                    self.run.note_first_event()
                 yield whole
             if answer.message_complete:
                 break
--- a/packages/trestle-entry/src/trestle_entry/direct/model_run.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_run.py
@@ -1,6 +1,7 @@
 """State of one model request while it is dispatched."""
 
-from typing import Final
+from time import monotonic
+from typing import Final, NamedTuple
 
 from trestle_entry.direct.crash_guard import request_digest
 from trestle_entry.direct.direct_context import DirectContext, Matched
@@ -10,6 +11,19 @@
 from trestle_entry.direct.wire_types import CallerRequest, ModelNeed
 
 _NO_NEED: Final = ModelNeed('', 1, 1, ())
+_MS_PER_SECOND: Final = 1000
+
+
+class Move(NamedTuple):
+    """Memory that an engine was asked to take over; times in ms.
+
+    `wait_ms` is what the engine had to read before.
+    """
+
+    instance: str
+    expected_ms: float
+    wait_ms: float
+    sent_at: float
 
 
 class ModelRun(RequestRun):
@@ -30,6 +44,7 @@
         self.events.last_id = request.resume_from
         # Instance whose load this request counts in, while one runs it.
         self.counted_at = ''
+        self.move: Move | None = None
 
     @property
     def digest(self) -> str:
@@ -55,6 +70,17 @@
         if instance:
             running[instance] += 1
 
+    def note_first_event(self) -> None:
+        """Learn how fast an engine took over the memory of the prompt."""
+        move = self.move
+        if move is None:
+            return
+        self.move = None
+        took_ms = (monotonic() - move.sent_at) * _MS_PER_SECOND
+        self.context.loads.note_move_time(
+            move.instance, move.expected_ms, took_ms - move.wait_ms
+        )
+
     def note_end(self, instance: str, reason: str) -> None:
         """Note it for the count of requests that end engines too."""
         super().note_end(instance, reason)
--- a/packages/trestle-entry/src/trestle_entry/direct/placement.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/placement.py
@@ -86,11 +86,15 @@
 
 
 class TakeOver(NamedTuple):
-    """An engine that goes on from memory that another one made; ms."""
+    """An engine that goes on from memory that another one made; ms.
+
+    `move_ms` is the time of the move at an engine of common speed.
+    """
 
     cost: float
     wait_ms: float
     backend: Backend
+    move_ms: float
 
 
 def plan_request(
@@ -114,7 +118,11 @@
         return _plan_alone(alone)
     # A decode engine copies nothing: what is left to read holds up streams.
     sources = [*readers, *decoders] if may_copy else []
-    holders = holders_of(sources, case.held)
+    copyable = {
+        entry.instance: loads.copyable_tokens(entry.instance, asked.need)
+        for entry in sources
+    }
+    holders = holders_of(sources, copyable)
     reader = min(_read_apart(case, entry, holders) for entry in readers)
     decoder = min(
         _take_over(case, entry, reader.backend.zone) for entry in decoders
@@ -134,13 +142,13 @@
 
 def choose_decoder(
     engines: list[Backend], loads: EngineLoads, asked: PlanNeed, zone: str
-) -> Backend | None:
+) -> TakeOver | None:
     """Return who takes over memory from a zone, by the loads of now."""
     decoders = _decoders_of(engines)
     if not decoders:
         return None
     case = _case_of(decoders, loads, asked)
-    return min(_take_over(case, entry, zone) for entry in decoders).backend
+    return min(_take_over(case, entry, zone) for entry in decoders)
 
 
 def _decoders_of(engines: list[Backend]) -> list[Backend]:
@@ -227,13 +235,14 @@
     moved = max(1, need.prompt_tokens - case.held[engine.instance])
     factor = 1.0 if engine.zone == zone else OTHER_ZONE
     moved_ms = moved * case.asked.ms_per_token * factor
-    wait_ms = _TAKE_OVER_MS + moved_ms
+    move_ms = _TAKE_OVER_MS + moved_ms
+    wait_ms = move_ms * loads.moving.slowness_of(engine.instance)
     wait_ms += loads.wait_ms(engine.instance)
     batch_ms = loads.running_at(engine.instance) * _BATCH_MS
     cost = wait_ms + batch_ms + case.away_ms[engine.instance]
     # Memory that moves is paid for besides its time.
     cost += moved_ms + _body_ms(case.asked, engine)
-    return TakeOver(cost, wait_ms, engine)
+    return TakeOver(cost, wait_ms, engine, move_ms)
 
 
 def _body_ms(asked: PlanNeed, engine: Backend) -> float:
--- a/packages/trestle-entry/src/trestle_entry/direct/prompt_reading.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/prompt_reading.py
@@ -95,6 +95,7 @@
     loads = run.context.loads
     began = monotonic()
     waited_ms = loads.wait_ms(reader.instance)
+    loads.note_arriving(reader.instance, run.need)
     with loads.reading(reader.instance, plan.read_ms):
         answer = _call(run, reader, plan.work.fetch_from)
     if answer.head.status != OK:
--- a/packages/trestle-links/src/trestle_links/direct_messages.py
+++ b/packages/trestle-links/src/trestle_links/direct_messages.py
@@ -79,11 +79,15 @@
 
 
 class Placement(NamedTuple):
-    """A prompt part that an engine holds; without tokens it left the memory."""
+    """A prompt part that an engine holds; without tokens it left the memory.
+
+    `arriving` tells that the engine was asked to read it just now.
+    """
 
     part: int
     tokens: int
     instance: str
+    arriving: bool = False
 
 
 class EngineMemory(NamedTuple):
@@ -99,7 +103,9 @@
 
     `prefill_ms` is predicted engine time of prompts that are not read yet,
     `running` counts requests in work, `seen` is the number of the last
-    placement that the entry knows, of the leader of `term`.
+    placement that the entry knows, of the leader of `term`. `move_slowness`
+    tells how many times slower than expected engines took over memory since
+    the last report.
     """
 
     host: str
@@ -109,6 +115,7 @@
     suspects: list[str]
     seen: int
     term: int = 0
+    move_slowness: dict[str, float] = {}
 
 
 @message(147)
@@ -118,7 +125,7 @@
     `entries` counts the entries that reported lately, the asking one
     included; `age_ms` is the age of the oldest report in the sums.
     `memories` replace what is known of an engine's memory, before the
-    placements.
+    placements. `move_slowness` is estimated from the moves of all entries.
     """
 
     entries: int
@@ -131,3 +138,4 @@
     changing: list[str] = []
     term: int = 0
     memories: list[EngineMemory] = []
+    move_slowness: dict[str, float] = {}
