A follower of a cache has ended before its engine is forgotten

Cause: the follower was ended without waiting, so it could note one more change and bring a memory back that had just been forgotten.

Ruled out: the test's own wait; the memory was there again, by the assertion.

Change: ending it waits until it has ended.

--- a/features/steps/engine_memory_steps.py
+++ b/features/steps/engine_memory_steps.py
@@ -258,8 +258,6 @@
     """Stop following."""
     context.replica.is_leader = False
     context.follower.look()
-    # The follower that was ended closes its connection.
-    sleep(0)
 
 
 @when('the leader follows it, and the second page tells that events are lost')
--- a/packages/trestle-control/src/trestle_control/cache_follower.py
+++ b/packages/trestle-control/src/trestle_control/cache_follower.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple, Protocol
 
-from gevent import Greenlet, kill, sleep, spawn
+from gevent import Greenlet, sleep, spawn
 
 from trestle_control.apply import ControlMachine
 from trestle_control.placement_log import PlacementLog
@@ -96,7 +96,8 @@
         """Start and end followers as engines and leadership change."""
         engines = self._engines()
         for instance in self.followed.keys() - engines.keys():
-            kill(self.followed.pop(instance))
+            # A follower that has not ended yet could note one more change.
+            self.followed.pop(instance).kill()
             self.placements.forget(instance)
         for instance, backend in engines.items():
             if instance not in self.followed:
