Bytes that are no answer fail a call to the platform and end nothing else

Cause: the HTTP client raises `HTTPException` for a connection that closes in an answer, or for bytes that are none. Readers of the list, senders of orders and followers of caches expect `OSError` or `ValueError`, so one such answer ended the greenlet: the leader would have read no list again until it lost the lead. A part id that is not hexadecimal spoiled the whole page of a cache.

Ruled out: other errors of the client; timeouts and resets are `OSError`, msgspec's errors are `ValueError`.

--- /dev/null
+++ b/features/platform_calls.feature
@@ -0,0 +1,22 @@
+Feature: Calls of the system's own to the platform, and bytes that are no answer
+
+  Scenario Outline: Bytes that are no answer fail the call and nothing else
+    Given a server that answers <bytes>
+    Then a call to it raises an error of the connection
+
+    Examples:
+      | bytes                       |
+      | nothing                     |
+      | garbage                     |
+      | half a head                 |
+      | a body that is cut          |
+      | an endless line             |
+
+  Scenario: Entries of a cache that cannot be read spoil no other one
+    Given a server that lists a cache with one good entry among four bad ones
+    Then the good entry is what the engine holds
+
+  Scenario: The list reader goes on after an answer that is none
+    Given a server that answers garbage
+    When a leader reads its list of back ends there 3 times
+    Then each read counts as a failure
--- a/packages/trestle-control/src/trestle_control/backend_list.py
+++ b/packages/trestle-control/src/trestle_control/backend_list.py
@@ -49,10 +49,11 @@
         """Follow the list for ever."""
         while True:
             if self.replica.is_leader:
-                self._follow()
+                self.follow()
             sleep(READ_SECONDS)
 
-    def _follow(self) -> None:
+    def follow(self) -> None:
+        """Read the list once and commit what changed."""
         try:
             listed = self.read()
         except (OSError, ValueError) as error:
