Engines that ended leave the leader's table of slow moves

Cause: found in reading the change. The leader kept an estimate for every engine it ever heard of and sent all of them to every entry; on a fleet whose engines are replaced the table and each answer would grow for ever.

Ruled out: forgetting at a change of the list; the table stands below it and serves entries too.

Change: an estimate that no call has touched for 40 s goes; by then it has drifted to the fastest one within a ten-thousandth, so no choice changes.

Test: direct_placement, "Engines that ended leave the table of slow moves"; it failed before.

--- a/features/direct_placement.feature
+++ b/features/direct_placement.feature
@@ -133,6 +133,11 @@
     Then 12 long prompts in a row go on at decoder 2
     And after 20 s without a move the slow decoders are tried again
 
+  Scenario: Engines that ended leave the table of slow moves
+    Given 6 engines that read and 3 that decode
+    When 6 prompts took 20 times as long to reach decoders 0 and 1
+    Then after 60 s without a move the leader tells of none
+
   Scenario: One beginning is asked for by several callers at one moment
     Given 6 engines that read and 3 that decode
     When 4 prompts with one new beginning are planned while the first is read
--- a/features/steps/direct_beliefs_steps.py
+++ b/features/steps/direct_beliefs_steps.py
@@ -175,6 +175,15 @@
     assert chosen == decoders_of(context, 40) != {'decode-2'}, chosen
 
 
+@then('after {seconds:d} s without a move the leader tells of none')
+def step_none_told(context: Context, seconds: int) -> None:
+    """Check what a table tells when nothing was heard for long."""
+    assert len(context.loads.moving.figures()) == 3
+    later = monotonic() + seconds
+    with patch.object(engine_slowness, 'monotonic', lambda: later):
+        assert context.loads.moving.figures() == {}
+
+
 @when(
     '{count:d} prompts with one new beginning are planned while the first is '
     'read'
--- a/packages/trestle-links/src/trestle_links/engine_slowness.py
+++ b/packages/trestle-links/src/trestle_links/engine_slowness.py
@@ -15,6 +15,9 @@
 _MOST: Final = 40.0
 # Time without a call after which half of a difference is forgotten, s.
 _FORGET_SECONDS: Final = 2.5
+# Time without a call after which nothing is left of it, s: the engine may
+# have ended.
+_GONE_SECONDS: Final = 40.0
 
 
 class Estimate(NamedTuple):
@@ -54,7 +57,13 @@
         return self.fastest + (estimate.slowness - self.fastest) * share
 
     def figures(self) -> dict[str, float]:
-        """Return the present slowness of every known engine."""
+        """Return the present slowness of engines that were called lately."""
+        oldest = monotonic() - _GONE_SECONDS
+        self.estimates = {
+            instance: estimate
+            for instance, estimate in self.estimates.items()
+            if estimate.noted_at > oldest
+        }
         return {
             instance: round(self.slowness_of(instance), 2)
             for instance in self.estimates
