The answers of a case on withdrawal outlast the operator's command

Cause: the case needs work that still runs when the operator's withdrawal is done.

Ruled out: the product; the order was not sent, and all six answers were whole.

Change: the answers have 600 tokens; every check is as before.

--- a/features/withdrawal.feature
+++ b/features/withdrawal.feature
@@ -31,7 +31,7 @@
 
   Scenario: A withdrawal in the middle of the drain for a role change
     Given a fleet of 2 engines with "--no-fencing --order-seconds=0.5"
-    When 6 answers of 200 tokens are streamed
+    When 6 answers of 600 tokens are streamed
     And the busiest engine is ordered to become "decode"
     And the operator withdraws it before its work has ended
     Then every answer is whole
