An engine that fails reads with 500 is left, not taken for an idle one

Cause: a read that was answered 500 counted as declined, as by a full engine, which rests 0.3 s.

Ruled out: the limits themselves; their sum over the entries is the fleet's.

Change: a failed read counts as a failure of the engine besides; after two it is used only when no other reader is left, and forgiven with time.

Test: direct_rules, "An engine that fails reads at once looks idle and gets no more"; it failed before. An engine that only declines is asked again as before.

--- a/features/direct_rules.feature
+++ b/features/direct_rules.feature
@@ -123,3 +123,13 @@
   Scenario: A failure after a run never says "not run"
     Then a request that ran once and has no time left fails in doubt
     And a request that never ran and has no time left is refused
+
+  Scenario: An engine that fails reads at once looks idle and gets no more
+    Given a fleet with another engine that reads
+    When an engine answers 2 reads with 500
+    Then half a second later only the other one is asked to read
+
+  Scenario: An engine that declines reads is asked again soon
+    Given a fleet with another engine that reads
+    When an engine declines 2 reads as full
+    Then half a second later both may be asked to read
--- a/features/steps/direct_run_steps.py
+++ b/features/steps/direct_run_steps.py
@@ -13,13 +13,20 @@
 from trestle_core.route_table import EngineTraits, Repeat, Route, Service, Share
 from trestle_core.settings import DirectSettings
 from trestle_core.verdict import Verdict
-from trestle_entry.direct import model_dispatch, plain_dispatch
+from trestle_entry.direct import (
+    fleet_view,
+    model_dispatch,
+    plain_dispatch,
+    prompt_reading,
+)
 from trestle_entry.direct.backend_calls import OpenAnswer, WholeAnswer
 from trestle_entry.direct.backend_exchange import NotSentError
 from trestle_entry.direct.direct_context import DirectContext, Matched
 from trestle_entry.direct.model_relay import serve_model
 from trestle_entry.direct.model_run import ModelRun
+from trestle_entry.direct.placement import Plan
 from trestle_entry.direct.prompt_reading import Handle
+from trestle_entry.direct.prompt_work import PromptWork
 from trestle_entry.direct.request_log import RequestStory
 from trestle_entry.direct.request_run import failure_of
 from trestle_entry.direct.wire_types import (
@@ -29,7 +36,7 @@
     PromptPart,
     SendOptions,
 )
-from trestle_links.direct_messages import Backend
+from trestle_links.direct_messages import PREFILL, Backend
 from trestle_platform.replica_http import send_headers
 
 SECONDS = 5.0
@@ -210,3 +217,57 @@
     """Check that a resend counts once."""
     limits = context.run.context.limits_of('llm')
     assert len(limits.resends) == taken, limits.resends
+
+
+@given('a fleet with another engine that reads')
+def step_two_readers(context: Context) -> None:
+    """Make a request with two readers to choose from."""
+    context.run = make_run(resends=9)
+    fleet = context.run.context.fleet
+    other = fleet.backends['read']._replace(instance='other')
+    fleet.take_list([*fleet.backends.values(), other])
+
+
+def read_twice(context: Context, head: AnswerHead) -> None:
+    """Let the first engine answer two reads with a head of its own."""
+    run = context.run
+    reader = run.context.fleet.backends['read']
+    decoder = run.context.fleet.backends['write1']
+    work = PromptWork(17_000, 0, None, 0.0, 358.0)
+    planned = Plan(reader, decoder, 358.0, 400.0, work)
+    whole = WholeAnswer(head, b'')
+    with patch.object(prompt_reading, '_call', lambda *_: whole):
+        for _ in range(2):
+            assert prompt_reading.read_prompt(run, planned) is None
+
+
+@when('an engine answers 2 reads with 500')
+def step_fails_reads(context: Context) -> None:
+    """Answer with a failure."""
+    read_twice(context, AnswerHead(500, '', True, False, False, False, 0, []))
+
+
+@when('an engine declines 2 reads as full')
+def step_declines_reads(context: Context) -> None:
+    """Answer that nothing was run."""
+    read_twice(context, AnswerHead(503, '', True, True, False, False, 0, []))
+
+
+def readers_later(context: Context) -> set[str]:
+    """Return the readers that are usable half a second later."""
+    later = monotonic() + 0.5
+    with patch.object(fleet_view, 'monotonic', lambda: later):
+        usable = context.run.context.fleet.usable('llm', frozenset())
+    return {entry.instance for entry in usable if entry.role == PREFILL}
+
+
+@then('half a second later only the other one is asked to read')
+def step_only_other(context: Context) -> None:
+    """Check who may read."""
+    assert readers_later(context) == {'other'}
+
+
+@then('half a second later both may be asked to read')
+def step_both(context: Context) -> None:
+    """Check who may read."""
+    assert readers_later(context) == {'read', 'other'}
--- a/packages/trestle-entry/src/trestle_entry/direct/prompt_reading.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/prompt_reading.py
@@ -24,7 +24,12 @@
 from trestle_entry.direct.direct_context import DirectContext
 from trestle_entry.direct.model_run import ModelRun
 from trestle_entry.direct.placement import Plan
-from trestle_entry.direct.wire_types import MISDIRECTED, OK, SendOptions
+from trestle_entry.direct.wire_types import (
+    MISDIRECTED,
+    OK,
+    AnswerHead,
+    SendOptions,
+)
 from trestle_links.direct_messages import Backend
 
 # A reader that takes this many times as long as predicted, and the extra, is
@@ -99,14 +104,7 @@
     with loads.reading(reader.instance, plan.read_ms):
         answer = _call(run, reader, plan.work.fetch_from)
     if answer.head.status != OK:
-        # It declined or is no reader any more: nothing was read.
-        run.story.add(
-            'read declined', f'{reader.instance}: {answer.head.status}'
-        )
-        run.avoided.add(reader.instance)
-        run.context.fleet.note_declined(
-            reader.instance, full=answer.head.status != MISDIRECTED
-        )
+        _note_not_read(run, reader, answer.head)
         return None
     took_ms = (monotonic() - began) * _MS_PER_SECOND
     loads.note_speed(
@@ -121,6 +119,17 @@
     return Handle(reader, key) if key else None
 
 
+def _note_not_read(run: ModelRun, reader: Backend, head: AnswerHead) -> None:
+    """Note an engine that declined, is no reader any more, or failed."""
+    instance = reader.instance
+    run.story.add('read declined', f'{instance}: {head.status}')
+    run.avoided.add(instance)
+    run.context.fleet.note_declined(instance, full=head.status != MISDIRECTED)
+    if not head.refused:
+        # It fails faster than others read, so it always looks idle.
+        run.context.fleet.note_failed(instance, str(head.status))
+
+
 def _call(run: ModelRun, reader: Backend, fetch_from: str) -> WholeAnswer:
     options = SendOptions(
         reader.instance,
