A planned stop ends idle connections, and none waits for another request

The drain closed the sockets of idle connections, but the file that their handlers read from keeps a socket open, so none was closed. And a stream whose head was sent before the stop went back to waiting for a request after the idle ones had been ended. Requests came in until 3.3 s after the notice; one came in the last second.

Ruled out: the balancer sending new channels (nothing accepts after the notice); a stream longer than the drain (the request was 0.7 s old).

Change: the drain ends the reading side, so handlers read what has arrived and then the end; from then on a connection waits 20 ms for a request that is on its way.

--- a/packages/trestle-entry/src/trestle_entry/direct/caller_server.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/caller_server.py
@@ -12,6 +12,7 @@
 from gevent import Timeout
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIServer
+from gevent.socket import SHUT_RD
 
 from trestle_core.addresses import Address, resolve_address
 from trestle_core.errorcodes import (
@@ -34,6 +35,8 @@
 _TARGET_KEY: Final = 'kingcuptrestle.target'
 _HEADERS_KEY: Final = 'kingcuptrestle.headers'
 _BODY_SECONDS: Final = 10.0
+# Time at a planned stop for a request that is on its way, s.
+_LAST_REQUEST_SECONDS: Final = 0.02
 _REQUEST_TIMEOUT_ANSWER: Final = (
     '408 Request Timeout',
     b'HTTP/1.1 408 Request Timeout\r\n'
@@ -95,6 +98,9 @@
             headers.append((b'Connection', b'close'))
 
     def _wait_for_request(self, seconds: float) -> bool:
+        if self.server.is_ending:
+            # Serve what has arrived, and wait for nothing else.
+            seconds = min(seconds, _LAST_REQUEST_SECONDS)
         idle_limit = Timeout.start_new(seconds)
         self.server.idle.add(self)
         try:
@@ -103,6 +109,11 @@
             if error is not idle_limit:
                 raise
             return False
+        except OSError:
+            if not self.server.is_ending:
+                raise
+            # The wait was ended; what had arrived can still be read.
+            return bool(self.rfile.peek(1))
         finally:
             idle_limit.close()
             self.server.idle.discard(self)
@@ -136,7 +147,10 @@
         )
         self.context = context
         self.metrics = context.metrics
+        # Answers end their connections.
         self.closing = False
+        # No connection waits for another request.
+        self.is_ending = False
         self.idle: set[CallerHandler] = set()
 
     def limits(self) -> CallerLimits:
@@ -150,10 +164,20 @@
         return Address(ip, port)
 
     def close_idle(self) -> None:
-        """End connections on which no request was begun."""
+        """End connections on which no request was begun, now and later.
+
+        Their handlers read the end of the stream, behind a request that has
+        arrived already. Closing the socket would not wake them: the file that
+        they read from keeps it open.
+        """
         self.closing = True
+        self.is_ending = True
         for handler in list(self.idle):
-            handler.socket.close()
+            try:
+                handler.socket.shutdown(SHUT_RD)
+            except OSError:
+                # The caller has closed it; its handler ends by itself.
+                self.metrics.count('idle_connections_gone')
 
     def answer(
         self, environ: dict[str, Any], start_response: Any
