Waits for requests are ended from the loop, where nothing arrives meanwhile

`poll` is gevent's patched one here and switches to other greenlets, so a request arrived between the look and the end of the reading side; the watcher then took its caller for gone (sent 32.429, closed 32.506).

Ruled out: the original end of the sockets; it ended nothing.

Change: no socket is touched. The wait of an idle handler is ended by an exception from the loop, right after a look with the unpatched `poll`.

--- a/packages/trestle-entry/src/trestle_entry/direct/caller_server.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/caller_server.py
@@ -7,13 +7,14 @@
 """
 
 from collections.abc import Iterable
-from select import POLLIN, poll
+from select import POLLIN
 from typing import Any, Final
 
-from gevent import Timeout
+from gevent import Timeout, get_hub, getcurrent
+from gevent.monkey import get_original
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIServer
-from gevent.socket import SHUT_RD, socket
+from gevent.socket import socket
 
 from trestle_core.addresses import Address, resolve_address
 from trestle_core.errorcodes import (
@@ -45,11 +46,17 @@
 )
 
 
+class IdleEndedError(Exception):
+    """Ends the wait for a request on an idle connection."""
+
+
 class CallerHandler(SocketHandler):
     """One connection of a caller."""
 
     server: Any
     head_timer: Timeout
+    # The handler's own greenlet while it waits for a request.
+    waiting: Any
 
     def read_requestline(self) -> str:
         """Wait for the next request; an idle connection ends in silence."""
@@ -103,6 +110,7 @@
             # Serve what has arrived, and wait for nothing else.
             seconds = min(seconds, _LAST_REQUEST_SECONDS)
         idle_limit = Timeout.start_new(seconds)
+        self.waiting = getcurrent()
         self.server.idle.add(self)
         try:
             return bool(self.rfile.peek(1))
@@ -110,10 +118,7 @@
             if error is not idle_limit:
                 raise
             return False
-        except OSError:
-            if not self.server.is_ending:
-                raise
-            # The wait was ended, and nothing had arrived.
+        except IdleEndedError:
             return False
         finally:
             idle_limit.close()
@@ -167,20 +172,14 @@
     def close_idle(self) -> None:
         """End connections on which no request was begun, now and later.
 
-        A handler whose request has arrived but is not read yet goes on.
-        Closing the socket would not wake the others: the file that they read
-        from keeps it open.
+        Closing the sockets would not wake their handlers: the file that they
+        read from keeps a socket open.
         """
         self.closing = True
         self.is_ending = True
+        loop = get_hub().loop
         for handler in list(self.idle):
-            if _has_arrived(handler.socket):
-                continue
-            try:
-                handler.socket.shutdown(SHUT_RD)
-            except OSError:
-                # The caller has closed it; its handler ends by itself.
-                self.metrics.count('idle_connections_gone')
+            loop.run_callback(_end_idle, handler)
 
     def answer(
         self, environ: dict[str, Any], start_response: Any
@@ -222,8 +221,16 @@
             raise TrestleError(HEADERS_TOO_LARGE, f'the limit is {limit} bytes')
 
 
+def _end_idle(handler: CallerHandler) -> None:
+    """End a handler's wait; a request that has arrived by now goes on."""
+    is_idle = handler in handler.server.idle
+    if is_idle and not _has_arrived(handler.socket):
+        handler.waiting.throw(IdleEndedError())
+
+
 def _has_arrived(sock: socket) -> bool:
     """Tell whether bytes wait to be read."""
-    readable = poll()
+    # The patched one would switch to other greenlets meanwhile.
+    readable = get_original('select', 'poll')()
     readable.register(sock.fileno(), POLLIN)
     return bool(readable.poll(0))
