A read meets an election by asking again; a stopping leader waits for no voter that ends

A read that fell between two leaders, or that was sent to one that was paused, ended as no-quorum at once, or only when its whole time was up. It now asks again, with a fresh round each time, until its own time is up, and an attempt through a leader that does not answer ends after two election timeouts.

It now notices the lost connection, and a member that is stopping declines to lead.

--- a/packages/trestle-control/src/trestle_control/read_barrier.py
+++ b/packages/trestle-control/src/trestle_control/read_barrier.py
@@ -7,6 +7,10 @@
 that was paused cannot use a round from before the pause, because the round
 must begin after the read.
 
+A read that meets a change of the leader asks again until its time is up. Every
+attempt has a round of its own: an index that was confirmed for an earlier
+leader does not count.
+
 Freshness is the age of such a round: the seconds, by this member's own clock,
 since its state was known to be current.
 """
@@ -28,6 +32,8 @@
 from trestle_core.errors import TrestleError
 from trestle_links.connection import Channel
 
+# A leader without a quorum steps down after two election timeouts.
+_ELECTIONS_PER_ATTEMPT: Final = 2
 _MS_PER_SECOND: Final = 1000
 _US_PER_SECOND: Final = 1_000_000
 
@@ -80,16 +86,18 @@
 ) -> int:
     """Wait until the state covers all that was committed before the call.
 
-    Return the read index. Raises `NoQuorumError`.
+    Return the read index. Raises `NoQuorumError` when no attempt succeeds in
+    time.
     """
     deadline = monotonic() + timeout_seconds
-    if state.is_leader:
-        index = confirm_read_index(state, timeout_seconds, urgent=urgent)
-    else:
-        index = _request_read_index(state, timeout_seconds, urgent=urgent)
-    if not wait_applied(state, index, deadline - monotonic()):
-        raise NoQuorumError
-    return index
+    while True:
+        left_seconds = deadline - monotonic()
+        try:
+            return _read_once(state, left_seconds, urgent=urgent)
+        except NoQuorumError:
+            if not _may_retry(state, deadline):
+                raise
+        state.local_identity.metrics.count('replica_read_retries')
 
 
 def wait_applied(
@@ -125,6 +133,37 @@
             state.local_identity.metrics.count('replica_freshness_failures')
 
 
+def _read_once(
+    state: ReplicaState, timeout_seconds: float, *, urgent: bool
+) -> int:
+    deadline = monotonic() + timeout_seconds
+    if state.is_leader:
+        index = confirm_read_index(state, timeout_seconds, urgent=urgent)
+    else:
+        # A leader that is paused or cut off may have been replaced meanwhile.
+        attempt_seconds = min(
+            timeout_seconds, state.election_seconds * _ELECTIONS_PER_ATTEMPT
+        )
+        index = _request_read_index(state, attempt_seconds, urgent=urgent)
+    if not wait_applied(state, index, deadline - monotonic()):
+        raise NoQuorumError
+    return index
+
+
+def _may_retry(state: ReplicaState, deadline: float) -> bool:
+    """Wait for a leader; return whether there is time for another attempt."""
+    left_seconds = deadline - monotonic()
+    if left_seconds <= 0:
+        return False
+    # The leader that failed may still be the one that this member follows.
+    sleep(min(state.heartbeat_seconds / 2, left_seconds))
+    state.role_signal.wait_until(
+        lambda: state.leader is not None or not state.running,
+        deadline - monotonic(),
+    )
+    return state.running and monotonic() < deadline
+
+
 def _request_read_index(
     state: ReplicaState, timeout_seconds: float, *, urgent: bool
 ) -> int:
--- a/packages/trestle-control/src/trestle_control/replica.py
+++ b/packages/trestle-control/src/trestle_control/replica.py
@@ -189,7 +189,7 @@
         """Hand over leadership, sync the log and stop."""
         if self.state.is_leader:
             hand_over(self.state)
-        self.state.running = False
+        self.state.end()
         for task in self.tasks:
             task.kill()
         self.state.log.stop()
--- a/packages/trestle-control/src/trestle_control/replica_follower.py
+++ b/packages/trestle-control/src/trestle_control/replica_follower.py
@@ -26,6 +26,8 @@
     Role,
 )
 from trestle_control.snapshots import unpack_snapshot
+from trestle_core.errorcodes import NOT_LEADER
+from trestle_core.errors import TrestleError
 from trestle_links.connection import Channel
 from trestle_links.link_messages import Done
 
@@ -71,8 +73,13 @@
 
 
 def lead_now_handler(state: ReplicaState, request: LeadNow, _: Channel) -> Done:
-    """Start an election immediately, because the leader is stopping."""
+    """Start an election immediately, because the leader is stopping.
+
+    Raises `TrestleError` with `not-leader` when this member is stopping, too.
+    """
     check_header(state, request.header)
+    if not state.running:
+        raise TrestleError(NOT_LEADER, 'This member is stopping.')
     if request.header.term == state.term:
         state.election_requested.set()
     return Done()
--- a/packages/trestle-control/src/trestle_control/replica_handover.py
+++ b/packages/trestle-control/src/trestle_control/replica_handover.py
@@ -3,8 +3,9 @@
 The leader accepts no more commands, waits until a voter has its whole log,
 and requests that voter to start an election immediately. So a planned stop
 costs one round instead of an election timeout. Each reachable voter gets one
-request. When none is left, as when all members stop, the leader stops
-without waiting.
+request; a voter that is stopping declines, and one whose connection is lost
+before its election is not waited for. When none is left, as when all members
+stop, the leader stops without waiting.
 """
 
 from time import monotonic
@@ -41,9 +42,7 @@
         )
         if peer:
             requested.append(peer)
-            if _request_takeover(state, peer):
-                _wait_for_election(state)
-            else:
+            if not _takes_over(state, peer):
                 refused.append(peer)
         sleep(_POLL_SECONDS)
 
@@ -63,11 +62,18 @@
     return None
 
 
-def _wait_for_election(state: ReplicaState) -> None:
+def _takes_over(state: ReplicaState, peer: Peer) -> bool:
+    """Return whether a peer was asked to lead and is still there to do so."""
     term = state.term
-    state.role_signal.wait_until(
-        lambda: not state.leads(term), state.election_seconds
-    )
+    if not _request_takeover(state, peer):
+        return False
+    deadline = monotonic() + state.election_seconds
+    while state.leads(term) and monotonic() < deadline:
+        if not peer.link.is_connected:
+            _log.info('{} ended before its election.', peer.member.host)
+            return False
+        sleep(_POLL_SECONDS)
+    return True
 
 
 def _request_takeover(state: ReplicaState, peer: Peer) -> bool:
--- a/packages/trestle-control/src/trestle_control/replica_state.py
+++ b/packages/trestle-control/src/trestle_control/replica_state.py
@@ -233,6 +233,11 @@
             self.commit_index = index
             self.commit_signal.notify()
 
+    def end(self) -> None:
+        """End every task and every wait of this replica."""
+        self.running = False
+        self.role_signal.notify()
+
     def fail(self, error: TrestleError) -> None:
         """Stop this replica permanently and fail its pending proposals.
 
@@ -241,7 +246,7 @@
         if self.failure:
             return
         self.failure = error
-        self.running = False
+        self.end()
         _log.error('Replica stopped: {} ({}).', error.message, error.code.code)
         self.local_identity.metrics.count('replica_failures', error.code.code)
         self.set_role(Role.FOLLOWER, None)
--- a/packages/trestle-links/src/trestle_links/link.py
+++ b/packages/trestle-links/src/trestle_links/link.py
@@ -70,6 +70,11 @@
         """Make a link to `ip:port` or `@file`, read at each connect."""
         return cls(lambda: resolve_address(address), me)
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether there is a connection that is not known to be lost."""
+        return self.connection is not None and not self.connection.lost.is_set()
+
     def open(self, body: Message) -> Channel:
         """Open a channel with its first message.
 
@@ -109,7 +114,7 @@
 
     def _connected(self) -> Connection:
         with self.dialling:
-            if self.connection is None or self.connection.lost.is_set():
+            if self.connection is None or not self.is_connected:
                 self.connection = self._dial()
             return self.connection
 
--- a/testbed/log_fixtures.py
+++ b/testbed/log_fixtures.py
@@ -1,5 +1,6 @@
 """Parts of one member that run inside a test, without links."""
 
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any, Final
 
@@ -17,11 +18,16 @@
 from trestle_core.settings import ControlSettings, MemberSettings
 from trestle_links.codec import encode_message
 from trestle_links.link import Identity
+from trestle_links.link_server import Handlers, LinkServer
 
 SEGMENT_BYTES: Final = 4096
 BATCH_ENTRIES: Final = 5
 PAYLOAD_BYTES: Final = 150
 LEADER: Final = MemberIdentity('plovdiv-b', 'leader')
+UNREACHABLE: Final = (
+    MemberSettings('plovdiv-b', '127.0.0.1:1'),
+    MemberSettings('asenovgrad', '127.0.0.1:1'),
+)
 # The handlers of the replica answer by their return value.
 NO_CHANNEL: Any = None
 
@@ -41,10 +47,11 @@
     ]
 
 
-def member_state(folder: Path) -> ReplicaState:
-    """Open one member of a group of three, without links."""
-    hosts = ('plovdiv-a', 'plovdiv-b', 'asenovgrad')
-    listed = [MemberSettings(host, '127.0.0.1:1') for host in hosts]
+def member_state(
+    folder: Path, others: Sequence[MemberSettings] = UNREACHABLE
+) -> ReplicaState:
+    """Open one member of a group of three; the others have addresses only."""
+    listed = [MemberSettings('plovdiv-a', '127.0.0.1:1'), *others]
     config = ControlSettings(
         host='plovdiv-a',
         zone='plovdiv-a',
@@ -61,6 +68,15 @@
     return state
 
 
+def start_peer(name: str, handlers: Handlers) -> LinkServer:
+    """Start the link server of another member of the group."""
+    server = LinkServer(
+        '127.0.0.1:0', Identity(name, b'key', Metrics.empty()), handlers
+    )
+    server.start()
+    return server
+
+
 def group_of(state: ReplicaState) -> MemberSet:
     """Return a set of three voters with this member in it."""
     identities = (
