Loads travel by streams and engine times are learned

Entries now stream their changes, the leader adds each one to its sums and pushes what has changed to all, packed once, every 20 ms and 0.3 ms for each entry. During an election the last sums stay in use and fade.

They are fitted by service to the calls that are made anyway (a base, a time for each token, with the queue ahead as part of a call), the leader pools the sums of all entries, and the weights of placement are multiples of the time of a common prompt.

--- a/features/steps/direct_placement_steps.py
+++ b/features/steps/direct_placement_steps.py
@@ -14,7 +14,8 @@
     engine,
     long_prompt,
     plan,
-    view,
+    report_others,
+    tokens_of,
 )
 from trestle_entry.direct.engine_loads import EngineLoads
 from trestle_entry.direct.fleet_view import FleetView
@@ -127,7 +128,8 @@
 @given('reader {number:d} has {engine_ms:d} ms of prompts ahead')
 def step_ahead(context: Context, number: int, engine_ms: int) -> None:
     """Put prompts in front of a reader."""
-    reading = context.loads.track_prefill(f'prefill-{number}', engine_ms)
+    tokens = tokens_of(context.loads, engine_ms)
+    reading = context.loads.own.track_prefill(f'prefill-{number}', tokens)
     context.stack.enter_context(reading)
 
 
@@ -142,21 +144,21 @@
         for reader in context.readers
         if reader.instance != f'prefill-{number}'
     }
-    context.loads.apply_view(view(context, loads))
+    report_others(context.loads, loads)
 
 
 @given('the others report {engine_ms:d} ms of prompts at every reader')
 def step_others(context: Context, engine_ms: int) -> None:
     """Take a view in which every reader is busy."""
     loads = {reader.instance: float(engine_ms) for reader in context.readers}
-    context.loads.apply_view(view(context, loads))
+    report_others(context.loads, loads)
 
 
 @given('every decoder streams to {callers:d} callers')
 def step_streams(context: Context, callers: int) -> None:
     """Count streams at each decoder."""
     for decoder in context.decoders:
-        context.loads.running[decoder.instance] = callers
+        context.loads.own.running[decoder.instance] = callers
 
 
 @when('two entries that know nothing of each other plan {count:d} long prompts')
@@ -228,7 +230,9 @@
         assert planned.prefill_engine, planned
         instance = planned.prefill_engine.instance
         context.counts[instance] += 1
-        reading = context.loads.track_prefill(instance, planned.prefill_ms)
+        reading = context.loads.own.track_prefill(
+            instance, planned.work.uncached_tokens
+        )
         context.stack.enter_context(reading)
 
 
--- a/packages/trestle-control/src/trestle_control/load_table.py
+++ b/packages/trestle-control/src/trestle_control/load_table.py
@@ -1,116 +1,244 @@
-"""Loads of all entries, summed on the leader.
+"""Loads of all entries, summed on the leader and pushed to every entry.
 
-Each entry reports its running requests and receives the sums over the other
-entries, so that its estimates cover the load of the whole fleet. Reports are
-kept in memory only: a new leader receives them within one round, and until
-then each entry relies on its own figures.
+Each entry keeps a stream to the leader (`load_messages`). Its changes are
+added to the sums as they arrive, and every few milliseconds what has changed
+is packed once and sent to all. The pause between two pushes grows with the
+number of entries, so that the leader's work does not.
 
-The exchange also carries which shared prompt parts the engines have cached
-(`placement_log`).
+The sums are kept in memory only. Entries notice that a leader is gone by the
+loss of their stream, open another one, and tell the new leader all their
+loads at once. An entry that is silent for seconds is dropped with its loads.
 """
 
 from collections import deque
-from collections.abc import Iterable
 from time import monotonic
-from typing import Final, NamedTuple
+from typing import Final
+
+from gevent import sleep
+from gevent.event import Event
 
 from trestle_control.control_errors import NotLeaderError
+from trestle_control.load_totals import LoadTotals
 from trestle_control.placement_log import PlacementLog
 from trestle_control.replica_api import ReplicaApi
+from trestle_core.errorcodes import BAD_FRAME
+from trestle_core.errors import TrestleError
+from trestle_core.logs import part_logger
+from trestle_links.codec import encode_message
 from trestle_links.connection import Channel
-from trestle_links.direct_messages import LoadReport, LoadView
 from trestle_links.engine_slowness import SlownessTable
+from trestle_links.linear_fit import CallSums, LinearFit, prefill_fit
 from trestle_links.link_server import Handlers
+from trestle_links.load_messages import (
+    BackendLoad,
+    FitSums,
+    FittedSpeed,
+    FollowLoads,
+    LoadChange,
+    LoadDelta,
+    LoadPush,
+)
 
-# Older reports do not describe the current load.
-_STALE_SECONDS: Final = 2.0
-# An entry that sent no report for this long is not counted.
-_ENTRY_TIMEOUT_SECONDS: Final = 5.0
+# An entry reports at least twice a second.
+_SILENT_SECONDS: Final = 2.0
+# Least time between two pushes, and what each entry adds to it.
+_MIN_INTERVAL_SECONDS: Final = 0.02
+_SECONDS_PER_ENTRY: Final = 0.0003
+# Longest time between two pushes.
+_MAX_INTERVAL_SECONDS: Final = 0.25
+# An entry that has not taken so many bytes does not read.
+_MAX_WAITING_BYTES: Final = 262_144
 # A role change takes an engine about three seconds, and the list shows the
 # new role a second later.
 _ROLE_CHANGE_SECONDS: Final = 4.5
 _MAX_SUSPECTS: Final = 64
-_MS_PER_SECOND: Final = 1000
+# Change of a fitted line that is worth telling.
+_SPEED_CHANGE: Final = 0.03
+
+_log = part_logger('loads')
 
 
-class TimedLoadReport(NamedTuple):
-    """A report and its monotonic time of receipt."""
+class Follower:
+    """The stream to one entry; `applied` is its last change in the sums."""
 
-    report: LoadReport
-    received_at: float
+    def __init__(self, host: str, channel: Channel) -> None:
+        """Start with the loads that opened the stream."""
+        self.host = host
+        self.channel = channel
+        self.applied = 0
+
+    def push(self, packed: bytes) -> None:
+        """Send a push, or end the stream of an entry that does not read."""
+        if self.channel.connection.waiting_bytes > _MAX_WAITING_BYTES:
+            _log.warning('{} does not read its loads.', self.host)
+            self.channel.close()
+            return
+        self.channel.send(LoadPush(self.applied, packed))
 
 
 class LoadTable:
-    """The last report of every entry."""
+    """The streams of the entries and what is summed over them."""
 
     def __init__(self, replica: ReplicaApi) -> None:
-        """Start without reports."""
+        """Start without entries."""
         self.replica = replica
-        self.reports: dict[str, TimedLoadReport] = {}
+        self.followers: dict[str, Follower] = {}
+        self.totals = LoadTotals()
         self.placements = PlacementLog()
         self.transfer_slowness = SlownessTable()
+        self.changed_slowness: set[str] = set()
         self.suspects: deque[str] = deque(maxlen=_MAX_SUSPECTS)
+        self.new_suspects: list[str] = []
+        self.fits: dict[str, LinearFit] = {}
+        self.told_speeds: dict[str, FittedSpeed] = {}
         # Time of the last role order by engine.
         self.changing_since: dict[str, float] = {}
+        self.changed = Event()
 
     def handlers(self) -> Handlers:
         """Return the link handlers."""
-        return {LoadReport: self.exchange}
+        return {FollowLoads: self.follow}
+
+    def run(self) -> None:
+        """Push what has changed until the greenlet is killed."""
+        while True:
+            self.changed.wait(_MAX_INTERVAL_SECONDS)
+            self.changed.clear()
+            self.push()
+            sleep(
+                _MIN_INTERVAL_SECONDS + len(self.followers) * _SECONDS_PER_ENTRY
+            )
 
-    def exchange(self, report: LoadReport, _channel: Channel) -> LoadView:
-        """Store a report and return the sums over the other entries.
+    def follow(self, opening: FollowLoads, channel: Channel) -> None:
+        """Serve the stream of an entry until it ends.
 
-        Raises `NotLeaderError` unless this host leads.
+        Raises `NotLeaderError` unless this host leads, and `TrestleError` for
+        impossible figures.
         """
         if not self.replica.is_leader:
             raise NotLeaderError(self.replica.leader_address)
-        now = monotonic()
-        self._record(report, now)
-        other_reports = [
-            entry
-            for entry in self._recent_reports(now)
-            if entry.report.host != report.host
-        ]
-        oldest = min(
-            (entry.received_at for entry in other_reports), default=now
+        _check_loads(opening.loads)
+        self._drop(opening.host)
+        follower = Follower(opening.host, channel)
+        self.followers[opening.host] = follower
+        self.totals.apply(opening.host, opening.loads)
+        self.changed.set()
+        try:
+            follower.push(encode_message(self._complete_delta()))
+            self._take_changes(follower)
+        except TrestleError as error:
+            _log.info('The loads of {} ended: {}.', opening.host, error.message)
+            raise
+        finally:
+            if self.followers.get(opening.host) is follower:
+                self._drop(opening.host)
+            channel.close()
+
+    def push(self) -> None:
+        """Send what has changed since the last push to every entry."""
+        if not self.replica.is_leader:
+            for host in list(self.followers):
+                self._end_stream(host)
+            return
+        packed = encode_message(self._changed_delta())
+        for follower in list(self.followers.values()):
+            try:
+                follower.push(packed)
+            except TrestleError as error:
+                _log.debug('{} lost its loads: {}.', follower.host, error)
+
+    def record(self, follower: Follower, change: LoadChange) -> None:
+        """Add a change of an entry; raises `TrestleError` if impossible."""
+        _check_loads(change.loads)
+        host = follower.host
+        follower.applied = change.number
+        self.totals.apply(host, change.loads)
+        self.placements.record_report(change.placements)
+        for instance, slowness in change.transfer_slowness.items():
+            self.transfer_slowness.note(instance, slowness)
+            self.changed_slowness.add(instance)
+        self.suspects.extend(change.suspects)
+        self.new_suspects.extend(change.suspects)
+        for fit_sums in change.fits:
+            self._pool(fit_sums)
+
+    def running_requests(self) -> dict[str, int]:
+        """Return the running requests by back end, over all entries."""
+        return self.totals.running()
+
+    def _take_changes(self, follower: Follower) -> None:
+        while True:
+            change = follower.channel.receive(_SILENT_SECONDS)
+            if not isinstance(change, LoadChange):
+                return
+            self.record(follower, change)
+            self.changed.set()
+
+    def _drop(self, host: str) -> None:
+        if self.followers.pop(host, None):
+            self.totals.drop(host)
+            self.changed.set()
+
+    def _end_stream(self, host: str) -> None:
+        channel = self.followers[host].channel
+        self._drop(host)
+        try:
+            channel.close()
+        except TrestleError as error:
+            _log.debug('The stream to {} was lost: {}.', host, error)
+
+    def _pool(self, fit_sums: FitSums) -> None:
+        sums = CallSums.from_list(fit_sums.sums)
+        if sums is None or fit_sums.calls < 0:
+            raise TrestleError(BAD_FRAME, 'the sums of a fit are not sums')
+        fit = self.fits.setdefault(fit_sums.service, prefill_fit())
+        fit.pool(fit_sums.calls, sums)
+
+    def _changed_delta(self) -> LoadDelta:
+        suspects = self.new_suspects
+        self.new_suspects = []
+        changed_slowness = {
+            instance: round(self.transfer_slowness.slowness_of(instance), 2)
+            for instance in self.changed_slowness
+        }
+        self.changed_slowness.clear()
+        return LoadDelta(
+            entries=len(self.followers),
+            loads=self.totals.take_changed(),
+            placements=self.placements.take_changes(),
+            memories=self.placements.take_memories(),
+            suspects=suspects,
+            changing=self._changing(),
+            transfer_slowness=changed_slowness,
+            speeds=self._changed_speeds(),
+            failures=[],
         )
-        # Change numbers are valid only for the leader that assigned them.
-        seen = report.seen if report.term == self.replica.term else 0
-        return LoadView(
-            entries=self._count_entries(now),
-            prefill_ms=_sum_by_name(
-                entry.report.prefill_ms for entry in other_reports
-            ),
-            running=_sum_running(other_reports),
-            placements=self.placements.placements_after(seen, report.host),
+
+    def _complete_delta(self) -> LoadDelta:
+        return LoadDelta(
+            entries=len(self.followers),
+            loads=self.totals.all_totals(),
+            placements=[],
+            memories=self.placements.all_memories(),
             suspects=list(self.suspects),
-            seen=self.placements.last_number,
-            changing=self._changing(now),
-            age_ms=int((now - oldest) * _MS_PER_SECOND),
-            term=self.replica.term,
-            memories=self.placements.caches_after(seen),
-            move_slowness=self.transfer_slowness.figures(),
+            changing=self._changing(),
+            transfer_slowness=self.transfer_slowness.figures(),
+            speeds=list(self.told_speeds.values()),
+            failures=[],
         )
 
-    def running_requests(self) -> dict[str, int]:
-        """Return the running requests by back end, over all entries."""
-        return _sum_running(self._recent_reports(monotonic()))
-
-    def _recent_reports(self, now: float) -> list[TimedLoadReport]:
-        return [
-            entry
-            for entry in self.reports.values()
-            if now - entry.received_at < _STALE_SECONDS
-        ]
-
-    def _record(self, report: LoadReport, now: float) -> None:
-        self.reports[report.host] = TimedLoadReport(report, now)
-        self.placements.record_report(report.host, report.placements)
-        for instance, slowness in report.move_slowness.items():
-            self.transfer_slowness.note(instance, slowness)
-        self.suspects.extend(report.suspects)
+    def _changed_speeds(self) -> list[FittedSpeed]:
+        changed = []
+        for service, fit in self.fits.items():
+            told = self.told_speeds.get(service)
+            if told is None or _differs(told, fit):
+                speed = FittedSpeed(service, *fit.line)
+                self.told_speeds[service] = speed
+                changed.append(speed)
+        return changed
 
-    def _changing(self, now: float) -> list[str]:
+    def _changing(self) -> list[str]:
+        now = monotonic()
         self.changing_since = {
             instance: changed_at
             for instance, changed_at in self.changing_since.items()
@@ -118,23 +246,16 @@
         }
         return list(self.changing_since)
 
-    def _count_entries(self, now: float) -> int:
-        return sum(
-            now - entry.received_at < _ENTRY_TIMEOUT_SECONDS
-            for entry in self.reports.values()
-        )
-
 
-def _sum_running(entries: list[TimedLoadReport]) -> dict[str, int]:
-    totals = _sum_by_name(entry.report.running for entry in entries)
-    return {name: int(total) for name, total in totals.items()}
+def _check_loads(loads: list[BackendLoad]) -> None:
+    if not all(load.is_valid for load in loads):
+        raise TrestleError(BAD_FRAME, 'a load is not a possible figure')
 
 
-def _sum_by_name(
-    tables: Iterable[dict[str, float] | dict[str, int]],
-) -> dict[str, float]:
-    totals: dict[str, float] = {}
-    for table in tables:
-        for name, amount in table.items():
-            totals[name] = totals.get(name, 0) + amount
-    return totals
+def _differs(told: FittedSpeed, fit: LinearFit) -> bool:
+    """Return whether a line has moved since it was told."""
+    base, slope = fit.line
+    return (
+        abs(base - told.base_ms) > told.base_ms * _SPEED_CHANGE
+        or abs(slope - told.ms_per_token) > told.ms_per_token * _SPEED_CHANGE
+    )
--- a/packages/trestle-entry/src/trestle_entry/direct/cached_parts.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/cached_parts.py
@@ -62,6 +62,16 @@
             self.pending[part_id] = monotonic() + _PENDING_SECONDS
         return is_new
 
+    def is_news(self, part_id: int, tokens: int) -> bool:
+        """Return whether others should hear that a part is cached now.
+
+        Their order of eviction follows what they hear, unless the engine's
+        evictions are reported.
+        """
+        if not self.has_eviction_reports:
+            return True
+        return self.parts.get(part_id, 0) < tokens
+
     def note_prompt(
         self, parts: tuple[PromptPart, ...], kv_cache_tokens: int
     ) -> None:
--- a/packages/trestle-entry/src/trestle_entry/direct/direct_app.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/direct_app.py
@@ -22,7 +22,7 @@
 from trestle_core.settings import DirectSettings
 from trestle_entry.direct.caller_server import CallerServer
 from trestle_entry.direct.direct_context import DirectContext
-from trestle_entry.direct.load_exchange import run_exchange
+from trestle_entry.direct.load_stream import run_load_stream
 from trestle_entry.direct.wire_types import BackendWire, CallerWire
 from trestle_links.control_client import ControlClient
 from trestle_links.handshake import read_key
@@ -76,7 +76,7 @@
     links = LinkPool(identity)
     app.add(start=control.start, stop=control.stop)
     app.add(stop=links.close)
-    app.add_task(lambda: run_exchange(context, control, links))
+    app.add_task(lambda: run_load_stream(context, control, links))
     app.add_task(lambda: _close_expired_connections(context))
     _add_pages(app, context)
 
@@ -125,8 +125,7 @@
         fleet = context.fleet
         fleet.replace_list(control.view.backends)
         context.pool.keep_only(set(fleet.backends))
-        for instance in set(context.loads.caches) - set(fleet.backends):
-            context.loads.forget(instance)
+        context.loads.keep_only(set(fleet.backends))
 
     control.on_document.append(apply_document)
     control.on_stamp.append(apply_document)
--- a/packages/trestle-entry/src/trestle_entry/direct/placement.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/placement.py
@@ -14,31 +14,35 @@
 from trestle_core.digests import rendezvous_score
 from trestle_entry.direct.engine_loads import (
     DECODE_PREFILL_SLOWDOWN,
-    PREFILL_BASE_MS,
     EngineLoads,
-    estimate_prefill_ms,
 )
 from trestle_entry.direct.prefill_work import (
     OTHER_ZONE_FACTOR,
     CopySource,
     PlacementRequest,
     PrefillWork,
+    WorkTimes,
     copy_sources,
     fastest_work,
 )
 from trestle_entry.direct.wire_types import ModelDemand
 from trestle_links.direct_messages import DECODE, PREFILL, Backend
+from trestle_links.linear_fit import COMMON_TOKENS, Line
 
-# Cost of prefilling a shared prefix at the least preferred engine, ms: less
-# than a short queue, more than the noise of the estimates.
-_MAX_AFFINITY_COST_MS: Final = 40.0
+# The weights are multiples of the time in which an engine of the pool prefills
+# a prompt of common size (`EngineSpeeds.unit_ms`).
+# Cost of prefilling a shared prefix at the least preferred engine: less than a
+# short queue, more than the noise of the estimates.
+_MAX_AFFINITY_COST: Final = 0.7
 # Engine time that one more request adds to a decode batch.
-_MS_PER_RUNNING_REQUEST: Final = 4.0
-# Set-up of a KV transfer and the transfer of a prompt of common size.
-_KV_TRANSFER_BASE_MS: Final = 25.0
-# Cost of a prompt token in a body that is sent to another zone, in engine
-# time.
-_OTHER_ZONE_MS_PER_TOKEN: Final = 0.003
+_RUNNING_REQUEST_COST: Final = 0.07
+# What a decode engine that prefills a prompt, in small pieces between the tokens
+# of its streams, adds to the wait for the first token of another stream.
+_PIECE_COST: Final = 0.35
+# Set-up of a copy before a prefill, and its wait for the link of the source.
+_COPY_SETUP_COST: Final = 0.14
+# Cost of sending the body of a prompt of common size to another zone.
+_OTHER_ZONE_COST: Final = 0.1
 # Weight of prefill time in the cost: a token that is prefilled twice is more
 # expensive than its engine time.
 _PREFILL_COST_FACTOR: Final = 3.0
@@ -47,9 +51,9 @@
 # stream that it stalls adds to the multiple.
 _COLOCATION_FACTOR: Final = 1.5
 _STALL_FACTOR: Final = 0.3
-# Longer prompts are never prefilled at a decode engine while there are prefill
-# engines.
-_MAX_COLOCATED_TOKENS: Final = 4500
+# Longer prefills are never done at a decode engine while there are prefill
+# engines: callers wait for the next event of the streams that they stall.
+_MAX_COLOCATED_MS: Final = 220.0
 
 
 class Plan(NamedTuple):
@@ -71,11 +75,13 @@
 
     `cached_tokens` has the leading tokens of the prompt that each instance has
     cached, `affinity_cost_ms` the cost of not being the preferred engine of
-    the prompt's shared prefix.
+    the prompt's shared prefix. `unit_ms` is the unit of the weights.
     """
 
     request: PlacementRequest
     loads: EngineLoads
+    times: WorkTimes
+    unit_ms: float
     cached_tokens: dict[str, int]
     affinity_cost_ms: dict[str, float]
 
@@ -93,13 +99,13 @@
 class DecodeCandidate(NamedTuple):
     """An engine that may decode after a KV transfer; times in ms.
 
-    `transfer_ms` is the time of the transfer to an engine of average speed.
+    `link_ms` is the time for which the transfer keeps the link busy.
     """
 
     cost: float
     wait_ms: float
     backend: Backend
-    transfer_ms: float
+    link_ms: float
 
 
 def plan_request(
@@ -138,10 +144,7 @@
         _decode_candidate(inputs, engine, prefill_engine.backend.zone)
         for engine in decode_engines
     )
-    is_short = (
-        colocated.engine_ms
-        < estimate_prefill_ms(_MAX_COLOCATED_TOKENS) * DECODE_PREFILL_SLOWDOWN
-    )
+    is_short = colocated.engine_ms < _MAX_COLOCATED_MS
     if is_short and colocated.cost < prefill_engine.cost + decode_engine.cost:
         return _colocated_plan(colocated)
     first_token_ms = (
@@ -193,15 +196,25 @@
 ) -> CostInputs:
     demand = request.demand
     affinity_key = _affinity_key(demand)
+    service = engines[0].service
+    unit_ms = loads.speeds.unit_ms(service)
+    affinity_cost_ms = unit_ms * _MAX_AFFINITY_COST
+    times = WorkTimes(
+        loads.speeds.prefill_line(service),
+        Line(unit_ms * _COPY_SETUP_COST, request.transfer_ms_per_token),
+    )
     return CostInputs(
         request,
         loads,
+        times,
+        unit_ms,
         {
             engine.instance: loads.cached_tokens(engine.instance, demand)
             for engine in engines
         },
         {
-            engine.instance: _affinity_cost_ms(affinity_key, engine.instance)
+            engine.instance: affinity_cost_ms
+            * _affinity_distance(affinity_key, engine.instance)
             for engine in engines
         },
     )
@@ -219,13 +232,11 @@
     return str(shared.part_id)
 
 
-def _affinity_cost_ms(affinity_key: str, instance: str) -> float:
-    """Return the cost of an instance by its rendezvous score for the key."""
+def _affinity_distance(affinity_key: str, instance: str) -> float:
+    """Return 0 for the preferred engine of a key, up to 1 for others."""
     if not affinity_key:
         return 0.0
-    return _MAX_AFFINITY_COST_MS * (
-        1 - rendezvous_score(affinity_key, instance) / _MAX_SCORE
-    )
+    return 1 - rendezvous_score(affinity_key, instance) / _MAX_SCORE
 
 
 def _colocated_plan(colocated: PrefillCandidate) -> Plan:
@@ -241,9 +252,12 @@
 def _prefill_candidate(
     inputs: CostInputs, engine: Backend, sources: list[CopySource]
 ) -> PrefillCandidate:
-    work = fastest_work(engine, inputs.request, inputs.cached_tokens, sources)
-    wait_ms = inputs.loads.wait_ms(engine.instance) + work.copy_ms
-    engine_ms = work.prefill_ms * inputs.loads.prefill_slowness_of(
+    work = fastest_work(
+        engine, inputs.request, inputs.cached_tokens, sources, inputs.times
+    )
+    loads = inputs.loads
+    wait_ms = loads.wait_ms(engine) + work.copy_ms
+    engine_ms = work.prefill_ms * loads.speeds.prefill_slowness_of(
         engine.instance
     )
     cost = (
@@ -252,7 +266,7 @@
         + inputs.affinity_cost_ms[engine.instance]
     )
     # A KV transfer has a cost besides the time that it takes.
-    cost += work.copy_ms + _body_cost_ms(inputs.request, engine)
+    cost += work.copy_ms + _body_cost_ms(inputs, engine)
     return PrefillCandidate(cost, wait_ms, engine_ms, engine, work)
 
 
@@ -260,19 +274,20 @@
     inputs: CostInputs, engine: Backend
 ) -> PrefillCandidate:
     loads = inputs.loads
-    work = fastest_work(engine, inputs.request, inputs.cached_tokens, [])
-    slowness = loads.prefill_slowness_of(engine.instance)
-    wait_ms = loads.wait_ms(engine.instance)
-    engine_ms = (
-        work.prefill_ms * slowness * DECODE_PREFILL_SLOWDOWN - PREFILL_BASE_MS
+    work = fastest_work(
+        engine, inputs.request, inputs.cached_tokens, [], inputs.times
     )
+    slowness = loads.speeds.prefill_slowness_of(engine.instance)
+    wait_ms = loads.wait_ms(engine)
+    # The tokens take longer there, but not the base.
+    slowed_ms = work.prefill_ms * DECODE_PREFILL_SLOWDOWN
+    engine_ms = (slowed_ms - inputs.times.prefill.base) * slowness
     running = loads.running_at(engine.instance)
     # All streams of the engine stall while it prefills a chunk of the prompt.
     stall_ms = engine_ms * (_COLOCATION_FACTOR + running * _STALL_FACTOR)
-    cost = wait_ms + stall_ms + running * _MS_PER_RUNNING_REQUEST
-    cost += inputs.affinity_cost_ms[engine.instance] + _body_cost_ms(
-        inputs.request, engine
-    )
+    cost = wait_ms + stall_ms + _batch_cost_ms(inputs, engine)
+    cost += inputs.affinity_cost_ms[engine.instance]
+    cost += _body_cost_ms(inputs, engine)
     return PrefillCandidate(cost, wait_ms, engine_ms, engine, work)
 
 
@@ -285,19 +300,29 @@
         1, demand.prompt_tokens - inputs.cached_tokens[engine.instance]
     )
     factor = 1.0 if engine.zone == zone else OTHER_ZONE_FACTOR
-    payload_ms = moved_tokens * inputs.request.transfer_ms_per_token * factor
-    transfer_ms = _KV_TRANSFER_BASE_MS + payload_ms
-    wait_ms = transfer_ms * loads.transfer_slowness.slowness_of(engine.instance)
-    wait_ms += loads.wait_ms(engine.instance)
-    batch_ms = loads.running_at(engine.instance) * _MS_PER_RUNNING_REQUEST
-    cost = wait_ms + batch_ms + inputs.affinity_cost_ms[engine.instance]
+    speeds = loads.speeds
+    link_ms = moved_tokens * inputs.request.transfer_ms_per_token * factor
+    wait_ms = speeds.transfer_ms(
+        engine.service, link_ms
+    ) * speeds.transfer_slowness.slowness_of(engine.instance)
+    piece_ms = inputs.unit_ms * _PIECE_COST
+    wait_ms += min(loads.wait_ms(engine), piece_ms)
+    cost = wait_ms + _batch_cost_ms(inputs, engine)
+    cost += inputs.affinity_cost_ms[engine.instance]
     # A KV transfer has a cost besides the time that it takes.
-    cost += payload_ms + _body_cost_ms(inputs.request, engine)
-    return DecodeCandidate(cost, wait_ms, engine, transfer_ms)
+    cost += link_ms + _body_cost_ms(inputs, engine)
+    return DecodeCandidate(cost, wait_ms, engine, link_ms)
+
+
+def _batch_cost_ms(inputs: CostInputs, engine: Backend) -> float:
+    """Return the cost of joining the running requests of an engine."""
+    running = inputs.loads.running_at(engine.instance)
+    return running * inputs.unit_ms * _RUNNING_REQUEST_COST
 
 
-def _body_cost_ms(request: PlacementRequest, engine: Backend) -> float:
+def _body_cost_ms(inputs: CostInputs, engine: Backend) -> float:
     """Return the cost of sending the request body to the engine's zone."""
-    if engine.zone == request.zone:
+    if engine.zone == inputs.request.zone:
         return 0.0
-    return request.demand.prompt_tokens * _OTHER_ZONE_MS_PER_TOKEN
+    size = inputs.request.demand.prompt_tokens / COMMON_TOKENS
+    return size * inputs.unit_ms * _OTHER_ZONE_COST
--- a/packages/trestle-entry/src/trestle_entry/direct/plain_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/plain_dispatch.py
@@ -83,7 +83,7 @@
     context = run.context
     options = SendOptions(backend.instance, remaining_ms(run.request.deadline))
     run.trace.add('send', backend.instance)
-    with context.loads.track_request(backend.instance):
+    with context.loads.own.track_request(backend.instance):
         opened = open_answer(
             context,
             run.request,
@@ -114,7 +114,8 @@
     slots = max(_MIN_SLOTS, chosen.slots)
     if running >= slots * _QUEUE_FACTOR and not run.runs:
         raise RefusedError(
-            OVERLOADED, f'{running} requests at a back end with {slots} slots'
+            OVERLOADED,
+            f'{running:.0f} requests at a back end with {slots} slots',
         )
     return chosen
 
--- a/packages/trestle-entry/src/trestle_entry/direct/prefill_work.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/prefill_work.py
@@ -8,14 +8,12 @@
 
 from typing import Final, NamedTuple
 
-from trestle_entry.direct.engine_loads import estimate_prefill_ms
 from trestle_entry.direct.wire_types import ModelDemand
 from trestle_links.direct_messages import Backend
+from trestle_links.linear_fit import Line
 
 # Between zones a transfer takes twice as long.
 OTHER_ZONE_FACTOR: Final = 2.0
-# Set-up of a copy and its wait for the link of the source.
-_COPY_SETUP_MS: Final = 8.0
 # Fewer tokens are prefilled in less time than a copy takes to set up.
 _MIN_COPIED_TOKENS: Final = 1000
 
@@ -32,6 +30,17 @@
     transfer_ms_per_token: float
 
 
+class WorkTimes(NamedTuple):
+    """Times of an engine of average speed, ms.
+
+    `prefill` has a base and a time for each token, `copy` a set-up, with the
+    wait for the link of the source, and a time for each token.
+    """
+
+    prefill: Line
+    copy: Line
+
+
 class CopySource(NamedTuple):
     """An engine and the leading tokens of a prompt that it has cached."""
 
@@ -39,6 +48,14 @@
     backend: Backend
 
 
+class Copy(NamedTuple):
+    """Tokens that are copied from another engine, and the time in ms."""
+
+    tokens: int
+    source: Backend
+    copy_ms: float
+
+
 class PrefillWork(NamedTuple):
     """How an engine obtains the KV cache of a prompt.
 
@@ -82,41 +99,33 @@
     request: PlacementRequest,
     cached_tokens: dict[str, int],
     sources: list[CopySource],
+    times: WorkTimes,
 ) -> PrefillWork:
     """Return the fastest way for an engine to obtain a prompt's KV cache."""
     own_tokens = cached_tokens[engine.instance]
-    options = [_build_work(request.demand, own_tokens, 0, None, 0.0)]
+    uncached_tokens = request.demand.prompt_tokens - own_tokens
+    options = [_build_work(uncached_tokens, None, times)]
     for candidate in sources:
         copied_tokens = candidate.tokens - own_tokens
         if copied_tokens >= _MIN_COPIED_TOKENS:
             source = candidate.backend
             factor = 1.0 if source.zone == engine.zone else OTHER_ZONE_FACTOR
-            copy_ms = (
-                _COPY_SETUP_MS
-                + copied_tokens * request.transfer_ms_per_token * factor
-            )
-            options.append(
-                _build_work(
-                    request.demand, own_tokens, copied_tokens, source, copy_ms
-                )
+            copy = Copy(
+                copied_tokens, source, times.copy.at(1, copied_tokens * factor)
             )
+            options.append(_build_work(uncached_tokens, copy, times))
     return min(options, key=lambda work: work.copy_ms + work.prefill_ms)
 
 
 def _build_work(
-    demand: ModelDemand,
-    cached_tokens: int,
-    copied_tokens: int,
-    source: Backend | None,
-    copy_ms: float,
+    missing_tokens: int, copy: Copy | None, times: WorkTimes
 ) -> PrefillWork:
-    uncached_tokens = max(
-        1, demand.prompt_tokens - cached_tokens - copied_tokens
-    )
+    copied_tokens = copy.tokens if copy else 0
+    uncached_tokens = max(1, missing_tokens - copied_tokens)
     return PrefillWork(
         uncached_tokens,
         copied_tokens,
-        source,
-        copy_ms,
-        estimate_prefill_ms(uncached_tokens),
+        copy.source if copy else None,
+        copy.copy_ms if copy else 0.0,
+        times.prefill.at(1, uncached_tokens),
     )
--- a/packages/trestle-entry/src/trestle_entry/direct/prompt_prefill.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/prompt_prefill.py
@@ -100,19 +100,15 @@
 def _prefill_at(run: ModelRun, plan: Plan, engine: Backend) -> KvHandle | None:
     loads = run.context.loads
     started_at = monotonic()
-    wait_ms = loads.wait_ms(engine.instance)
+    call = loads.prefill_call(engine, plan.work.uncached_tokens)
     loads.note_pending(engine.instance, run.demand)
-    with loads.track_prefill(engine.instance, plan.prefill_ms):
+    with loads.own.track_prefill(engine.instance, call.tokens):
         answer = _call(run, engine, plan.work.fetch_from)
     if answer.head.status != OK:
         _note_prefill_failed(run, engine, answer.head)
         return None
     took_ms = (monotonic() - started_at) * _MS_PER_SECOND
-    loads.note_prefill_time(
-        engine.instance,
-        (wait_ms + plan.work.copy_ms + plan.prefill_ms) or 1.0,
-        took_ms,
-    )
+    loads.speeds.note_prefill(call, took_ms - plan.work.copy_ms)
     loads.note_cached(engine.instance, run.demand, kv_cache_tokens(run))
     run.context.fleet.note_served(engine.instance)
     run.trace.add('read done', f'{took_ms:.0f} ms')
--- a/packages/trestle-links/src/trestle_links/direct_messages.py
+++ b/packages/trestle-links/src/trestle_links/direct_messages.py
@@ -1,9 +1,10 @@
-"""Route documents, back ends and loads; codes 140 to 159.
+"""Route documents and back ends; codes 140 to 145.
 
 An entry that dispatches directly to back ends needs three things of the
 control state: the route document in force, the back ends that the platform
 lists, and the load that the other entries put on them. The first two come as
-deltas of the state stream; loads are exchanged with the leader.
+deltas of the state stream; `load_messages` has the loads. Codes 146 and 147
+were used by an earlier exchange of loads and are not used again.
 """
 
 from typing import Final, NamedTuple
@@ -95,47 +96,3 @@
 
     instance: str
     parts: dict[int, int]
-
-
-@message(146)
-class LoadReport(NamedTuple):
-    """What one entry has in work, by back end.
-
-    `prefill_ms` is predicted engine time of prompts that are not read yet,
-    `running` counts requests in work, `seen` is the number of the last
-    placement that the entry knows, of the leader of `term`. `move_slowness`
-    tells how many times slower than expected engines took over memory since
-    the last report.
-    """
-
-    host: str
-    prefill_ms: dict[str, float]
-    running: dict[str, int]
-    placements: list[Placement]
-    suspects: list[str]
-    seen: int
-    term: int = 0
-    move_slowness: dict[str, float] = {}
-
-
-@message(147)
-class LoadView(NamedTuple):
-    """The sums of the other entries, and placements after `seen`.
-
-    `entries` counts the entries that reported lately, the asking one
-    included; `age_ms` is the age of the oldest report in the sums.
-    `memories` replace what is known of an engine's memory, before the
-    placements. `move_slowness` is estimated from the moves of all entries.
-    """
-
-    entries: int
-    prefill_ms: dict[str, float]
-    running: dict[str, int]
-    placements: list[Placement]
-    suspects: list[str]
-    seen: int
-    age_ms: int
-    changing: list[str] = []
-    term: int = 0
-    memories: list[EngineMemory] = []
-    move_slowness: dict[str, float] = {}
--- a/packages/trestle-links/src/trestle_links/engine_slowness.py
+++ b/packages/trestle-links/src/trestle_links/engine_slowness.py
@@ -70,12 +70,14 @@
         }
 
     def take(self, figures: dict[str, float]) -> None:
-        """Take over the estimates of another table."""
+        """Take over estimates of another table."""
         now = monotonic()
         for instance, slowness in figures.items():
             self.estimates[instance] = Estimate(slowness, now)
         if figures:
-            self.fastest = min(figures.values())
+            self.fastest = min(
+                estimate.slowness for estimate in self.estimates.values()
+            )
 
     def forget(self, instance: str) -> None:
         """Forget an engine that ended."""
--- /dev/null
+++ b/packages/trestle-links/src/trestle_links/load_messages.py
@@ -0,0 +1,113 @@
+"""The stream of loads between an entry and the leader; codes 148 to 151.
+
+An entry opens a channel with `FollowLoads` and then sends a `LoadChange` for
+whatever changes. The leader adds up the loads of all entries and pushes the
+same `LoadDelta` to each of them, so a push is packed once. Loads are absolute
+figures: a later one replaces an earlier one.
+"""
+
+from typing import Final, NamedTuple
+
+from trestle_links.codec import message
+from trestle_links.direct_messages import EngineMemory, Placement
+
+# Larger figures are not loads; a message with them is malformed.
+MAX_LOAD_FIGURE: Final = 1_000_000_000
+
+
+class BackendLoad(NamedTuple):
+    """Work at one back end.
+
+    `running` counts requests, `prompts` those whose prefill has not finished,
+    `tokens` the tokens of these that the engine has to prefill.
+    """
+
+    instance: str
+    running: int = 0
+    prompts: int = 0
+    tokens: int = 0
+
+    @property
+    def is_valid(self) -> bool:
+        """Whether every figure is possible."""
+        return all(0 <= figure <= MAX_LOAD_FIGURE for figure in self[1:])
+
+
+class FailureNotice(NamedTuple):
+    """An entry in `zone` got no answer from a back end."""
+
+    instance: str
+    host: str
+    zone: str
+
+
+class FitSums(NamedTuple):
+    """The prefills of a service since the last report of an entry.
+
+    `calls` were made; `sums` are the fields of `linear_fit.CallSums`.
+    """
+
+    service: str
+    calls: int
+    sums: list[float]
+
+
+class FittedSpeed(NamedTuple):
+    """Engine time of a prefill at a service: `base_ms` and a time per token."""
+
+    service: str
+    base_ms: float
+    ms_per_token: float
+
+
+@message(148)
+class FollowLoads(NamedTuple):
+    """Open the stream; `loads` are all loads of the entry on `host`."""
+
+    host: str
+    loads: list[BackendLoad]
+
+
+@message(149)
+class LoadChange(NamedTuple):
+    """What changed at an entry since its last message.
+
+    `number` counts the changes of a stream from 1. `transfer_slowness` has the
+    ratios of actual to predicted times of KV transfers by engine.
+    """
+
+    number: int
+    loads: list[BackendLoad]
+    placements: list[Placement]
+    suspects: list[str]
+    transfer_slowness: dict[str, float]
+    fits: list[FitSums]
+    failures: list[FailureNotice]
+
+
+@message(151)
+class LoadDelta(NamedTuple):
+    """What changed over all entries.
+
+    `loads` are sums over all entries, the receiving one included. `memories`
+    replace what is known of an engine's cache, before the placements.
+    `changing` lists the engines whose role is being changed.
+    """
+
+    entries: int
+    loads: list[BackendLoad]
+    placements: list[Placement]
+    memories: list[EngineMemory]
+    suspects: list[str]
+    changing: list[str]
+    transfer_slowness: dict[str, float]
+    speeds: list[FittedSpeed]
+    failures: list[FailureNotice]
+
+
+@message(150)
+class LoadPush(NamedTuple):
+    """A packed `LoadDelta`, and the last change of the receiver in its sums."""
+
+    applied: int
+    packed: bytes
--- a/testbed/placement_cases.py
+++ b/testbed/placement_cases.py
@@ -1,12 +1,15 @@
 """Engines and prompts for cases on placement, without any network."""
 
+from collections.abc import Sequence
+
 from behave.runner import Context
 
 from trestle_entry.direct.engine_loads import EngineLoads
 from trestle_entry.direct.placement import Plan, plan_request
 from trestle_entry.direct.prefill_work import PlacementRequest
 from trestle_entry.direct.wire_types import ModelDemand, PromptPart
-from trestle_links.direct_messages import Backend, LoadView
+from trestle_links.direct_messages import Backend, Placement
+from trestle_links.load_messages import BackendLoad, LoadDelta
 
 ZONES = ('plovdiv-a', 'plovdiv-b', 'asenovgrad')
 LIMIT_TOKENS = 500_000
@@ -39,6 +42,21 @@
     return ModelDemand('m', 17_000, 13, parts)
 
 
-def view(context: Context, prefill_ms: dict[str, float]) -> LoadView:
-    """Return a view of the others' prompts."""
-    return LoadView(4, prefill_ms, {}, [], [], 0, 0)
+def delta(placements: Sequence[Placement] = ()) -> LoadDelta:
+    """Return what a leader of four entries pushes, without any load."""
+    return LoadDelta(4, [], list(placements), [], [], [], {}, [], [])
+
+
+def tokens_of(loads: EngineLoads, engine_ms: float) -> int:
+    """Return the tokens of one prompt that takes an engine so long."""
+    line = loads.speeds.prefill_line('llm')
+    return round((engine_ms - line.base) / line.slope)
+
+
+def report_others(loads: EngineLoads, prefill_ms: dict[str, float]) -> None:
+    """Let an entry hear of one prompt of others at some engines."""
+    reported = [
+        BackendLoad(instance, 1, 1, tokens_of(loads, engine_ms))
+        for instance, engine_ms in prefill_ms.items()
+    ]
+    loads.shared.apply(0, reported, is_first=True)
--- a/testbed/platform_cache.py
+++ b/testbed/platform_cache.py
@@ -1,5 +1,6 @@
 """The prompt cache of a stand-in engine, as the platform's wire tells it."""
 
+from collections.abc import Iterator
 from typing import Any, Final
 
 from msgspec.json import encode
@@ -18,11 +19,13 @@
 
     def note_read(self, prefix: str) -> None:
         """Keep the parts `ID:TOKENS,...` of a prompt."""
-        for entry in prefix.split(','):
-            part, _, tokens = entry.strip().partition(':')
-            if part and part not in self.held:
-                self.held[part] = int(tokens)
-                self._add('+', part, int(tokens))
+        for part, tokens in _missing(prefix, self.held):
+            self.held[part] = tokens
+            self._add('+', part, tokens)
+
+    def missing_tokens(self, prefix: str) -> int:
+        """Return the tokens of a prompt's parts that are not held."""
+        return sum(tokens for _, tokens in _missing(prefix, self.held))
 
     def drop(self, part: str) -> None:
         """Let a part yield."""
@@ -51,3 +54,11 @@
     def _add(self, sign: str, part: str, kept: int) -> None:
         number = len(self.events)
         self.events.append([number, sign, '', part, kept, _MODEL])
+
+
+def _missing(prefix: str, held: dict[str, int]) -> Iterator[tuple[str, int]]:
+    """Return the parts of a prompt that are not held, with their tokens."""
+    for entry in prefix.split(','):
+        part, _, tokens = entry.strip().partition(':')
+        if part and part not in held:
+            yield part, int(tokens)
--- a/testbed/platform_replica.py
+++ b/testbed/platform_replica.py
@@ -18,6 +18,8 @@
 _PREFIX: Final = 'Kingcuptrestle-'
 _READ_BYTES: Final = 65_536
 _SLOW_SECONDS: Final = 30.0
+# Time of a prefill.
+_SECONDS_PER_TOKEN: Final = 0.00002
 _RESET: Final = b'\x01\x00\x00\x00\x00\x00\x00\x00'
 
 
@@ -104,7 +106,9 @@
             return self._decline(sock, received, 421)
         handle = f'h{len(self.handles) + len(self.freed)}{self.instance}'
         self.handles.add(handle)
-        self.cache.note_read(received.named('Prefix-Hash'))
+        prefix = received.named('Prefix-Hash')
+        sleep(self.cache.missing_tokens(prefix) * _SECONDS_PER_TOKEN)
+        self.cache.note_read(prefix)
         return _send(sock, 200, {}, encode({'kvHandle': handle}))
 
     def _run(self, sock: socket, received: Received) -> bool:
