--- a/features/steps/load_streams_steps.py
+++ b/features/steps/load_streams_steps.py
@@ -20,7 +20,7 @@
 from trestle_links.load_messages import BackendLoad, FitSums, LoadPush
 
 MUCH_WAITING = 10_000_000
-FAULTS = {
+FAULTS: dict[str, dict[str, Any]] = {
     'a negative load': {'loads': [BackendLoad('e1', -1)]},
     'a load too large': {'loads': [BackendLoad('e1', 10**12)]},
     'sums cut short': {'fits': [FitSums('llm', 1, [1.0])]},
@@ -32,8 +32,9 @@
     """Make the table of a leading host."""
     replica: Any = Mock(is_leader=True, term=1)
     context.replica = replica
-    context.load_table = LoadTable(replica)
-    return context.load_table
+    table = LoadTable(replica)
+    context.load_table = table
+    return table
 
 
 def entry(context: Context, number: int) -> EntryStream:
