What one entry saw of a back end travels; a refused connection is no resend

A connection that was not made is now no send, and a resend that reached nothing is given back; at most 8 back ends are tried in vain. Entries tell of back ends they could not reach through the loads: a refused connection is proof, silence needs two entries that are not both of another zone.

--- a/features/direct_rules.feature
+++ b/features/direct_rules.feature
@@ -133,3 +133,23 @@
     Given a fleet with another engine that reads
     When an engine declines 2 reads as full
     Then half a second later both may be asked to read
+
+  Scenario: Memory of a prompt is freed when all engines decline it
+    Given a model request whose prompt was read, and no resend is allowed
+    When the engine that should take the memory declines
+    Then the request is refused as not run, with no resend left, and the memory is freed
+
+  Scenario: Engines that refuse connections use up no resend
+    Given a model request on 5 engines that read, and no resend is allowed
+    When all engines that read but the last refuse connections
+    Then the prompt was read after 4 refused connections and no resend was taken
+
+  Scenario: A resend that reaches no back end is given back
+    Given a model request that was broken off once, and 1 resends are left
+    When the next back end refuses connections and the one after it answers
+    Then it was answered, and 1 resends were taken from the limits
+
+  Scenario: An engine that nobody can connect to ends the search
+    Given a model request on 20 engines that read, and no resend is allowed
+    When all engines refuse connections
+    Then the request is refused as not run after at most 9 connections
--- a/features/steps/direct_beliefs_steps.py
+++ b/features/steps/direct_beliefs_steps.py
@@ -124,7 +124,9 @@
     reporting = EntryStream(context.load_table, EngineLoads('entry-1'))
     size = count // reports
     for first in range(0, count, size):
-        reporting.loads.placements = context.placed[first : first + size]
+        reporting.loads.reports.placements = context.placed[
+            first : first + size
+        ]
         reporting.report()
 
 
--- a/features/steps/engine_memory_steps.py
+++ b/features/steps/engine_memory_steps.py
@@ -81,7 +81,7 @@
 ) -> None:
     """Report a placement, and let another entry hear of it."""
     stream = stream_of(context, name)
-    stream.loads.placements.append(Placement(part, tokens, instance))
+    stream.loads.reports.placements.append(Placement(part, tokens, instance))
     stream.report()
     ask(context, 'b')
 
--- a/features/steps/load_streams_steps.py
+++ b/features/steps/load_streams_steps.py
@@ -17,7 +17,12 @@
 from trestle_entry.direct.engine_loads import EngineLoads
 from trestle_links.codec import decode_message
 from trestle_links.connection import CallTimeoutError
-from trestle_links.load_messages import BackendLoad, FitSums, LoadPush
+from trestle_links.load_messages import (
+    BackendLoad,
+    FailureNotice,
+    FitSums,
+    LoadPush,
+)
 
 MUCH_WAITING = 10_000_000
 FAULTS: dict[str, dict[str, Any]] = {
@@ -285,7 +290,7 @@
 def step_all_know(context: Context, number: int) -> None:
     for stream in context.streams:
         stream.loads.note_cached(f'prefill-{number}', LONG, LIMIT_TOKENS)
-        stream.loads.placements.clear()
+        stream.loads.reports.placements.clear()
 
 
 @when('each entry plans the long prompt in turn')
@@ -311,3 +316,18 @@
 def step_first_ones(context: Context, number: int, most: int) -> None:
     assert context.order[0] == f'prefill-{number}', context.order
     assert max(context.counts.values()) <= most, context.counts
+
+
+@when('entry {number:d} cannot connect to engine "{instance}"')
+def step_cannot_connect(context: Context, number: int, instance: str) -> None:
+    loads = entry(context, number).loads
+    notice = FailureNotice(instance, loads.host, 'zone', is_refused=True)
+    loads.reports.note_failure(notice)
+    entry(context, number).report()
+
+
+@then('every entry was told of {count:d} engine that refuses connections')
+def step_all_told(context: Context, count: int) -> None:
+    for pushes in context.pushes:
+        delta: Any = decode_message(pushes[-1].packed)
+        assert len(delta.failures) == count, delta
--- a/packages/trestle-control/src/trestle_control/load_table.py
+++ b/packages/trestle-control/src/trestle_control/load_table.py
@@ -31,6 +31,7 @@
 from trestle_links.link_server import Handlers
 from trestle_links.load_messages import (
     BackendLoad,
+    FailureNotice,
     FitSums,
     FittedSpeed,
     FollowLoads,
@@ -52,6 +53,7 @@
 # new role a second later.
 _ROLE_CHANGE_SECONDS: Final = 4.5
 _MAX_SUSPECTS: Final = 64
+_MAX_FAILURES: Final = 200
 # Change of a fitted line that is worth telling.
 _SPEED_CHANGE: Final = 0.03
 
@@ -89,6 +91,7 @@
         self.changed_slowness: set[str] = set()
         self.suspects: deque[str] = deque(maxlen=_MAX_SUSPECTS)
         self.new_suspects: list[str] = []
+        self.new_failures: list[FailureNotice] = []
         self.fits: dict[str, LinearFit] = {}
         self.told_speeds: dict[str, FittedSpeed] = {}
         # Time of the last role order by engine.
@@ -159,6 +162,7 @@
             self.changed_slowness.add(instance)
         self.suspects.extend(change.suspects)
         self.new_suspects.extend(change.suspects)
+        self.new_failures.extend(change.failures)
         for fit_sums in change.fits:
             self._pool(fit_sums)
 
@@ -197,6 +201,8 @@
     def _changed_delta(self) -> LoadDelta:
         suspects = self.new_suspects
         self.new_suspects = []
+        failures = self.new_failures[:_MAX_FAILURES]
+        self.new_failures = []
         changed_slowness = {
             instance: round(self.transfer_slowness.slowness_of(instance), 2)
             for instance in self.changed_slowness
@@ -211,7 +217,7 @@
             changing=self._changing(),
             transfer_slowness=changed_slowness,
             speeds=self._changed_speeds(),
-            failures=[],
+            failures=failures,
         )
 
     def _complete_delta(self) -> LoadDelta:
--- a/packages/trestle-entry/src/trestle_entry/direct/backend_exchange.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/backend_exchange.py
@@ -43,6 +43,11 @@
 class NotSentError(OSError):
     """No byte of the request was sent."""
 
+    @property
+    def is_refused(self) -> bool:
+        """Whether the host answered that no process listens there."""
+        return isinstance(self.__cause__, ConnectionRefusedError)
+
 
 class BrokenAnswerError(OSError):
     """The answer is incomplete; the back end may have run the request."""
--- a/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
@@ -13,6 +13,7 @@
 from trestle_entry.direct.request_log import RequestLog
 from trestle_entry.direct.retry_limits import RetryLimits
 from trestle_entry.direct.wire_types import BackendWire, CallerWire
+from trestle_links.load_messages import FailureNotice
 
 _MS_PER_SECOND: Final = 1000
 
@@ -72,6 +73,21 @@
         """Return whether the retry limits of a service allow a resend."""
         return self.limits_for(service).allows(self.loads.entry_count)
 
+    def return_resend(self, service: str) -> None:
+        """Take back a resend that reached no back end."""
+        self.limits_for(service).give_back()
+        self.metrics.count('resends', 'returned')
+
+    def note_unreachable(
+        self, instance: str, reason: str, *, is_refused: bool
+    ) -> None:
+        """Record a back end without an answer, also for the other entries."""
+        self.fleet.note_unreachable(instance, reason)
+        settings = self.settings
+        self.loads.reports.note_failure(
+            FailureNotice(instance, settings.host, settings.zone, is_refused)
+        )
+
     def take_resend(self, service: str) -> bool:
         """Count a resend if the retry limits of a service allow it."""
         allowed = self.limits_for(service).take(self.loads.entry_count)
--- a/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
@@ -12,6 +12,7 @@
 from trestle_core.errors import TrestleError
 from trestle_entry.direct.cached_parts import CachedParts
 from trestle_entry.direct.engine_speeds import EngineSpeeds, PrefillCall
+from trestle_entry.direct.entry_reports import EntryReports
 from trestle_entry.direct.own_loads import OwnLoads
 from trestle_entry.direct.shared_loads import SharedLoads
 from trestle_entry.direct.wire_types import ModelDemand
@@ -26,7 +27,6 @@
 
 # A decode engine prefills at half the speed of a prefill engine.
 DECODE_PREFILL_SLOWDOWN: Final = 2.0
-_MAX_UNREPORTED_PLACEMENTS: Final = 300
 _MS_PER_SECOND: Final = 1000
 
 
@@ -40,9 +40,7 @@
         self.shared = SharedLoads()
         self.speeds = EngineSpeeds()
         self.caches: dict[str, CachedParts] = {}
-        # What this entry has to report.
-        self.placements: list[Placement] = []
-        self.crash_notices: list[str] = []
+        self.reports = EntryReports(self.own.changed)
         # The entries that share the fleet, this one included.
         self.entry_count = 1
 
@@ -70,6 +68,12 @@
         # The engine works on one prompt; the others have not begun.
         return total_ms - min(done_ms, total_ms / max(prompts, 1.0))
 
+    def prompts_at(self, instance: str) -> float:
+        """Return the prompts in the prefill queue of an engine."""
+        own = self.own.queues.get(instance)
+        others = self.shared.at(instance)
+        return others.prompts + (len(own.prompts) if own else 0)
+
     def running_at(self, instance: str) -> float:
         """Return the running requests at a back end, over all entries."""
         own = self.own.running.get(instance, 0)
@@ -102,7 +106,7 @@
         cache = self.caches.setdefault(instance, CachedParts())
         for part in demand.parts[:-1]:
             if cache.note_pending(part.part_id, part.tokens):
-                self._report(
+                self.reports.note_placement(
                     Placement(
                         part.part_id, part.tokens, instance, arriving=True
                     )
@@ -116,7 +120,9 @@
         # The last part belongs to a single request or session.
         for part in demand.parts[:-1]:
             if cache.is_news(part.part_id, part.tokens):
-                self._report(Placement(part.part_id, part.tokens, instance))
+                self.reports.note_placement(
+                    Placement(part.part_id, part.tokens, instance)
+                )
         cache.note_prompt(demand.parts, kv_cache_tokens)
 
     def keep_only(self, instances: set[str]) -> None:
@@ -139,11 +145,11 @@
         change = LoadChange(
             number,
             self.own.take_unreported(),
-            self._take_placements(),
-            self._take_crash_notices(),
+            self.reports.take_placements(),
+            self.reports.take_crash_notices(),
             self.speeds.take_transfer_samples(),
             self.speeds.take_fit_sums(),
-            [],
+            self.reports.take_failures(),
         )
         self.shared.note_sent(number, change.loads)
         return change
@@ -170,26 +176,7 @@
             else:
                 cache.note_part(placement.part, placement.tokens)
 
-    def _take_placements(self) -> list[Placement]:
-        taken = self.placements[-_MAX_UNREPORTED_PLACEMENTS:]
-        self.placements = []
-        return taken
-
-    def note_crash(self, notice: str) -> None:
-        """Record a notice of the crash guard for the other entries."""
-        self.crash_notices.append(notice)
-        self.own.changed.set()
-
-    def _take_crash_notices(self) -> list[str]:
-        taken = self.crash_notices
-        self.crash_notices = []
-        return taken
-
     def _apply_memories(self, memories: list[EngineMemory]) -> None:
         for memory in memories:
             cache = self.caches.setdefault(memory.instance, CachedParts())
             cache.replace(memory.parts)
-
-    def _report(self, placement: Placement) -> None:
-        self.placements.append(placement)
-        self.own.changed.set()
--- a/packages/trestle-entry/src/trestle_entry/direct/fleet_view.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/fleet_view.py
@@ -2,10 +2,10 @@
 
 The list contains the back ends that exist and marks those that are leaving. It
 lags, and it does not show a back end that crashed, became unreachable or fails
-some of its requests. Health is therefore derived from the outcomes of this
-entry's own calls: a back end that could not be reached is excluded with
-exponential back-off, and one that fails often is used only if no other is
-left.
+some of its requests. Health is therefore derived from the outcomes of calls: a
+back end that this entry or others could not reach is excluded with exponential
+back-off, and one that fails this entry's calls often is used only if no other
+is left.
 """
 
 from time import monotonic
@@ -13,6 +13,7 @@
 
 from trestle_core.logs import part_logger
 from trestle_links.direct_messages import Backend
+from trestle_links.load_messages import FailureNotice
 
 _MIN_BACKOFF_SECONDS: Final = 0.5
 _MAX_BACKOFF_SECONDS: Final = 4.0
@@ -21,6 +22,8 @@
 _DECLINED_SECONDS: Final = 1.5
 # Exclusion of a back end that is full.
 _FULL_SECONDS: Final = 0.3
+# Time in which a second entry must confirm that a back end is unreachable.
+_REPORT_VALID_SECONDS: Final = 1.0
 # Weight of one outcome in the moving average of failures.
 _OUTCOME_WEIGHT: Final = 0.15
 # Above this failure rate a back end is used only if no other is left.
@@ -63,6 +66,9 @@
         self.backends: dict[str, Backend] = {}
         self.by_service: dict[str, list[Backend]] = {}
         self.health_by_instance: dict[str, BackendHealth] = {}
+        # Zone and time of the reports of entries that could not reach a back
+        # end, by instance and host.
+        self.reports: dict[str, dict[str, tuple[str, float]]] = {}
         # Engines whose role is being changed, as reported by the leader.
         self.changing_role: set[str] = set()
 
@@ -75,6 +81,8 @@
                 self.by_service.setdefault(backend.service, []).append(backend)
         for instance in set(self.health_by_instance) - set(self.backends):
             self.health_by_instance.pop(instance)
+        for instance in set(self.reports) - set(self.backends):
+            self.reports.pop(instance)
 
     def may_send(self, backend: Backend) -> bool:
         """Return whether a back end is still listed and not leaving."""
@@ -128,8 +136,11 @@
 
     def note_unreachable(self, instance: str, reason: str) -> None:
         """Record a failed connection attempt or a call without an answer."""
+        self._health_of(instance).note(has_failed=True)
+        self._exclude(instance, reason)
+
+    def _exclude(self, instance: str, reason: str) -> None:
         health = self._health_of(instance)
-        health.note(has_failed=True)
         if health.excluded_until > monotonic():
             return
         health.backoff_seconds = min(
@@ -144,6 +155,31 @@
             reason,
         )
 
+    def note_reported(
+        self, notices: list[FailureNotice], own_zone: str
+    ) -> None:
+        """Record what entries, this one included, could not reach.
+
+        A refused connection is proof. Otherwise the link of the entry may be
+        at fault, so two entries must agree that are not both of another zone.
+        """
+        for notice in notices:
+            if notice.instance not in self.backends:
+                continue
+            if notice.is_refused or self._is_confirmed(notice, own_zone):
+                self._exclude(notice.instance, f'told by {notice.host}')
+
+    def _is_confirmed(self, notice: FailureNotice, own_zone: str) -> bool:
+        now = monotonic()
+        reports = self.reports.setdefault(notice.instance, {})
+        reports[notice.host] = (notice.zone, now)
+        zones = [
+            zone
+            for zone, reported_at in reports.values()
+            if now - reported_at < _REPORT_VALID_SECONDS
+        ]
+        return len(zones) > 1 and (own_zone in zones or len(set(zones)) > 1)
+
     def note_declined(self, instance: str, *, is_full: bool) -> None:
         """Record that a back end declines such requests at present.
 
--- a/packages/trestle-entry/src/trestle_entry/direct/load_stream.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/load_stream.py
@@ -99,6 +99,7 @@
             raise LinkDownError('the leader ended the stream', sent=False)
         delta = context.loads.apply_push(push, is_first=is_first)
         context.crash_guard.record_notices(delta.suspects)
+        context.fleet.note_reported(delta.failures, context.settings.zone)
         context.fleet.changing_role = set(delta.changing)
         monitor.note_reached()
         is_first = False
--- a/packages/trestle-entry/src/trestle_entry/direct/model_run.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_run.py
@@ -87,4 +87,4 @@
         """Record the interruption, also for the crash guard."""
         super().note_interrupted(instance, reason)
         notice = self.context.crash_guard.record(self.digest, instance)
-        self.context.loads.note_crash(notice)
+        self.context.loads.reports.note_crash(notice)
--- a/packages/trestle-entry/src/trestle_entry/direct/prompt_prefill.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/prompt_prefill.py
@@ -62,13 +62,13 @@
     engine = plan.prefill_engine
     if engine is None:
         return None
-    run.prefills += 1
     run.trace.add(
         'read',
         f'{engine.instance}: {plan.first_token_ms:.0f} ms predicted, '
         f'{plan.work.uncached_tokens} of {run.demand.prompt_tokens} tokens, '
         f'{plan.work.copied_tokens} copied',
     )
+    run.prefills += 1
     timeout_ms = plan.first_token_ms * _TIMEOUT_FACTOR + _TIMEOUT_BASE_MS
     limit = Timeout(timeout_ms / _MS_PER_SECOND)
     try:
@@ -79,7 +79,8 @@
             raise
         _avoid_engine(run, engine, 'no answer in time')
     except NotSentError as error:
-        _avoid_engine(run, engine, str(error))
+        run.prefills -= 1
+        run.note_not_sent(engine.instance, error)
     except BrokenAnswerError as error:
         _avoid_engine(run, engine, str(error))
         run.note_interrupted(engine.instance, str(error))
@@ -148,7 +149,7 @@
 def _avoid_engine(run: ModelRun, engine: Backend, reason: str) -> None:
     run.trace.add('reader lost', f'{engine.instance}: {reason}')
     run.avoided.add(engine.instance)
-    run.context.fleet.note_unreachable(engine.instance, reason)
+    run.context.note_unreachable(engine.instance, reason, is_refused=False)
 
 
 def _free(context: DirectContext, handle: KvHandle) -> None:
--- a/packages/trestle-entry/src/trestle_entry/direct/request_run.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/request_run.py
@@ -15,6 +15,7 @@
 from trestle_core.errorcodes import (
     ANSWER_INCOMPLETE,
     DEADLINE_PASSED,
+    NO_ENDPOINT,
     RETRY_BUDGET,
     ErrorCode,
 )
@@ -31,6 +32,9 @@
 
 # Sends of one request, including those that back ends declined.
 _MAX_SENDS: Final = 4
+# Back ends that one request may fail to connect to. No byte reaches them, so
+# these are not sends.
+_MAX_FAILED_CONNECTS: Final = 8
 _MIN_TIMEOUT_SECONDS: Final = 0.001
 _MS_PER_SECOND: Final = 1000
 
@@ -54,6 +58,7 @@
         self.service = route_match.service
         self.trace = trace
         self.sends = 0
+        self.failed_connects = 0
         self.runs = 0
         self.avoided: set[str] = set()
 
@@ -88,6 +93,22 @@
         """Record that a back end broke off its answer to this request."""
         self.context.fleet.note_failed(instance, reason)
 
+    def note_not_sent(self, instance: str, error: NotSentError) -> None:
+        """Record a back end that could not be reached.
+
+        Raises `TrestleError` when too many could not.
+        """
+        self.trace.add('unreachable', f'{instance}: {error}')
+        self.avoided.add(instance)
+        self.context.note_unreachable(
+            instance, str(error), is_refused=error.is_refused
+        )
+        self.failed_connects += 1
+        if self.failed_connects > _MAX_FAILED_CONNECTS:
+            raise make_failure(
+                self, NO_ENDPOINT, 'too many back ends cannot be reached'
+            )
+
 
 def make_failure(run: RequestRun, code: ErrorCode, text: str) -> TrestleError:
     """Return a refusal if nothing ran, else a failure of unknown outcome."""
@@ -112,15 +133,17 @@
     Raises `TrestleError` if no resend is allowed or if the request may have
     run and must not run again, and the `Timeout` of the deadline.
     """
-    if run.sends:
+    is_resend = run.sends > 0
+    if is_resend:
         check_resend(run)
     run.sends += 1
     try:
         return send()
     except NotSentError as error:
-        run.trace.add('unreachable', f'{instance}: {error}')
-        run.avoided.add(instance)
-        run.context.fleet.note_unreachable(instance, str(error))
+        run.sends -= 1
+        if is_resend:
+            run.context.return_resend(run.service.name)
+        run.note_not_sent(instance, error)
     except BrokenAnswerError as error:
         run.runs += 1
         note_broken(run, instance, error)
--- a/packages/trestle-entry/src/trestle_entry/direct/retry_limits.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/retry_limits.py
@@ -46,6 +46,11 @@
             self.resends.append(monotonic())
         return allowed
 
+    def give_back(self) -> None:
+        """Take back the last resend, which reached no back end."""
+        if self.resends:
+            self.resends.pop()
+
 
 def _drop_before(times: deque[float], oldest: float) -> None:
     while times and times[0] < oldest:
--- a/packages/trestle-links/src/trestle_links/load_messages.py
+++ b/packages/trestle-links/src/trestle_links/load_messages.py
@@ -34,11 +34,16 @@
 
 
 class FailureNotice(NamedTuple):
-    """An entry in `zone` got no answer from a back end."""
+    """The entry on `host` in `zone` could not reach a back end.
+
+    `is_refused` tells that the back end's host refused the connection, so no
+    process listens there; otherwise the link may be at fault.
+    """
 
     instance: str
     host: str
     zone: str
+    is_refused: bool
 
 
 class FitSums(NamedTuple):
