Roles follow the load, admission counts the request itself, full engines cost

In a release both engines that decode left and 190 requests found no decode engine for two seconds while four readers idled; long answers filled all decode slots for six seconds while readers idled; prompts queued at three readers at 100% while slots were free. The leader now averages prompts at readers and the use of decode slots, mends a missing role at once, moves a twelfth of a pool to the role that lacks engines, and orders at most 16 changes of a pool that no load asks for (large pools). Admission compared only the wait with the objective, so all that was admitted at a full queue was late: the time of a request of common size now counts, too. A decode engine near the end of its slots or its KV cache costs more; running tokens travel with the loads.

--- a/features/steps/direct_rules_steps.py
+++ b/features/steps/direct_rules_steps.py
@@ -24,11 +24,12 @@
 
 TARGET_MS = 600.0
 LEFT_MS = 5000.0
+COMMON_MS = 100.0
 
 
 def prospect(wait_ms: float, own_ms: float = 100) -> Prediction:
     """Return what is predicted of a request."""
-    return Prediction(wait_ms, wait_ms + own_ms, TARGET_MS, LEFT_MS)
+    return Prediction(wait_ms, COMMON_MS, wait_ms + own_ms, TARGET_MS, LEFT_MS)
 
 
 def route(prefix: str, **changes: Any) -> Route:
@@ -63,6 +64,16 @@
     assert check_admission(prospect(wait, own), 0.5) is None
 
 
+@then(
+    'a request with {wait:d} ms of work ahead and {own:d} ms of its own is '
+    'refused'
+)
+def step_late(context: Context, wait: int, own: int) -> None:
+    """Check that a request that would be late makes no others late."""
+    refusal = check_admission(prospect(wait, own), 0.5)
+    assert refusal and refusal.reason == 'overload', refusal
+
+
 @then('a request with {wait:d} ms of work ahead is refused as overload')
 def step_overload(context: Context, wait: int) -> None:
     """Check a refusal for the work ahead."""
--- a/features/steps/direct_run_steps.py
+++ b/features/steps/direct_run_steps.py
@@ -278,7 +278,7 @@
     reader = run.context.fleet.backends['read']
     decoder = run.context.fleet.backends['write1']
     work = PrefillWork(17_000, 0, None, 0.0, 358.0)
-    planned = Plan(reader, decoder, 358.0, 400.0, work)
+    planned = Plan(reader, decoder, 0.0, 358.0, 400.0, work)
     whole = CompleteAnswer(head, b'')
     with patch.object(prompt_prefill, '_call', lambda *_: whole):
         for _ in range(2):
--- a/packages/trestle-control/src/trestle_control/direct_roles.py
+++ b/packages/trestle-control/src/trestle_control/direct_roles.py
@@ -10,6 +10,7 @@
 sequence number in the order makes a delayed duplicate invalid.
 """
 
+from collections import Counter
 from collections.abc import Callable
 from time import monotonic
 from typing import Final, NamedTuple
@@ -19,19 +20,18 @@
 from trestle_control.apply import ControlStateMachine
 from trestle_control.load_table import LoadTable
 from trestle_control.replica_api import ReplicaApi
-from trestle_control.split_policy import prefill_engine_count
+from trestle_control.split_policy import PoolLoad, WantedSplit, wanted_split
 from trestle_core.errors import TrestleError
 from trestle_core.logs import part_logger
 from trestle_core.metrics import Metrics
 from trestle_links.direct_messages import DECODE, PREFILL, Backend
+from trestle_links.load_messages import BackendLoad
 
 POLL_SECONDS: Final = 0.5
-# How long a pool must need the same change before it is ordered; an engine
-# that crashed restarts within this time.
-_SETTLE_SECONDS: Final = 4.0
-# The same while no request is running; after a start the list is complete
-# within a second.
-_IDLE_SETTLE_SECONDS: Final = 1.8
+# Weight of one poll in the averages of a pool's load.
+_LOAD_WEIGHT: Final = 0.3
+# Orders of a leader to a pool that no load asks for.
+_MAX_USUAL_ORDERS: Final = 16
 # Longest time after which an unanswered order may still be carried out,
 # including the change itself and the lag of the list.
 _PENDING_ORDER_SECONDS: Final = 18.0
@@ -61,6 +61,20 @@
     expires_at: float
 
 
+class LoadAverage:
+    """Moving averages of the figures of `PoolLoad`."""
+
+    def __init__(self) -> None:
+        """Start without load."""
+        self.prompts = 0.0
+        self.decode_use = 0.0
+
+    def note(self, prompts: float, decode_use: float) -> None:
+        """Add the figures of one poll."""
+        self.prompts += _LOAD_WEIGHT * (prompts - self.prompts)
+        self.decode_use += _LOAD_WEIGHT * (decode_use - self.decode_use)
+
+
 class DirectRoleManager:
     """Assigns the roles of the engines of every pool."""
 
@@ -85,6 +99,9 @@
         self.pending: dict[str, PendingRole] = {}
         # By pool: its size and the missing prefill engines, and since when.
         self.requested_changes: dict[str, tuple[tuple[int, int], float]] = {}
+        # By pool: the averages of its load, and the orders without a load.
+        self.averages: dict[str, LoadAverage] = {}
+        self.usual_orders: Counter[str] = Counter()
 
     def run(self) -> None:
         """Check every pool periodically while this host leads."""
@@ -116,29 +133,62 @@
             engine.instance: self._expected_role(engine, now)
             for engine in engines
         }
-        prefill = sum(role == PREFILL for role in roles.values())
-        wanted = prefill_engine_count(len(engines))
-        if not self._is_settled(pool, len(engines), wanted - prefill, now):
+        load = self._pool_load(pool, engines, roles)
+        wanted = wanted_split(load)
+        missing = wanted.prefill - load.prefill
+        if not self._is_settled(pool, load, wanted, now) or not missing:
             return
-        if wanted != prefill:
-            role = PREFILL if wanted > prefill else DECODE
-            self._change_roles(engines, roles, role, abs(wanted - prefill))
+        count = abs(missing)
+        if wanted.is_usual:
+            count = min(count, _MAX_USUAL_ORDERS - self.usual_orders[pool])
+            self.usual_orders[pool] += count
+        # The load must ask again before a further change.
+        self.requested_changes.pop(pool)
+        role = PREFILL if missing > 0 else DECODE
+        self._change_roles(engines, roles, role, count)
+
+    def _pool_load(
+        self, pool: str, engines: list[Backend], roles: dict[str, str]
+    ) -> PoolLoad:
+        """Return the load of a pool, averaged over a few polls."""
+        totals = self.loads.totals.totals
+        prefill = [
+            engine for engine in engines if roles[engine.instance] == PREFILL
+        ]
+        decode = [
+            engine for engine in engines if roles[engine.instance] == DECODE
+        ]
+        idle = BackendLoad('')
+        running = sum(
+            totals.get(engine.instance, idle).running for engine in engines
+        )
+        prompts = sum(
+            totals.get(engine.instance, idle).prompts for engine in prefill
+        )
+        decoding = sum(
+            totals.get(engine.instance, idle).running for engine in decode
+        )
+        slots = sum(engine.slots for engine in decode)
+        average = self.averages.setdefault(pool, LoadAverage())
+        average.note(prompts / max(1, len(prefill)), decoding / max(1, slots))
+        return PoolLoad(
+            len(prefill),
+            len(decode),
+            average.prompts,
+            average.decode_use,
+            running,
+        )
 
     def _is_settled(
-        self, pool: str, engines: int, missing_prefill: int, now: float
+        self, pool: str, load: PoolLoad, wanted: WantedSplit, now: float
     ) -> bool:
         """Return whether a pool has needed the same change long enough."""
-        requested = (engines, missing_prefill)
+        requested = (load.engines, wanted.prefill - load.prefill)
         known, since = self.requested_changes.get(pool, (requested, now))
         if known != requested:
             since = now
         self.requested_changes[pool] = (requested, since)
-        wait_seconds = (
-            _SETTLE_SECONDS
-            if self.loads.running_requests()
-            else _IDLE_SETTLE_SECONDS
-        )
-        return now - since >= wait_seconds
+        return now - since >= wanted.settle_seconds
 
     def _expected_role(self, engine: Backend, now: float) -> str:
         pending = self.pending.get(engine.instance)
--- a/packages/trestle-control/src/trestle_control/load_totals.py
+++ b/packages/trestle-control/src/trestle_control/load_totals.py
@@ -60,6 +60,7 @@
             total.running + load.running - earlier.running,
             total.prompts + load.prompts - earlier.prompts,
             total.tokens + load.tokens - earlier.tokens,
+            total.kv_tokens + load.kv_tokens - earlier.kv_tokens,
         )
         if any(total[1:]):
             self.totals[instance] = total
--- a/packages/trestle-core/src/trestle_core/settings.py
+++ b/packages/trestle-core/src/trestle_core/settings.py
@@ -126,9 +126,6 @@
     metrics_listen: Annotated[
         str, Meta(description='ip:port of the metrics page; empty for none')
     ] = ''
-    exchange_every_ms: Annotated[
-        Milliseconds, Meta(description='time between load exchanges, ms')
-    ] = 100
     retry_share: Annotated[
         float, Meta(ge=0, description='further sends for each request')
     ] = 0.2
--- a/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
@@ -79,6 +79,11 @@
         own = self.own.running.get(instance, 0)
         return own + self.shared.at(instance).running
 
+    def kv_tokens_at(self, instance: str) -> float:
+        """Return the KV cache tokens of the running requests at an engine."""
+        own = self.own.kv_tokens.get(instance, 0)
+        return own + self.shared.at(instance).kv_tokens
+
     def prefill_call(self, engine: Backend, tokens: int) -> PrefillCall:
         """Return a prefill that is about to be sent, with what is ahead."""
         own = self.own.load_of(engine.instance)
--- a/packages/trestle-entry/src/trestle_entry/direct/engine_speeds.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/engine_speeds.py
@@ -29,6 +29,8 @@
 _COMMON_LINK_MS: Final = 5.0
 # Weight of one call in the estimated slowness of an engine.
 _SLOWNESS_WEIGHT: Final = 0.2
+# Weight of one request in the mean of the planned ones.
+_PLANNED_WEIGHT: Final = 0.03
 _MIN_SLOWNESS: Final = 0.3
 _MAX_SLOWNESS: Final = 12.0
 _LEAST_MS: Final = 0.1
@@ -56,6 +58,8 @@
         self.prefill_fits: dict[str, LinearFit] = {}
         self.transfer_fits: dict[str, LinearFit] = {}
         self.prefill_slowness: dict[str, float] = {}
+        # Mean time of the requests that were planned, without their waits.
+        self.planned_ms: dict[str, float] = {}
         # How slow KV transfers to each engine are.
         self.transfer_slowness = SlownessTable()
         self.transfer_samples: dict[str, float] = {}
@@ -100,6 +104,16 @@
             ratio - slowness
         )
 
+    def note_planned(self, service: str, own_ms: float) -> float:
+        """Add the time of a planned request without its wait.
+
+        Return the mean of such times at a service.
+        """
+        known = self.planned_ms.get(service, own_ms)
+        mean = known + _PLANNED_WEIGHT * (own_ms - known)
+        self.planned_ms[service] = mean
+        return mean
+
     def note_transfer(
         self, service: str, instance: str, link_ms: float, took_ms: float
     ) -> None:
--- a/packages/trestle-entry/src/trestle_entry/direct/model_run.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_run.py
@@ -53,6 +53,11 @@
         request = self.request
         return request_digest(request.method, request.target, request.body)
 
+    @property
+    def kv_tokens(self) -> int:
+        """The most tokens that the request takes in an engine's KV cache."""
+        return self.demand.prompt_tokens + self.demand.max_tokens
+
     @property
     def is_blocked(self) -> bool:
         """Whether too many engines have crashed under this request."""
@@ -64,10 +69,10 @@
         """Move the request to the load of a back end, or to none."""
         own = self.context.loads.own
         if self.counted_at:
-            own.add_running(self.counted_at, -1)
+            own.add_running(self.counted_at, -1, -self.kv_tokens)
         self.counted_at = instance
         if instance:
-            own.add_running(instance, 1)
+            own.add_running(instance, 1, self.kv_tokens)
 
     def note_first_event(self) -> None:
         """Record how long the KV transfer of the prompt took."""
--- a/packages/trestle-entry/src/trestle_entry/direct/own_loads.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/own_loads.py
@@ -17,6 +17,7 @@
         """Start without work."""
         self.queues: dict[str, PromptQueue] = {}
         self.running: defaultdict[str, int] = defaultdict(int)
+        self.kv_tokens: defaultdict[str, int] = defaultdict(int)
         # Back ends whose load has changed since it was last reported.
         self.unreported: set[str] = set()
         # Set when there is something to report.
@@ -26,9 +27,13 @@
         """Return the work at a back end."""
         running = self.running.get(instance, 0)
         queue = self.queues.get(instance)
-        if queue is None:
-            return BackendLoad(instance, running)
-        return BackendLoad(instance, running, len(queue.prompts), queue.tokens)
+        return BackendLoad(
+            instance,
+            running,
+            len(queue.prompts) if queue else 0,
+            queue.tokens if queue else 0,
+            self.kv_tokens.get(instance, 0),
+        )
 
     def take_unreported(self) -> list[BackendLoad]:
         """Return the loads that have changed since the last call."""
@@ -42,11 +47,15 @@
         loads = [self.load_of(instance) for instance in names]
         return [load for load in loads if load.running or load.prompts]
 
-    def add_running(self, instance: str, amount: int) -> None:
-        """Count requests that start, or with a negative amount end."""
+    def add_running(
+        self, instance: str, amount: int, kv_tokens: int = 0
+    ) -> None:
+        """Count requests that start, or with negative figures end."""
         self.running[instance] += amount
+        self.kv_tokens[instance] += kv_tokens
         if not self.running[instance]:
             self.running.pop(instance)
+            self.kv_tokens.pop(instance)
         self._mark(instance)
 
     @contextmanager
--- a/packages/trestle-entry/src/trestle_entry/direct/placement.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/placement.py
@@ -36,11 +36,13 @@
     """The engines of a request; times are predictions in ms.
 
     If `prefill_engine` is None, the decode engine also prefills the prompt.
-    `work` is that of the engine that prefills.
+    `wait_ms` is the work ahead of the prompt, `work` that of the engine that
+    prefills.
     """
 
     prefill_engine: Backend | None
     decode_engine: Backend
+    wait_ms: float
     prefill_ms: float
     first_token_ms: float
     work: PrefillWork
@@ -92,6 +94,7 @@
     return Plan(
         prefill_engine.backend,
         decode_engine.backend,
+        prefill_engine.wait_ms,
         prefill_engine.engine_ms,
         first_token_ms,
         prefill_engine.work,
@@ -132,6 +135,7 @@
     return Plan(
         None,
         colocated.backend,
+        colocated.wait_ms,
         colocated.engine_ms,
         colocated.wait_ms + colocated.engine_ms,
         colocated.work,
--- a/packages/trestle-entry/src/trestle_entry/direct/placement_costs.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/placement_costs.py
@@ -5,6 +5,7 @@
 rendezvous hashing selects. Costs are in ms of engine time.
 """
 
+from math import inf
 from typing import Final, NamedTuple
 
 from trestle_core.digests import rendezvous_score
@@ -31,6 +32,10 @@
 _MAX_AFFINITY_COST: Final = 0.7
 # Engine time that one more request adds to a decode batch.
 _RUNNING_REQUEST_COST: Final = 0.07
+# Share of the slots and of the KV cache of an engine up to which a request
+# finds room at once, and the cost of an engine that is full.
+_FREE_SHARE: Final = 0.6
+_FULL_ENGINE_COST: Final = 10.0
 # What a decode engine that prefills a prompt, in small pieces between the tokens
 # of its streams, adds to the wait for the first token of another stream.
 _PIECE_COST: Final = 0.35
@@ -214,9 +219,20 @@
 
 
 def _batch_cost_ms(inputs: CostInputs, engine: Backend) -> float:
-    """Return the cost of joining the running requests of an engine."""
+    """Return the cost of joining the running requests of an engine.
+
+    Near the end of its slots or of its KV cache, a request would wait there.
+    """
     running = inputs.loads.running_at(engine.instance)
-    return running * inputs.unit_ms * _RUNNING_REQUEST_COST
+    kv_tokens = inputs.loads.kv_tokens_at(engine.instance)
+    kv_tokens += inputs.request.demand.prompt_tokens
+    use = max(
+        running / max(1, engine.slots),
+        kv_tokens / (inputs.request.kv_capacity or inf),
+    )
+    excess = max(0.0, use - _FREE_SHARE) / (1 - _FREE_SHARE)
+    cost = running * _RUNNING_REQUEST_COST + excess**2 * _FULL_ENGINE_COST
+    return cost * inputs.unit_ms
 
 
 def _body_cost_ms(inputs: CostInputs, engine: Backend) -> float:
--- a/packages/trestle-entry/src/trestle_entry/direct/prefill_work.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/prefill_work.py
@@ -23,11 +23,13 @@
 
     `zone` is the zone of the entry. `transfer_ms_per_token` is the time to
     transfer the KV cache of a token between engines of the same zone.
+    `kv_capacity` is the KV cache of an engine in tokens, 0 if unknown.
     """
 
     demand: ModelDemand
     zone: str
     transfer_ms_per_token: float
+    kv_capacity: int = 0
 
 
 class WorkTimes(NamedTuple):
--- a/packages/trestle-entry/src/trestle_entry/direct/run_planning.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/run_planning.py
@@ -63,13 +63,21 @@
     engine = run.service.engine
     transfer_ms_per_token = engine.ms_per_token_moved if engine else 0.0
     return PlacementRequest(
-        run.demand, run.context.settings.zone, transfer_ms_per_token
+        run.demand,
+        run.context.settings.zone,
+        transfer_ms_per_token,
+        engine.kv_tokens if engine else 0,
     )
 
 
 def _admit(run: ModelRun, plan: Plan) -> None:
+    speeds = run.context.loads.speeds
+    common_ms = speeds.note_planned(
+        run.service.name, plan.first_token_ms - plan.wait_ms
+    )
     prediction = Prediction(
-        plan.first_token_ms - plan.prefill_ms,
+        plan.wait_ms,
+        common_ms,
         plan.first_token_ms,
         run.route.target_ms,
         run.remaining_ms,
--- a/packages/trestle-entry/src/trestle_entry/direct/shared_loads.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/shared_loads.py
@@ -33,6 +33,7 @@
     running: float = 0.0
     prompts: float = 0.0
     tokens: float = 0.0
+    kv_tokens: float = 0.0
 
 
 _NOTHING: Final = OtherLoad()
@@ -96,6 +97,7 @@
             max(0, total.running - own.running) * weight,
             max(0, total.prompts - own.prompts) * weight,
             max(0, total.tokens - own.tokens) * weight,
+            max(0, total.kv_tokens - own.kv_tokens) * weight,
         )
 
     def keep_only(self, instances: set[str]) -> None:
--- a/packages/trestle-links/src/trestle_links/load_messages.py
+++ b/packages/trestle-links/src/trestle_links/load_messages.py
@@ -18,14 +18,16 @@
 class BackendLoad(NamedTuple):
     """Work at one back end.
 
-    `running` counts requests, `prompts` those whose prefill has not finished,
-    `tokens` the tokens of these that the engine has to prefill.
+    `running` counts requests and `kv_tokens` the tokens that they take in the
+    KV cache. `prompts` counts those whose prefill has not finished, `tokens`
+    the tokens of these that the engine has to prefill.
     """
 
     instance: str
     running: int = 0
     prompts: int = 0
     tokens: int = 0
+    kv_tokens: int = 0
 
     @property
     def is_valid(self) -> bool:
