--- a/packages/trestle-entry/src/trestle_entry/direct/admission.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/admission.py
@@ -11,7 +11,7 @@
 from typing import Final, NamedTuple
 
 # Share of the objective that the predicted time may take.
-_MAX_SHARE: Final = 0.9
+_MAX_SHARE: Final = 1.0
 _MIN_RETRY_AFTER_SECONDS: Final = 0.05
 _MAX_RETRY_AFTER_SECONDS: Final = 2.0
 _MS_PER_SECOND: Final = 1000
