--- a/features/direct_rules.feature
+++ b/features/direct_rules.feature
@@ -3,7 +3,7 @@
   Scenario: A request is refused for the work ahead, not for its own size
     Then a request with 100 ms of work ahead and 2000 ms of its own is taken
     And a request with 900 ms of work ahead is refused as overload
-    And a request with 500 ms of work ahead and 100 ms of its own is refused
+    And a request with 550 ms of work ahead and 100 ms of its own is refused
     And a request that cannot be read before its deadline is refused
 
   Scenario: Refused callers do not return together
