Log what the crash guard counts, and the parts of every model request

Cause: the logs could not tell whether the guard counts the wrong thing, hears too late or is not asked. Change: one line for each content and back end that is counted; the parts of a request are logged when its run starts, not when it is admitted.

--- a/packages/trestle-entry/src/trestle_entry/direct/crash_guard.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/crash_guard.py
@@ -10,11 +10,15 @@
 from time import monotonic
 from typing import Final
 
+from trestle_core.logs import part_logger
+
 CRASHES_TO_BLOCK: Final = 3
 _BLOCK_SECONDS: Final = 60.0
 _DIGEST_BYTES: Final = 8
 _MAX_DIGESTS: Final = 500
 
+_log = part_logger('crashes')
+
 
 class CrashGuard:
     """Back ends that crashed, by the digest of the request."""
@@ -34,7 +38,15 @@
         now = monotonic()
         for notice in notices:
             digest, _, instance = notice.partition(':')
-            self.crashes.setdefault(digest, {}).setdefault(instance, now)
+            crashes = self.crashes.setdefault(digest, {})
+            if instance not in crashes:
+                crashes[instance] = now
+                _log.info(
+                    'Content {} was broken off by {}, {} so far.',
+                    digest,
+                    instance,
+                    len(crashes),
+                )
         while len(self.crashes) > _MAX_DIGESTS:
             self.crashes.pop(next(iter(self.crashes)))
 
--- a/packages/trestle-entry/src/trestle_entry/direct/model_run.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_run.py
@@ -40,6 +40,7 @@
         """Start with no send."""
         super().__init__(context, request, route_match, trace)
         self.demand = request.demand or _DEFAULT_DEMAND
+        trace.fields['parts'] = [list(part) for part in self.demand.parts]
         self.prefills = 0
         self.events = EventSplitter()
         self.events.last_id = request.resume_from
--- a/packages/trestle-entry/src/trestle_entry/direct/run_planning.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/run_planning.py
@@ -83,7 +83,6 @@
         run.remaining_ms,
     )
     run.trace.fields['predicted_ms'] = round(plan.first_token_ms)
-    run.trace.fields['parts'] = [list(part) for part in run.demand.parts]
     age_ms = min(run.context.loads.shared.age_ms, _MAX_LOGGED_AGE_MS)
     run.trace.fields['load_age_ms'] = round(age_ms)
     refusal = check_admission(prediction, run.context.random.random())
