--- a/features/steps/direct_run_steps.py
+++ b/features/steps/direct_run_steps.py
@@ -8,11 +8,9 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from testbed.direct_runs import make_run
 from trestle_core.errorcodes import DEADLINE_UNREACHABLE
 from trestle_core.errors import TrestleError
-from trestle_core.metrics import Metrics
-from trestle_core.route_table import EngineTraits, Repeat, Route, Service, Share
-from trestle_core.settings import DirectSettings
 from trestle_core.verdict import Verdict
 from trestle_entry.direct import (
     fleet_view,
@@ -24,82 +22,17 @@
 from trestle_entry.direct.backend_exchange import NotSentError
 from trestle_entry.direct.direct_context import DirectContext, RouteMatch
 from trestle_entry.direct.model_relay import serve_model
-from trestle_entry.direct.model_run import ModelRun
 from trestle_entry.direct.placement import Plan
 from trestle_entry.direct.prefill_work import PrefillWork
 from trestle_entry.direct.prompt_prefill import KvHandle
-from trestle_entry.direct.request_log import RequestTrace
 from trestle_entry.direct.request_run import make_failure
 from trestle_entry.direct.wire_types import (
     AnswerHead,
-    CallerRequest,
-    ModelDemand,
-    PromptPart,
     SendOptions,
 )
-from trestle_links.direct_messages import PREFILL, Backend
+from trestle_links.direct_messages import PREFILL
 from trestle_platform.replica_http import send_headers
 
-SECONDS = 5.0
-NEED = ModelDemand(
-    'm', 17_000, 13, (PromptPart(1, 13_000), PromptPart(2, 4_000))
-)
-
-
-def make_run(resends: int = 0, attempts: int = 1) -> ModelRun:
-    """Return a model request on three engines, with so many resends left.
-
-    With more than one attempt it may run again.
-    """
-    settings = DirectSettings(
-        host='e1',
-        zone='z',
-        key_file='',
-        control=['127.0.0.1:1'],
-        retry_share=0,
-        # Of the limit only a part is used.
-        retry_extra=resends * 2,
-    )
-    wire: Any = None
-    context = DirectContext(settings, wire, wire, Metrics())
-    roles = {'read': 'prefill', 'write1': 'decode', 'write2': 'decode'}
-    context.fleet.replace_list(
-        [
-            Backend(name, 'llm', '127.0.0.1:1', 'z', False, role, 64)
-            for name, role in roles.items()
-        ]
-    )
-    route = Route(
-        name='check',
-        host='h',
-        prefix='/check/',
-        repeat=Repeat.STREAM,
-        timeout_ms=5000,
-        target_ms=600,
-        gap_ms=250,
-        priority=2,
-        max_attempts=attempts,
-        resumable=attempts > 1,
-        shares=(Share('llm', 1),),
-    )
-    service = Service('llm', 10, EngineTraits(500_000, 1, 1.0))
-    now = monotonic()
-    request = CallerRequest(
-        'r1',
-        'POST',
-        'h',
-        '/check/1',
-        [],
-        b'',
-        NEED,
-        '',
-        now,
-        now + SECONDS,
-        None,
-    )
-    story = RequestTrace('r1', now)
-    return ModelRun(context, request, RouteMatch(route, service), story)
-
 
 @given('a model request whose prompt was read, and no resend is allowed')
 def step_read(context: Context) -> None:
