Crashes are counted by what requests share, so a deadly prompt part is found

Cause: the guard counted crashes under a digest of the whole request. Nothing counted what requests have in common. Class: identity too narrow, evidence that is split into counts of one. Evidence: 204 contents on each of four entries, each with one crash. Fix: every part of a prompt but the last, and the content, is a trait. The notices of all crashes are kept with their times, by entries and leader, and blame follows from all of them: the most specific trait with three crashes, unless another has clearly more; a served request clears its traits; the crashes that a trait explains are held against no other. A crash counts only once the back end is found down, several at one moment count as one, and an engine that comes back under its name counts again. The block is asked before each send, plain services included; a new leader hears all from the entries. Why it works: a deadly part is in every crash and in no served request, and nothing else is. Wire: LoadChange and LoadDelta have crash notices in place of suspects.

--- a/features/steps/direct_connects_steps.py
+++ b/features/steps/direct_connects_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from features.steps.direct_run_steps import make_run
+from testbed.direct_runs import make_run
 from trestle_core.errors import TrestleError
 from trestle_core.verdict import Verdict
 from trestle_entry.direct import (
--- a/features/steps/direct_rules_steps.py
+++ b/features/steps/direct_rules_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from testbed.crash_entries import CrashEntries
 from trestle_core.errors import TrestleError
 from trestle_core.metrics import Metrics
 from trestle_core.route_table import (
@@ -17,7 +18,6 @@
     Share,
 )
 from trestle_entry.direct.admission import Prediction, check_admission
-from trestle_entry.direct.crash_guard import CrashGuard
 from trestle_entry.direct.event_stream import EventSplitter
 from trestle_entry.direct.request_log import RequestLog, RequestTrace
 from trestle_entry.direct.retry_limits import RetryLimits
@@ -200,28 +200,31 @@
 
 @when('a request has ended {engines:d} engines on one entry')
 def step_ended(context: Context, engines: int) -> None:
-    """Note the ends and keep the notices."""
-    guard = CrashGuard()
-    context.notices = [
-        guard.record('digest', f'engine-{number}') for number in range(engines)
-    ]
-    assert guard.is_blocked('digest')
+    """Crash all but one, tell the other entry thrice, and crash the last."""
+    group = CrashEntries(entries=2, engines=engines)
+    context.group = group
+    for _ in range(engines - 1):
+        group.crash('a', entry=0, content='again')
+    for _ in range(3):
+        group.open_streams()
+        group.exchange()
+    assert not group.is_refused('a', entry=1, content='again')
+    group.crash('a', entry=0, content='again')
+    assert group.is_refused('a', entry=0, content='again')
 
 
 @then('another entry that hears of it bars it')
 def step_barred(context: Context) -> None:
-    """Take the notices elsewhere, twice as they may come twice."""
-    context.other = CrashGuard()
-    context.other.record_notices(context.notices[:-1] * 3)
-    assert not context.other.is_blocked('digest')
-    context.other.record_notices(context.notices)
-    assert context.other.is_blocked('digest')
+    """Check the other entry before and after it was told."""
+    assert not context.group.is_refused('a', entry=1, content='again')
+    context.group.exchange()
+    assert context.group.is_refused('a', entry=1, content='again')
 
 
 @then('another request is not barred')
 def step_not_barred(context: Context) -> None:
-    """Check a digest that nobody noted."""
-    assert not context.other.is_blocked('other')
+    """Check a request that crashed nothing."""
+    assert not context.group.is_refused('a', entry=1, content='other')
 
 
 @when('{count:d} request lines are written while nobody reads')
--- a/packages/trestle-control/src/trestle_control/load_table.py
+++ b/packages/trestle-control/src/trestle_control/load_table.py
@@ -10,7 +10,6 @@
 loads at once. An entry that is silent for seconds is dropped with its loads.
 """
 
-from collections import deque
 from time import monotonic
 from typing import Final
 
@@ -26,6 +25,8 @@
 from trestle_core.logs import part_logger
 from trestle_links.codec import encode_message
 from trestle_links.connection import Channel
+from trestle_links.crash_evidence import CrashEvidence
+from trestle_links.crash_messages import ClearedTrait, CrashNotice
 from trestle_links.engine_slowness import SlownessTable
 from trestle_links.linear_fit import CallSums, LinearFit, prefill_fit
 from trestle_links.link_server import Handlers
@@ -52,7 +53,6 @@
 # A role change takes an engine about three seconds, and the list shows the
 # new role a second later.
 _ROLE_CHANGE_SECONDS: Final = 4.5
-_MAX_SUSPECTS: Final = 64
 _MAX_FAILURES: Final = 200
 # Change of a fitted line that is worth telling.
 _SPEED_CHANGE: Final = 0.03
@@ -89,8 +89,9 @@
         self.placements = PlacementLog()
         self.transfer_slowness = SlownessTable()
         self.changed_slowness: set[str] = set()
-        self.suspects: deque[str] = deque(maxlen=_MAX_SUSPECTS)
-        self.new_suspects: list[str] = []
+        self.crashes = CrashEvidence()
+        self.new_crashes: list[CrashNotice] = []
+        self.new_cleared: list[ClearedTrait] = []
         self.new_failures: list[FailureNotice] = []
         self.fits: dict[str, LinearFit] = {}
         self.told_speeds: dict[str, FittedSpeed] = {}
@@ -160,8 +161,7 @@
         for instance, slowness in change.transfer_slowness.items():
             self.transfer_slowness.note(instance, slowness)
             self.changed_slowness.add(instance)
-        self.suspects.extend(change.suspects)
-        self.new_suspects.extend(change.suspects)
+        self._record_crashes(change)
         self.new_failures.extend(change.failures)
         for fit_sums in change.fits:
             self._pool(fit_sums)
@@ -170,6 +170,15 @@
         """Return the running requests by back end, over all entries."""
         return self.totals.running()
 
+    def _record_crashes(self, change: LoadChange) -> None:
+        now = monotonic()
+        for notice in change.crashes:
+            if self.crashes.record(notice, now):
+                self.new_crashes.append(notice)
+        for cleared in change.cleared:
+            if self.crashes.clear(cleared, now):
+                self.new_cleared.append(cleared)
+
     def _take_changes(self, follower: Follower) -> None:
         while True:
             change = follower.channel.receive(_SILENT_SECONDS)
@@ -199,8 +208,10 @@
         fit.pool(fit_sums.calls, sums)
 
     def _changed_delta(self) -> LoadDelta:
-        suspects = self.new_suspects
-        self.new_suspects = []
+        crashes = self.new_crashes
+        self.new_crashes = []
+        cleared = self.new_cleared
+        self.new_cleared = []
         failures = self.new_failures[:_MAX_FAILURES]
         self.new_failures = []
         changed_slowness = {
@@ -213,7 +224,8 @@
             loads=self.totals.take_changed(),
             placements=self.placements.take_changes(),
             memories=self.placements.take_memories(),
-            suspects=suspects,
+            crashes=crashes,
+            cleared=cleared,
             changing=self._changing(),
             transfer_slowness=changed_slowness,
             speeds=self._changed_speeds(),
@@ -221,12 +233,14 @@
         )
 
     def _complete_delta(self) -> LoadDelta:
+        now = monotonic()
         return LoadDelta(
             entries=len(self.followers),
             loads=self.totals.all_totals(),
             placements=[],
             memories=self.placements.all_memories(),
-            suspects=list(self.suspects),
+            crashes=self.crashes.all_notices(now),
+            cleared=self.crashes.all_cleared(now),
             changing=self._changing(),
             transfer_slowness=self.transfer_slowness.figures(),
             speeds=list(self.told_speeds.values()),
--- a/packages/trestle-core/src/trestle_core/errorcodes.py
+++ b/packages/trestle-core/src/trestle_core/errorcodes.py
@@ -97,6 +97,9 @@
 ENGINE_REFUSED: Final = _in_doubt(
     'engine-refused', 502, 'The engine refused the request.'
 )
+CRASH_SUSPECT: Final = _refusal(
+    'crash-suspect', 503, 'Back ends crashed under such requests.'
+)
 SUSPECT_HELD: Final = _refusal(
     'suspect-held', 409, 'Another endpoint runs the suspect content.'
 )
--- a/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
@@ -44,7 +44,9 @@
         self.fleet = FleetView()
         self.pool = ConnectionPool(metrics)
         self.loads = EngineLoads(settings.host)
-        self.crash_guard = CrashGuard()
+        self.crash_guard = CrashGuard(settings.host, self.loads.reports)
+        # Back ends that are being asked whether they have crashed.
+        self.probed: set[str] = set()
         self.log = RequestLog(metrics, settings.host)
         self.retry_limits: dict[str, RetryLimits] = {}
         self.random = Random(settings.host)
@@ -88,6 +90,13 @@
             FailureNotice(instance, settings.host, settings.zone, is_refused)
         )
 
+    def note_reported(self, notices: list[FailureNotice]) -> None:
+        """Record the back ends that entries could not reach."""
+        self.fleet.note_reported(notices, self.settings.zone)
+        for notice in notices:
+            if notice.is_refused:
+                self.crash_guard.note_down(notice.instance)
+
     def take_resend(self, service: str) -> bool:
         """Count a resend if the retry limits of a service allow it."""
         allowed = self.limits_for(service).take(self.loads.entry_count)
--- a/packages/trestle-entry/src/trestle_entry/direct/entry_reports.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/entry_reports.py
@@ -1,18 +1,36 @@
 """What this entry has to tell the others besides its loads."""
 
-from typing import Final
+from time import monotonic
+from typing import Final, NamedTuple
 
 from gevent.event import Event
 
+from trestle_links.crash_messages import ClearedTrait, CrashNotice, aged_by
 from trestle_links.direct_messages import Placement
 from trestle_links.load_messages import FailureNotice
 
 _MAX_PLACEMENTS: Final = 300
 _MAX_FAILURES: Final = 50
+_MAX_CRASHES: Final = 1000
+_MAX_CLEARED: Final = 4000
+
+
+class NotedCrash(NamedTuple):
+    """A crash notice and when it was noted."""
+
+    notice: CrashNotice
+    at: float
+
+
+class NotedClearance(NamedTuple):
+    """A cleared trait and when it was noted."""
+
+    cleared: ClearedTrait
+    at: float
 
 
 class EntryReports:
-    """Placements, crash notices and failures since the last report.
+    """Placements, crashes and failures since the last report.
 
     Each note sets an event, so that a report is sent soon.
     """
@@ -21,7 +39,8 @@
         """Start without anything to tell."""
         self.changed = changed
         self.placements: list[Placement] = []
-        self.crash_notices: list[str] = []
+        self.crashes: list[NotedCrash] = []
+        self.cleared: list[NotedClearance] = []
         self.failures: list[FailureNotice] = []
 
     def note_placement(self, placement: Placement) -> None:
@@ -29,9 +48,14 @@
         self.placements.append(placement)
         self.changed.set()
 
-    def note_crash(self, notice: str) -> None:
+    def note_crash(self, notice: CrashNotice) -> None:
         """Record a notice of the crash guard."""
-        self.crash_notices.append(notice)
+        self.crashes.append(NotedCrash(notice, monotonic()))
+        self.changed.set()
+
+    def note_cleared(self, cleared: ClearedTrait) -> None:
+        """Record a trait that a served request has cleared."""
+        self.cleared.append(NotedClearance(cleared, monotonic()))
         self.changed.set()
 
     def note_failure(self, notice: FailureNotice) -> None:
@@ -45,11 +69,25 @@
         self.placements = []
         return taken
 
-    def take_crash_notices(self) -> list[str]:
-        """Return the notices since the last call."""
-        taken = self.crash_notices
-        self.crash_notices = []
-        return taken
+    def take_crashes(self) -> list[CrashNotice]:
+        """Return the latest notices since the last call."""
+        now = monotonic()
+        taken = self.crashes[-_MAX_CRASHES:]
+        self.crashes = []
+        return [
+            notice._replace(age_ms=aged_by(notice.age_ms, now - at))
+            for notice, at in taken
+        ]
+
+    def take_cleared(self) -> list[ClearedTrait]:
+        """Return the traits that were cleared since the last call."""
+        now = monotonic()
+        taken = self.cleared[-_MAX_CLEARED:]
+        self.cleared = []
+        return [
+            cleared._replace(age_ms=aged_by(cleared.age_ms, now - at))
+            for cleared, at in taken
+        ]
 
     def take_failures(self) -> list[FailureNotice]:
         """Return the latest failures since the last call."""
--- a/packages/trestle-entry/src/trestle_entry/direct/load_stream.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/load_stream.py
@@ -80,6 +80,7 @@
     loads = context.loads
     opening = FollowLoads(loads.host, loads.open_stream())
     channel = links.link_to(leader).open(opening)
+    context.crash_guard.report_all()
     reporter = spawn(_report_changes, context, channel)
     try:
         _apply_pushes(context, channel, monitor)
@@ -97,14 +98,21 @@
         push = channel.receive(_SILENT_SECONDS)
         if not isinstance(push, LoadPush):
             raise LinkDownError('the leader ended the stream', sent=False)
-        delta = context.loads.apply_push(push, is_first=is_first)
-        context.crash_guard.record_notices(delta.suspects)
-        context.fleet.note_reported(delta.failures, context.settings.zone)
-        context.fleet.changing_role = set(delta.changing)
+        apply_push(context, push, is_first=is_first)
         monitor.note_reached()
         is_first = False
 
 
+def apply_push(
+    context: DirectContext, push: LoadPush, *, is_first: bool
+) -> None:
+    """Apply what the leader pushed; raises `TrestleError`."""
+    delta = context.loads.apply_push(push, is_first=is_first)
+    context.crash_guard.take(delta.crashes, delta.cleared)
+    context.note_reported(delta.failures)
+    context.fleet.changing_role = set(delta.changing)
+
+
 def _report_changes(context: DirectContext, channel: Channel) -> None:
     number = 0
     loads = context.loads
--- a/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
@@ -8,12 +8,10 @@
 from contextlib import AbstractContextManager, nullcontext
 from functools import partial
 from time import monotonic
-from typing import Final
 
 from trestle_core.errorcodes import (
     ANSWER_INCOMPLETE,
     NO_ENDPOINT,
-    SUSPECT_HELD,
 )
 from trestle_core.errors import TrestleError
 from trestle_core.verdict import Verdict
@@ -34,9 +32,9 @@
     kv_cache_tokens,
     prefill_prompt,
 )
-from trestle_entry.direct.replies import RefusedError
 from trestle_entry.direct.request_run import (
     broken_answer_error,
+    check_not_blocked,
     check_resend,
     make_failure,
     note_broken,
@@ -56,20 +54,12 @@
     SendOptions,
 )
 
-_CRASH_RETRY_AFTER_SECONDS: Final = 2.0
-
 
 def open_stream(run: ModelRun) -> OpenAnswer | CompleteAnswer:
     """Open the stream at an engine, or return the engine's error answer.
 
     Raises `TrestleError`.
     """
-    if run.is_blocked:
-        raise RefusedError(
-            SUSPECT_HELD,
-            'several back ends crashed under this request',
-            _CRASH_RETRY_AFTER_SECONDS,
-        )
     with within_deadline(run):
         return _open(run, admit=True)
 
@@ -91,6 +81,7 @@
 
 def _open(run: ModelRun, *, admit: bool) -> OpenAnswer | CompleteAnswer:
     while True:
+        check_not_blocked(run)
         plan = plan_run(run, admit=admit)
         admit = False
         handle = _prefill(run, plan)
--- a/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
@@ -126,7 +126,7 @@
             raise BrokenAnswerError('the stream ended within an event')
         self.opened = None
         release_connection(self.run.context, opened)
-        self.run.context.fleet.note_served(opened.backend.instance)
+        self.run.note_served(opened.backend.instance)
 
     def _resume(self, opened: OpenAnswer, error: BrokenAnswerError) -> None:
         run = self.run
--- a/packages/trestle-entry/src/trestle_entry/direct/model_run.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_run.py
@@ -3,7 +3,7 @@
 from time import monotonic
 from typing import Final, NamedTuple
 
-from trestle_entry.direct.crash_guard import request_digest
+from trestle_entry.direct.crash_guard import part_trait
 from trestle_entry.direct.direct_context import DirectContext, RouteMatch
 from trestle_entry.direct.event_stream import EventSplitter
 from trestle_entry.direct.request_log import RequestTrace
@@ -49,23 +49,18 @@
         self.transfer: KvTransfer | None = None
 
     @property
-    def digest(self) -> str:
-        """The digest under which crashes of this request are counted."""
-        request = self.request
-        return request_digest(request.method, request.target, request.body)
+    def part_traits(self) -> list[str]:
+        """The parts of the prompt; the last one belongs to this request."""
+        return [
+            part_trait(self.service.name, part.part_id)
+            for part in self.demand.parts[:-1]
+        ]
 
     @property
     def kv_tokens(self) -> int:
         """The most tokens that the request takes in an engine's KV cache."""
         return self.demand.prompt_tokens + self.demand.max_tokens
 
-    @property
-    def is_blocked(self) -> bool:
-        """Whether too many engines have crashed under this request."""
-        crash_guard = self.context.crash_guard
-        # Bodies are long: none is hashed before an engine has crashed.
-        return bool(crash_guard.crashes) and crash_guard.is_blocked(self.digest)
-
     def count_at(self, instance: str) -> None:
         """Move the request to the load of a back end, or to none."""
         own = self.context.loads.own
@@ -88,9 +83,3 @@
             transfer.link_ms,
             took_ms - transfer.wait_ms,
         )
-
-    def note_interrupted(self, instance: str, reason: str) -> None:
-        """Record the interruption, also for the crash guard."""
-        super().note_interrupted(instance, reason)
-        notice = self.context.crash_guard.record(self.digest, instance)
-        self.context.loads.reports.note_crash(notice)
--- a/packages/trestle-entry/src/trestle_entry/direct/plain_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/plain_dispatch.py
@@ -75,7 +75,7 @@
     if answer.head.status >= SERVER_ERROR and run.may_try_another:
         run.trace.add('failed', f'{instance}: {answer.head.status}')
         return False
-    run.context.fleet.note_served(instance)
+    run.note_served(instance)
     return True
 
 
--- a/packages/trestle-entry/src/trestle_entry/direct/request_run.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/request_run.py
@@ -14,6 +14,7 @@
 
 from trestle_core.errorcodes import (
     ANSWER_INCOMPLETE,
+    CRASH_SUSPECT,
     DEADLINE_PASSED,
     NO_ENDPOINT,
     RETRY_BUDGET,
@@ -25,8 +26,13 @@
     BrokenAnswerError,
     NotSentError,
 )
+from trestle_entry.direct.crash_guard import content_trait
+from trestle_entry.direct.crash_probe import probe_after_break
 from trestle_entry.direct.direct_context import DirectContext, RouteMatch
-from trestle_entry.direct.replies import RefusedError
+from trestle_entry.direct.replies import (
+    DEFAULT_RETRY_AFTER_SECONDS,
+    RefusedError,
+)
 from trestle_entry.direct.request_log import RequestTrace
 from trestle_entry.direct.wire_types import CallerRequest
 
@@ -89,9 +95,34 @@
             and self.context.allows_resend(self.service.name)
         )
 
+    @property
+    def part_traits(self) -> list[str]:
+        """What the request shares with others, the least specific first."""
+        return []
+
+    def content_trait(self) -> str:
+        """Return what the request shares with its repetitions."""
+        request = self.request
+        return content_trait(
+            self.service.name, request.method, request.target, request.body
+        )
+
+    def traits(self) -> list[str]:
+        """Return all under which crashes of back ends are counted."""
+        return [*self.part_traits, self.content_trait()]
+
     def note_interrupted(self, instance: str, reason: str) -> None:
         """Record that a back end broke off its answer to this request."""
-        self.context.fleet.note_failed(instance, reason)
+        context = self.context
+        context.fleet.note_failed(instance, reason)
+        context.crash_guard.note_interrupted(instance, self.traits())
+        probe_after_break(context, instance)
+
+    def note_served(self, instance: str) -> None:
+        """Record a complete answer."""
+        context = self.context
+        context.fleet.note_served(instance)
+        context.crash_guard.note_served(self.part_traits, self.content_trait)
 
     def note_not_sent(self, instance: str, error: NotSentError) -> None:
         """Record a back end that could not be reached.
@@ -103,6 +134,7 @@
         self.context.note_unreachable(
             instance, str(error), is_refused=error.is_refused
         )
+        self.context.crash_guard.note_down(instance)
         self.failed_connects += 1
         if self.failed_connects > _MAX_FAILED_CONNECTS:
             raise make_failure(
@@ -110,11 +142,30 @@
             )
 
 
-def make_failure(run: RequestRun, code: ErrorCode, text: str) -> TrestleError:
+def make_failure(
+    run: RequestRun,
+    code: ErrorCode,
+    text: str,
+    retry_after: float = DEFAULT_RETRY_AFTER_SECONDS,
+) -> TrestleError:
     """Return a refusal if nothing ran, else a failure of unknown outcome."""
     if run.runs:
         return TrestleError(ANSWER_INCOMPLETE, text, Verdict.MAY_HAVE_RUN)
-    return RefusedError(code, text)
+    return RefusedError(code, text, retry_after)
+
+
+def check_not_blocked(run: RequestRun) -> None:
+    """Raise `TrestleError` if back ends crash under such requests."""
+    block = run.context.crash_guard.block_of(run.traits)
+    if block is None:
+        return
+    run.trace.add('blocked', block.trait)
+    raise make_failure(
+        run,
+        CRASH_SUSPECT,
+        f'back ends crashed under requests with {block.trait}',
+        block.until - monotonic(),
+    )
 
 
 def check_resend(run: RequestRun) -> None:
@@ -133,6 +184,7 @@
     Raises `TrestleError` if no resend is allowed or if the request may have
     run and must not run again, and the `Timeout` of the deadline.
     """
+    check_not_blocked(run)
     is_resend = run.sends > 0
     if is_resend:
         check_resend(run)
--- a/packages/trestle-links/src/trestle_links/load_messages.py
+++ b/packages/trestle-links/src/trestle_links/load_messages.py
@@ -9,6 +9,7 @@
 from typing import Final, NamedTuple
 
 from trestle_links.codec import message
+from trestle_links.crash_messages import ClearedTrait, CrashNotice
 from trestle_links.direct_messages import EngineMemory, Placement
 
 # Larger figures are not loads; a message with them is malformed.
@@ -86,7 +87,8 @@
     number: int
     loads: list[BackendLoad]
     placements: list[Placement]
-    suspects: list[str]
+    crashes: list[CrashNotice]
+    cleared: list[ClearedTrait]
     transfer_slowness: dict[str, float]
     fits: list[FitSums]
     failures: list[FailureNotice]
@@ -105,7 +107,8 @@
     loads: list[BackendLoad]
     placements: list[Placement]
     memories: list[EngineMemory]
-    suspects: list[str]
+    crashes: list[CrashNotice]
+    cleared: list[ClearedTrait]
     changing: list[str]
     transfer_slowness: dict[str, float]
     speeds: list[FittedSpeed]
