Blame for crashes falls on the part that is rarest, wherever engines fall

Change: only traits with which requests were served in the last minute get that benefit, and need five crashes; entries vouch for what they served, when a part is suspected a second time. Of parts with which nothing was served, the most specific one takes the blame before the content. Evidence is weighed once for all notices of a push.

--- a/features/crashing_parts.feature
+++ b/features/crashing_parts.feature
@@ -23,6 +23,21 @@
     Then requests with the parts "a f00d" are refused at every entry
     And requests with the parts "a" are served at every entry
 
+  # Guards against: a request that comes again takes the blame, and engines go
+  # on crashing under others with its part.
+  Scenario: A deadly part is found although one request with it came again
+    Given 1 entry that knows 6 engines
+    When a request with the parts "a f00d" crashes 3 engines
+    Then requests with the parts "a f00d" are refused
+    And requests with the parts "a" are served
+
+  Scenario: A deadly request that comes again leaves its parts to others
+    Given 1 entry that knows 6 engines
+    When a request with the parts "a b" is served
+    And a request with the parts "a b" crashes 3 engines
+    Then requests with the parts "a b" are served
+    And that request is refused
+
   Scenario: A deadly first part is found in the end
     Given 1 entry that knows 6 engines
     When requests with the parts "f00d b" crash 3 engines
@@ -65,9 +80,24 @@
     And a request with the parts "a" is served by another entry
     Then requests with the parts "a" are served at every entry
 
+  # Guards against: three engines are lost within a moment and count as one.
+  Scenario: Requests that crash several engines at the same time are found at once
+    Given 1 entry that knows 6 engines
+    When 3 engines crash at once under requests with the parts "a f00d"
+    Then requests with the parts "a f00d" are refused
+    And requests with the parts "a" are served
+
+  Scenario: Another entry vouches for a part that it has served
+    Given 2 entries that know 6 engines
+    When a request with the parts "a" is served by another entry
+    And requests with the parts "a" crash 3 engines
+    And the entries hear of each other
+    Then requests with the parts "a" are served at every entry
+
   Scenario: Engines that fall together crash for another reason
     Given 1 entry that knows 6 engines
-    When 6 engines crash at once under requests with the parts "a"
+    When a request with the parts "a" is served
+    And 6 engines crash at once under requests with the parts "a"
     Then requests with the parts "a" are served
 
   Scenario: An engine that breaks off answers and runs has not crashed
--- a/features/steps/crashing_parts_steps.py
+++ b/features/steps/crashing_parts_steps.py
@@ -21,6 +21,12 @@
         context.group.crash(parts)
 
 
+@when('a request with the parts "{parts}" crashes {engines:d} engines')
+def step_crash_again(context: Context, parts: str, engines: int) -> None:
+    for _ in range(engines):
+        context.group.crash(parts, content='again')
+
+
 @when(
     'requests with the parts "{parts}" crash an engine under each of '
     '{entries:d} entries'
@@ -67,6 +73,11 @@
     context.group.exchange()
 
 
+@when('the entries hear of each other')
+def step_hear(context: Context) -> None:
+    context.group.exchange()
+
+
 @when('{seconds:d} s pass')
 def step_pass(context: Context, seconds: int) -> None:
     context.group.seconds += seconds
@@ -120,6 +131,11 @@
         assert not context.group.is_refused(parts, entry), entry
 
 
+@then('that request is refused')
+def step_again_refused(context: Context) -> None:
+    assert context.group.is_refused('a b', content='again')
+
+
 @then('the request is not sent to the engine that would answer it')
 def step_not_sent(context: Context) -> None:
     check_not_sent(context, context.run)
--- a/packages/trestle-control/src/trestle_control/load_table.py
+++ b/packages/trestle-control/src/trestle_control/load_table.py
@@ -26,7 +26,7 @@
 from trestle_links.codec import encode_message
 from trestle_links.connection import Channel
 from trestle_links.crash_evidence import CrashEvidence
-from trestle_links.crash_messages import ClearedTrait, CrashNotice
+from trestle_links.crash_messages import CrashNotice, ServedTrait
 from trestle_links.engine_slowness import SlownessTable
 from trestle_links.linear_fit import CallSums, LinearFit, prefill_fit
 from trestle_links.link_server import Handlers
@@ -91,7 +91,7 @@
         self.changed_slowness: set[str] = set()
         self.crashes = CrashEvidence()
         self.new_crashes: list[CrashNotice] = []
-        self.new_cleared: list[ClearedTrait] = []
+        self.new_served: list[ServedTrait] = []
         self.new_failures: list[FailureNotice] = []
         self.fits: dict[str, LinearFit] = {}
         self.told_speeds: dict[str, FittedSpeed] = {}
@@ -172,12 +172,8 @@
 
     def _record_crashes(self, change: LoadChange) -> None:
         now = monotonic()
-        for notice in change.crashes:
-            if self.crashes.record(notice, now):
-                self.new_crashes.append(notice)
-        for cleared in change.cleared:
-            if self.crashes.clear(cleared, now):
-                self.new_cleared.append(cleared)
+        self.new_crashes.extend(self.crashes.record(change.crashes, now))
+        self.new_served.extend(self.crashes.note_served(change.served, now))
 
     def _take_changes(self, follower: Follower) -> None:
         while True:
@@ -210,8 +206,8 @@
     def _changed_delta(self) -> LoadDelta:
         crashes = self.new_crashes
         self.new_crashes = []
-        cleared = self.new_cleared
-        self.new_cleared = []
+        served = self.new_served
+        self.new_served = []
         failures = self.new_failures[:_MAX_FAILURES]
         self.new_failures = []
         changed_slowness = {
@@ -225,7 +221,7 @@
             placements=self.placements.take_changes(),
             memories=self.placements.take_memories(),
             crashes=crashes,
-            cleared=cleared,
+            served=served,
             changing=self._changing(),
             transfer_slowness=changed_slowness,
             speeds=self._changed_speeds(),
@@ -240,7 +236,7 @@
             placements=[],
             memories=self.placements.all_memories(),
             crashes=self.crashes.all_notices(now),
-            cleared=self.crashes.all_cleared(now),
+            served=self.crashes.all_served(now),
             changing=self._changing(),
             transfer_slowness=self.transfer_slowness.figures(),
             speeds=list(self.told_speeds.values()),
--- a/packages/trestle-entry/src/trestle_entry/direct/crash_guard.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/crash_guard.py
@@ -17,15 +17,17 @@
 
 from trestle_core.logs import part_logger
 from trestle_entry.direct.entry_reports import EntryReports
-from trestle_links.crash_evidence import Block, CrashEvidence
-from trestle_links.crash_messages import ClearedTrait, CrashNotice, aged_by
+from trestle_links.crash_evidence import (
+    PROVEN_SECONDS,
+    Block,
+    CrashEvidence,
+)
+from trestle_links.crash_messages import CrashNotice, ServedTrait, age_ms
 
 # Time within which a back end is found down after it broke off an answer.
 _CONFIRM_SECONDS: Final = 3.0
-# Time for which a served request speaks for its traits.
-_PROVEN_SECONDS: Final = 60.0
 _MAX_SERVED: Final = 4000
-_MAX_TRAITS: Final = 64
+_MAX_PARTS: Final = 64
 _DIGEST_BYTES: Final = 8
 _INCARNATION_BYTES: Final = 4
 
@@ -35,7 +37,8 @@
 class Interruption(NamedTuple):
     """A request that a back end broke off, and when."""
 
-    traits: list[str]
+    content: str
+    parts: list[str]
     at: float
 
 
@@ -53,7 +56,9 @@
         self.incarnation = f'{host}-{token_hex(_INCARNATION_BYTES)}'
         self.numbers = count(1)
 
-    def note_interrupted(self, instance: str, traits: list[str]) -> None:
+    def note_interrupted(
+        self, instance: str, content: str, parts: list[str]
+    ) -> None:
         """Record that a back end broke off its answer to a request."""
         now = monotonic()
         recent = [
@@ -61,7 +66,7 @@
             for interruption in self.interruptions.get(instance, [])
             if now - interruption.at < _CONFIRM_SECONDS
         ]
-        recent.append(Interruption(traits[-_MAX_TRAITS:], now))
+        recent.append(Interruption(content, parts[-_MAX_PARTS:], now))
         self.interruptions[instance] = recent
 
     def note_down(self, instance: str) -> None:
@@ -70,11 +75,16 @@
         If it has just broken off answers, it has crashed.
         """
         now = monotonic()
-        for interruption in self.interruptions.pop(instance, []):
-            if now - interruption.at < _CONFIRM_SECONDS:
-                notice = self._notice(instance, interruption, now)
-                self._record(notice, now)
-                self.reports.note_crash(notice)
+        notices = [
+            CrashNotice(
+                self._next_key(), instance, age_ms(now - at), content, parts
+            )
+            for content, parts, at in self.interruptions.pop(instance, [])
+            if now - at < _CONFIRM_SECONDS
+        ]
+        for notice in notices:
+            self.reports.note_crash(notice)
+        self._record(notices, now)
 
     def note_served(
         self, part_traits: list[str], content_trait: Callable[[], str]
@@ -88,10 +98,8 @@
             self.served_at.pop(next(iter(self.served_at)))
         if not self.evidence.suspects:
             return
-        for trait in (*part_traits, content_trait()):
-            cleared = ClearedTrait(trait, 0)
-            if self._clear(cleared, now):
-                self.reports.note_cleared(cleared)
+        traits = (*part_traits, content_trait())
+        self._vouch([ServedTrait(trait, 0) for trait in traits], now)
 
     def block_of(self, traits: Callable[[], list[str]]) -> Block | None:
         """Return the block that applies to a request, if there is any."""
@@ -100,69 +108,80 @@
         return self.evidence.block_of(traits(), monotonic())
 
     def take(
-        self, notices: list[CrashNotice], cleared_traits: list[ClearedTrait]
+        self, notices: list[CrashNotice], served_traits: list[ServedTrait]
     ) -> None:
         """Record what entries, this one included, have told."""
         now = monotonic()
-        for notice in notices:
-            self._record(notice, now)
-        for cleared in cleared_traits:
-            self._clear(cleared, now)
+        self._record(notices, now)
+        self._note_served(served_traits, now)
 
     def report_all(self) -> None:
         """Tell all that is known, to a leader that may be new."""
         now = monotonic()
         for notice in self.evidence.all_notices(now):
             self.reports.note_crash(notice)
-        for cleared in self.evidence.all_cleared(now):
-            self.reports.note_cleared(cleared)
-
-    def _notice(
-        self, instance: str, interruption: Interruption, now: float
-    ) -> CrashNotice:
-        proven = [
-            trait
-            for trait in interruption.traits
-            if now - self.served_at.get(trait, -inf) < _PROVEN_SECONDS
-        ]
-        return CrashNotice(
-            f'{self.incarnation}-{next(self.numbers)}',
-            instance,
-            aged_by(0, now - interruption.at),
-            interruption.traits,
-            proven,
-        )
-
-    def _record(self, notice: CrashNotice, now: float) -> None:
+        for served in self.evidence.all_served(now):
+            self.reports.note_served(served)
+
+    def keep_only(self, instances: set[str]) -> None:
+        """Drop the interruptions by all other back ends."""
+        for instance in set(self.interruptions) - instances:
+            self.interruptions.pop(instance)
+
+    def _next_key(self) -> str:
+        return f'{self.incarnation}-{next(self.numbers)}'
+
+    def _record(self, notices: list[CrashNotice], now: float) -> None:
         before = self.evidence.blocks
-        if not self.evidence.record(notice, now):
-            return
-        _log.info(
-            '{} crashed {} ms ago under a request with {}.',
-            notice.instance,
-            notice.age_ms,
-            ', '.join(notice.traits),
-        )
+        new = self.evidence.record(notices, now)
+        for notice in new:
+            _log.info(
+                '{} crashed {} ms ago under a request with {}.',
+                notice.instance,
+                notice.age_ms,
+                ', '.join(notice.traits),
+            )
         self._log_changes(before, now)
-        self._clear_served(notice, now)
-
-    def _clear_served(self, notice: CrashNotice, now: float) -> None:
-        """Clear the traits of requests that were served since the crash."""
-        crashed_at = now - notice.age_seconds
-        for trait in notice.traits:
-            served_at = self.served_at.get(trait, -inf)
-            if served_at > crashed_at:
-                cleared = ClearedTrait(trait, aged_by(0, now - served_at))
-                if self._clear(cleared, now):
-                    self.reports.note_cleared(cleared)
-
-    def _clear(self, cleared: ClearedTrait, now: float) -> bool:
+        self._vouch(self._served_here(new, now), now)
+
+    def _served_here(
+        self, notices: list[CrashNotice], now: float
+    ) -> list[ServedTrait]:
+        """Return the suspected traits for which this entry can speak.
+
+        Either they were served after the crash, or they are suspected again
+        and no entry has told yet that it has served them.
+        """
+        evidence = self.evidence
+        served = []
+        for notice in notices:
+            crashed_at = now - notice.age_seconds
+            for trait in notice.traits:
+                served_at = self.served_at.get(trait, -inf)
+                told_at = evidence.served_at.get(trait, -inf)
+                is_repeated = evidence.suspects.get(trait, 0) > 1
+                is_untold = served_at - told_at > PROVEN_SECONDS / 2
+                if served_at > crashed_at or (is_repeated and is_untold):
+                    served.append(ServedTrait(trait, age_ms(now - served_at)))
+        return served
+
+    def _vouch(self, served_traits: list[ServedTrait], now: float) -> None:
+        for served in self._note_served(served_traits, now):
+            self.reports.note_served(served)
+
+    def _note_served(
+        self, served_traits: list[ServedTrait], now: float
+    ) -> list[ServedTrait]:
         before = self.evidence.blocks
-        if not self.evidence.clear(cleared, now):
-            return False
-        _log.info('A request with {} was served.', cleared.trait)
+        new = self.evidence.note_served(served_traits, now)
+        for served in new:
+            _log.info(
+                'A request with {} was served {} ms ago.',
+                served.trait,
+                served.age_ms,
+            )
         self._log_changes(before, now)
-        return True
+        return new
 
     def _log_changes(self, before: dict[str, Block], now: float) -> None:
         after = self.evidence.blocks
--- a/packages/trestle-entry/src/trestle_entry/direct/direct_app.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/direct_app.py
@@ -126,6 +126,7 @@
         fleet.replace_list(control.view.backends)
         context.pool.keep_only(set(fleet.backends))
         context.loads.keep_only(set(fleet.backends))
+        context.crash_guard.keep_only(set(fleet.backends))
 
     control.on_document.append(apply_document)
     control.on_stamp.append(apply_document)
--- a/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
@@ -152,7 +152,7 @@
             self.own.take_unreported(),
             self.reports.take_placements(),
             self.reports.take_crashes(),
-            self.reports.take_cleared(),
+            self.reports.take_served(),
             self.speeds.take_transfer_samples(),
             self.speeds.take_fit_sums(),
             self.reports.take_failures(),
--- a/packages/trestle-entry/src/trestle_entry/direct/entry_reports.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/entry_reports.py
@@ -5,14 +5,14 @@
 
 from gevent.event import Event
 
-from trestle_links.crash_messages import ClearedTrait, CrashNotice, aged_by
+from trestle_links.crash_messages import CrashNotice, ServedTrait, age_ms
 from trestle_links.direct_messages import Placement
 from trestle_links.load_messages import FailureNotice
 
 _MAX_PLACEMENTS: Final = 300
 _MAX_FAILURES: Final = 50
 _MAX_CRASHES: Final = 1000
-_MAX_CLEARED: Final = 4000
+_MAX_SERVED: Final = 4000
 
 
 class NotedCrash(NamedTuple):
@@ -22,10 +22,10 @@
     at: float
 
 
-class NotedClearance(NamedTuple):
-    """A cleared trait and when it was noted."""
+class NotedService(NamedTuple):
+    """A served trait and when it was noted."""
 
-    cleared: ClearedTrait
+    served: ServedTrait
     at: float
 
 
@@ -40,7 +40,7 @@
         self.changed = changed
         self.placements: list[Placement] = []
         self.crashes: list[NotedCrash] = []
-        self.cleared: list[NotedClearance] = []
+        self.served: list[NotedService] = []
         self.failures: list[FailureNotice] = []
 
     def note_placement(self, placement: Placement) -> None:
@@ -53,9 +53,9 @@
         self.crashes.append(NotedCrash(notice, monotonic()))
         self.changed.set()
 
-    def note_cleared(self, cleared: ClearedTrait) -> None:
-        """Record a trait that a served request has cleared."""
-        self.cleared.append(NotedClearance(cleared, monotonic()))
+    def note_served(self, served: ServedTrait) -> None:
+        """Record when a suspected trait was served."""
+        self.served.append(NotedService(served, monotonic()))
         self.changed.set()
 
     def note_failure(self, notice: FailureNotice) -> None:
@@ -75,18 +75,18 @@
         taken = self.crashes[-_MAX_CRASHES:]
         self.crashes = []
         return [
-            notice._replace(age_ms=aged_by(notice.age_ms, now - at))
+            notice._replace(age_ms=notice.age_ms + age_ms(now - at))
             for notice, at in taken
         ]
 
-    def take_cleared(self) -> list[ClearedTrait]:
-        """Return the traits that were cleared since the last call."""
+    def take_served(self) -> list[ServedTrait]:
+        """Return the latest served traits since the last call."""
         now = monotonic()
-        taken = self.cleared[-_MAX_CLEARED:]
-        self.cleared = []
+        taken = self.served[-_MAX_SERVED:]
+        self.served = []
         return [
-            cleared._replace(age_ms=aged_by(cleared.age_ms, now - at))
-            for cleared, at in taken
+            served._replace(age_ms=served.age_ms + age_ms(now - at))
+            for served, at in taken
         ]
 
     def take_failures(self) -> list[FailureNotice]:
--- a/packages/trestle-entry/src/trestle_entry/direct/load_stream.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/load_stream.py
@@ -108,7 +108,7 @@
 ) -> None:
     """Apply what the leader pushed; raises `TrestleError`."""
     delta = context.loads.apply_push(push, is_first=is_first)
-    context.crash_guard.take(delta.crashes, delta.cleared)
+    context.crash_guard.take(delta.crashes, delta.served)
     context.note_reported(delta.failures)
     context.fleet.changing_role = set(delta.changing)
 
--- a/packages/trestle-entry/src/trestle_entry/direct/request_run.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/request_run.py
@@ -115,7 +115,9 @@
         """Record that a back end broke off its answer to this request."""
         context = self.context
         context.fleet.note_failed(instance, reason)
-        context.crash_guard.note_interrupted(instance, self.traits())
+        context.crash_guard.note_interrupted(
+            instance, self.content_trait(), self.part_traits
+        )
         probe_after_break(context, instance)
 
     def note_served(self, instance: str) -> None:
--- a/packages/trestle-links/src/trestle_links/crash_evidence.py
+++ b/packages/trestle-links/src/trestle_links/crash_evidence.py
@@ -2,32 +2,33 @@
 
 A trait is what a request may share with others: a part of its prompt, or its
 whole content if it is sent again. A back end that crashes breaks off requests,
-whose traits are then the suspects of that crash. A request that completes
+whose traits are then the suspects of that crash. A request that is served
 clears its traits of the crashes before.
 
 A trait that is suspected in enough crashes explains them and is blocked for a
-while. The most specific one does, unless a less specific one is suspected in
-clearly more crashes. The crashes that a trait explains are not held against
+while. Of traits with which nothing was served shortly before, the most specific
+one does, and a part rather than the content: requests with such a part are
+rare. Another one does if it is suspected in clearly more crashes. The crashes that a trait explains are not held against
 others, so that a part that only accompanies a deadly one stays usable.
 
-Times are monotonic seconds of the process; notices carry ages instead.
+Times are monotonic seconds of the process; messages carry ages instead.
 """
 
 from collections.abc import Iterable
 from math import inf
 from typing import Final, NamedTuple
 
-from trestle_links.crash_messages import (
-    ClearedTrait,
-    CrashNotice,
-    aged_by,
-)
+from trestle_links.crash_messages import CrashNotice, ServedTrait, age_ms
 
 CRASHES_TO_BLOCK: Final = 3
-# For a trait with which requests were served shortly before: more crashes may
-# be coincidence, but a new version of the back ends may also crash under it.
+# For a proven trait, with which requests were served shortly before: more
+# crashes may be coincidence, but new back ends may also crash under it.
 CRASHES_TO_BLOCK_PROVEN: Final = 5
-# Further crashes under a less specific trait that make it the explanation; one
+PROVEN_SECONDS: Final = 60.0
+# Back ends that crash together have an outside cause; they count once against
+# a proven trait.
+_SAME_CAUSE_SECONDS: Final = 0.2
+# Further crashes under a less likely trait that make it the explanation; one
 # may be that of another cause.
 _CLEAR_LEAD: Final = 2
 FIRST_BLOCK_SECONDS: Final = 60.0
@@ -37,8 +38,6 @@
 # Notices of one back end within this time are of one crash: it takes longer
 # to start again.
 _SAME_CRASH_SECONDS: Final = 2.0
-# Back ends that crash together have an outside cause; they count once.
-_SAME_CAUSE_SECONDS: Final = 0.2
 _MAX_NOTICES: Final = 1000
 
 
@@ -61,64 +60,65 @@
     until: float
 
 
-class Candidate(NamedTuple):
-    """A trait that may explain some crashes, and its specificity."""
-
-    rank: int
-    crashes: int
-    trait: str
+class Crash(NamedTuple):
+    """The crash of a back end.
 
+    `ranks` has the position of each suspected part, counted from 1, larger
+    for a more specific one, and 0 for each suspected content.
+    """
 
-class Crash:
-    """The crash of a back end at a time, and the suspected traits.
+    instance: str
+    at: float
+    ranks: dict[str, int]
 
-    `ranks` has the specificity of each trait, larger for a more specific one.
-    """
 
-    def __init__(self, instance: str, at: float) -> None:
-        """Start without a suspect."""
-        self.instance = instance
-        self.at = at
-        self.ranks: dict[str, int] = {}
-        self.proven: set[str] = set()
+class Candidate(NamedTuple):
+    """A trait that may explain some crashes; the likelier one sorts higher."""
 
-    def add(self, notice: CrashNotice) -> None:
-        """Add the traits of a request that the crash broke off."""
-        for rank, trait in enumerate(notice.traits):
-            self.ranks[trait] = max(rank, self.ranks.get(trait, 0))
-        self.proven.update(notice.proven)
+    is_unproven: bool
+    rank: int
+    crashes: int
+    trait: str
 
 
 class CrashEvidence:
-    """Crash notices, the traits that were cleared, and the resulting blocks."""
+    """Crash notices, the traits that were served, and the resulting blocks."""
 
     def __init__(self) -> None:
         """Start without evidence."""
         self.notices: dict[str, SeenNotice] = {}
-        self.cleared_at: dict[str, float] = {}
-        # Traits of the kept crashes that no completed request has cleared.
-        self.suspects: set[str] = set()
+        self.served_at: dict[str, float] = {}
+        # Crashes in which a trait is suspected, over all kept notices.
+        self.suspects: dict[str, int] = {}
         self.blocks: dict[str, Block] = {}
 
-    def record(self, notice: CrashNotice, now: float) -> bool:
-        """Record a notice; return whether it was new."""
-        if notice.key in self.notices:
-            return False
-        at = now - notice.age_seconds
-        self.notices[notice.key] = SeenNotice(notice, at)
-        self._drop_old(now)
-        self._evaluate()
-        return True
-
-    def clear(self, cleared: ClearedTrait, now: float) -> bool:
-        """Record that a request completed; return whether it clears a trait."""
-        at = now - cleared.age_seconds
-        is_news = at > self.cleared_at.get(cleared.trait, -inf)
-        if not is_news or cleared.trait not in self.suspects:
-            return False
-        self.cleared_at[cleared.trait] = at
-        self._evaluate()
-        return True
+    def record(
+        self, notices: Iterable[CrashNotice], now: float
+    ) -> list[CrashNotice]:
+        """Record notices; return the new ones."""
+        new = [notice for notice in notices if notice.key not in self.notices]
+        for notice in new:
+            at = now - notice.age_seconds
+            self.notices[notice.key] = SeenNotice(notice, at)
+        if new:
+            self._drop_old(now)
+            self._evaluate()
+        return new
+
+    def note_served(
+        self, served_traits: Iterable[ServedTrait], now: float
+    ) -> list[ServedTrait]:
+        """Record served requests; return what is new and matters."""
+        new = []
+        for served in served_traits:
+            at = now - served.age_seconds
+            is_news = at > self.served_at.get(served.trait, -inf)
+            if is_news and served.trait in self.suspects:
+                self.served_at[served.trait] = at
+                new.append(served)
+        if new:
+            self._evaluate()
+        return new
 
     def block_of(self, traits: Iterable[str], now: float) -> Block | None:
         """Return the block of one of the traits, if there is any."""
@@ -131,15 +131,15 @@
     def all_notices(self, now: float) -> list[CrashNotice]:
         """Return all kept notices with their present ages."""
         return [
-            seen.notice._replace(age_ms=aged_by(0, now - seen.at))
+            seen.notice._replace(age_ms=age_ms(now - seen.at))
             for seen in self.notices.values()
         ]
 
-    def all_cleared(self, now: float) -> list[ClearedTrait]:
-        """Return all cleared traits with their present ages."""
+    def all_served(self, now: float) -> list[ServedTrait]:
+        """Return when each trait was last served, as far as it is known."""
         return [
-            ClearedTrait(trait, aged_by(0, now - at))
-            for trait, at in self.cleared_at.items()
+            ServedTrait(trait, age_ms(now - at))
+            for trait, at in self.served_at.items()
         ]
 
     def _drop_old(self, now: float) -> None:
@@ -147,15 +147,18 @@
         for position, (key, seen) in enumerate(list(self.notices.items())):
             if position < surplus or now - seen.at > _KEPT_SECONDS:
                 self.notices.pop(key)
-        for trait, at in list(self.cleared_at.items()):
+        for trait, at in list(self.served_at.items()):
             if now - at > _KEPT_SECONDS:
-                self.cleared_at.pop(trait)
+                self.served_at.pop(trait)
 
     def _evaluate(self) -> None:
         crashes = self._crashes()
-        self.suspects = {trait for crash in crashes for trait in crash.ranks}
+        suspected = _crashes_by_trait(crashes)
+        self.suspects = {
+            trait: len(under) for trait, under in suspected.items()
+        }
         self.blocks = {}
-        while block := _best_explanation(crashes):
+        while block := self._best_explanation(crashes):
             self.blocks[block.trait] = block
             crashes = [
                 crash for crash in crashes if block.trait not in crash.ranks
@@ -169,41 +172,46 @@
             instance = seen.notice.instance
             crash = latest.get(instance)
             if crash is None or seen.at - crash.at > _SAME_CRASH_SECONDS:
-                crash = Crash(instance, seen.at)
+                crash = Crash(instance, seen.at, {})
                 latest[instance] = crash
                 crashes.append(crash)
-            crash.add(seen.notice)
-        for crash in crashes:
-            crash.ranks = {
-                trait: rank
-                for trait, rank in crash.ranks.items()
-                if self.cleared_at.get(trait, -inf) < crash.at
-            }
+            self._add_suspects(crash, seen.notice)
         return crashes
 
-
-def _best_explanation(crashes: list[Crash]) -> Block | None:
-    """Return the block of the trait that explains the crashes best, if any."""
-    best: Candidate | None = None
-    for candidate in _candidates(crashes):
-        if best is None or candidate.crashes >= best.crashes + _CLEAR_LEAD:
-            best = candidate
-    if best is None:
-        return None
-    last = [crash for crash in crashes if best.trait in crash.ranks][-1]
-    until = last.at + _block_seconds(best.crashes)
-    return Block(best.trait, best.crashes, last.instance, until)
-
-
-def _candidates(crashes: list[Crash]) -> list[Candidate]:
-    """Return the traits with enough crashes, the most specific one first."""
-    candidates = []
-    for trait, suspected in _crashes_by_trait(crashes).items():
-        number = _count_apart(suspected)
-        if number >= _crashes_to_block(trait, suspected):
-            rank = max(crash.ranks[trait] for crash in suspected)
-            candidates.append(Candidate(rank, number, trait))
-    return sorted(candidates, reverse=True)
+    def _add_suspects(self, crash: Crash, notice: CrashNotice) -> None:
+        for rank, trait in enumerate([notice.content, *notice.parts]):
+            if self.served_at.get(trait, -inf) < crash.at:
+                known_rank = crash.ranks.get(trait, 0)
+                crash.ranks[trait] = max(rank, known_rank)
+
+    def _best_explanation(self, crashes: list[Crash]) -> Block | None:
+        best: Candidate | None = None
+        for candidate in self._candidates(crashes):
+            if best is None or candidate.crashes >= best.crashes + _CLEAR_LEAD:
+                best = candidate
+        if best is None:
+            return None
+        last = [crash for crash in crashes if best.trait in crash.ranks][-1]
+        until = last.at + _block_seconds(best.crashes)
+        return Block(best.trait, best.crashes, last.instance, until)
+
+    def _candidates(self, crashes: list[Crash]) -> list[Candidate]:
+        """Return the traits with enough crashes, the likeliest first."""
+        candidates = []
+        for trait, suspected in _crashes_by_trait(crashes).items():
+            is_proven = self._is_proven(trait, suspected)
+            number, needed = len(suspected), CRASHES_TO_BLOCK
+            if is_proven:
+                number = _count_apart(suspected)
+                needed = CRASHES_TO_BLOCK_PROVEN
+            if number >= needed:
+                rank = max(crash.ranks[trait] for crash in suspected)
+                candidates.append(Candidate(not is_proven, rank, number, trait))
+        return sorted(candidates, reverse=True)
+
+    def _is_proven(self, trait: str, suspected: list[Crash]) -> bool:
+        served_at = self.served_at.get(trait, -inf)
+        return suspected[0].at - served_at < PROVEN_SECONDS
 
 
 def _crashes_by_trait(crashes: list[Crash]) -> dict[str, list[Crash]]:
@@ -214,11 +222,6 @@
     return by_trait
 
 
-def _crashes_to_block(trait: str, suspected: list[Crash]) -> int:
-    is_proven = any(trait in crash.proven for crash in suspected)
-    return CRASHES_TO_BLOCK_PROVEN if is_proven else CRASHES_TO_BLOCK
-
-
 def _count_apart(crashes: list[Crash]) -> int:
     """Count crashes; those of several back ends at the same time are one."""
     number = 0
--- a/packages/trestle-links/src/trestle_links/load_messages.py
+++ b/packages/trestle-links/src/trestle_links/load_messages.py
@@ -9,7 +9,7 @@
 from typing import Final, NamedTuple
 
 from trestle_links.codec import message
-from trestle_links.crash_messages import ClearedTrait, CrashNotice
+from trestle_links.crash_messages import CrashNotice, ServedTrait
 from trestle_links.direct_messages import EngineMemory, Placement
 
 # Larger figures are not loads; a message with them is malformed.
@@ -88,7 +88,7 @@
     loads: list[BackendLoad]
     placements: list[Placement]
     crashes: list[CrashNotice]
-    cleared: list[ClearedTrait]
+    served: list[ServedTrait]
     transfer_slowness: dict[str, float]
     fits: list[FitSums]
     failures: list[FailureNotice]
@@ -108,7 +108,7 @@
     placements: list[Placement]
     memories: list[EngineMemory]
     crashes: list[CrashNotice]
-    cleared: list[ClearedTrait]
+    served: list[ServedTrait]
     changing: list[str]
     transfer_slowness: dict[str, float]
     speeds: list[FittedSpeed]
--- a/testbed/crash_entries.py
+++ b/testbed/crash_entries.py
@@ -139,7 +139,7 @@
             for entry, stream in zip(self.entries, self.streams, strict=True):
                 entry.crash_guard.report_all()
                 for delta in stream.first:
-                    entry.crash_guard.take(delta.crashes, delta.cleared)
+                    entry.crash_guard.take(delta.crashes, delta.served)
 
     def exchange(self) -> None:
         """Let all entries report, and tell all of them."""
