Cases for answers that have neither a length nor chunks

Change: the stand-in gives such answers: whole, reset on the way, and a stream that ends inside an event, on a route that may be resumed and one that may not.

--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -28,6 +28,18 @@
     And a stream of "/grade/breaks" comes back whole although it broke off
     And a stream of "/check/breaks" ends without the end of its body
 
+  # Guards against: an answer without length or chunks that is taken for whole
+  # when it broke off, or for broken when it is whole.
+  Scenario: An answer with neither a length nor chunks ends with its connection
+    Given a platform with 5 control hosts, 2 entries, 2 services and 3 engines
+    When document 3 is published at "core-1"
+    Then every entry is ready within its bound
+    And a call of "/book/bare" runs once and comes back sealed
+    And a call of "/book/bare-reset" gets 502 and ran once
+    And a stream of "/check/bare" comes back whole after its prompt was read apart
+    And a stream of "/grade/bare-breaks" comes back whole although it broke off
+    And a stream of "/check/bare-breaks" ends without the end of its body
+
   Scenario: What callers send under the system's names goes nowhere
     Given a platform with 5 control hosts, 2 entries, 2 services and 3 engines
     When document 3 is published at "core-1"
--- a/testbed/platform_replica.py
+++ b/testbed/platform_replica.py
@@ -18,6 +18,8 @@
 _PREFIX: Final = 'Kingcuptrestle-'
 _READ_BYTES: Final = 65_536
 _SLOW_SECONDS: Final = 30.0
+# Time for bytes to arrive before a reset drops them.
+_FLUSH_SECONDS: Final = 0.1
 # Time of a prefill.
 _SECONDS_PER_TOKEN: Final = 0.00002
 _RESET: Final = b'\x01\x00\x00\x00\x00\x00\x00\x00'
@@ -145,6 +147,14 @@
             return False
         if fault == 'fails':
             return _send(sock, 500, headers, body)
+        if fault in {'bare', 'bare-reset'}:
+            # Neither a length nor chunks: the answer ends with its connection.
+            sock.sendall(_head(200, headers) + body)
+            if fault == 'bare-reset':
+                sock.setsockopt(SOL_SOCKET, SO_LINGER, _RESET)
+                sleep(_FLUSH_SECONDS)
+            sock.close()
+            return False
         if fault == 'garbage':
             sock.sendall(b'\x00\x01 no answer at all\r\n\r\n')
             return False
@@ -157,20 +167,31 @@
         headers = {
             **self._sealed(received),
             'Content-Type': 'text/event-stream',
-            'Transfer-Encoding': 'chunked',
         }
+        is_bare = received.fault.startswith('bare')
+        if not is_bare:
+            headers['Transfer-Encoding'] = 'chunked'
         source = received.named('Kv-Source').rpartition('/')[2]
         self.handles.discard(source)
         sock.sendall(_head(200, headers))
         first = int(received.headers.get('last-event-id') or -1) + 1
         for number in range(first, EVENTS):
             resumed = first > 0
-            if received.fault == 'breaks' and number == 3 and not resumed:
-                _send_chunk(sock, b'id: 3\ndata: tok')
+            if (
+                received.fault.endswith('breaks')
+                and number == 3
+                and not resumed
+            ):
+                _send_piece(sock, b'id: 3\ndata: tok', is_bare)
+                sock.close()
                 return False
             if received.fault == 'slow':
                 sleep(0.3)
-            _send_chunk(sock, f'id: {number}\ndata: token\n\n'.encode())
+            event = f'id: {number}\ndata: token\n\n'.encode()
+            _send_piece(sock, event, is_bare)
+        if is_bare:
+            sock.close()
+            return False
         sock.sendall(b'0\r\n\r\n')
         return True
 
@@ -220,5 +241,8 @@
     return True
 
 
-def _send_chunk(sock: socket, content: bytes) -> None:
+def _send_piece(sock: socket, content: bytes, is_bare: bool) -> None:
+    if is_bare:
+        sock.sendall(content)
+        return
     sock.sendall(f'{len(content):x}\r\n'.encode() + content + b'\r\n')
