Log the rate limits that back ends name

Cause: the logs could not tell whether limits are unknown, known too late or kept by each entry alone. Change: the adapter reads the limit of an answer; an entry logs when a back end names one, changes it or names none any more. No request is held back.

--- a/packages/trestle-entry/src/trestle_entry/direct/backend_calls.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/backend_calls.py
@@ -125,6 +125,7 @@
     answer = BackendAnswer(request.method)
     connection.read_head(answer)
     head = wire.read_head(answer.status, answer.header_list())
+    context.rate_limits.note_named(backend.instance, head.rate_limit)
     _check_head(request, head, options)
     return OpenAnswer(connection, answer, head, backend)
 
--- a/packages/trestle-entry/src/trestle_entry/direct/wire_types.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/wire_types.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from math import inf
 from typing import Any, Final, NamedTuple
 
 Headers = list[tuple[str, str]]
@@ -77,6 +78,8 @@
     `is_declined` means that the back end did not run the request and never
     will, `is_sealed` that the answer has the back end's digest. `idle_seconds`
     is the time for which it keeps an idle connection, 0 if not announced.
+    `rate_limit` is the requests a second that it takes from all entries
+    together, infinite if it names no limit.
     """
 
     status: int
@@ -87,6 +90,7 @@
     closes_connection: bool
     idle_seconds: float
     forwarded_headers: Headers
+    rate_limit: float = inf
 
 
 class CallerWire(NamedTuple):
