Entries keep together to the rate limits that back ends name

Cause: nothing read the limit, and no entry knew what the others send to one back end. Class: a bound of the whole fleet that each process would have to keep, without a count over all of them. Evidence: with the limit logged, each entry heard of it within a second and sent on; one entry's sends alone were below it, the sum was not. Fix: an entry keeps a level for each limited back end, raised by each send of any entry and falling at the named rate; limits and sends travel with the loads, so all know of a limit as soon as one does. A place is taken when a request is planned, so one whose prompt is being prefilled finds its engine. Full back ends are no candidates, not even as the last ones; who finds none is refused at once with the time until one takes more. Without a leader each entry keeps to an equal part. An answer to a request older than the limit does not lift it; a limit of nothing is asked about once in four seconds. Wire: LoadChange and LoadDelta carry limits and sends.

--- a/features/steps/crashing_parts_steps.py
+++ b/features/steps/crashing_parts_steps.py
@@ -93,6 +93,7 @@
 @when('another host leads')
 def step_lead(context: Context) -> None:
     context.group.lead_anew()
+    context.group.exchange()
 
 
 @when('the prompt of a request with the parts "{parts}" is read')
--- a/packages/trestle-control/src/trestle_control/load_table.py
+++ b/packages/trestle-control/src/trestle_control/load_table.py
@@ -17,6 +17,7 @@
 from gevent.event import Event
 
 from trestle_control.control_errors import NotLeaderError
+from trestle_control.limit_table import LimitTable
 from trestle_control.load_totals import LoadTotals
 from trestle_control.placement_log import PlacementLog
 from trestle_control.replica_api import ReplicaApi
@@ -92,6 +93,7 @@
         self.crashes = CrashEvidence()
         self.new_crashes: list[CrashNotice] = []
         self.new_served: list[ServedTrait] = []
+        self.limits = LimitTable()
         self.new_failures: list[FailureNotice] = []
         self.fits: dict[str, LinearFit] = {}
         self.told_speeds: dict[str, FittedSpeed] = {}
@@ -162,6 +164,7 @@
             self.transfer_slowness.note(instance, slowness)
             self.changed_slowness.add(instance)
         self._record_crashes(change)
+        self.limits.record(change.limits, change.sends)
         self.new_failures.extend(change.failures)
         for fit_sums in change.fits:
             self._pool(fit_sums)
@@ -226,6 +229,8 @@
             transfer_slowness=changed_slowness,
             speeds=self._changed_speeds(),
             failures=failures,
+            limits=self.limits.take_changed(),
+            sends=self.limits.take_sends(),
         )
 
     def _complete_delta(self) -> LoadDelta:
@@ -241,6 +246,8 @@
             transfer_slowness=self.transfer_slowness.figures(),
             speeds=list(self.told_speeds.values()),
             failures=[],
+            limits=self.limits.all_limits(),
+            sends=[],
         )
 
     def _changed_speeds(self) -> list[FittedSpeed]:
--- a/packages/trestle-entry/src/trestle_entry/direct/backend_calls.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/backend_calls.py
@@ -121,11 +121,14 @@
         wire.send_headers(request, options),
         request.body,
     )
+    sent_at = monotonic()
     connection.send(request_bytes)
     answer = BackendAnswer(request.method)
     connection.read_head(answer)
     head = wire.read_head(answer.status, answer.header_list())
-    context.rate_limits.note_named(backend.instance, head.rate_limit)
+    context.loads.rate_limits.note_named(
+        backend.instance, head.rate_limit, sent_at
+    )
     _check_head(request, head, options)
     return OpenAnswer(connection, answer, head, backend)
 
--- a/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
@@ -14,6 +14,7 @@
 from trestle_entry.direct.engine_speeds import EngineSpeeds, PrefillCall
 from trestle_entry.direct.entry_reports import EntryReports
 from trestle_entry.direct.own_loads import OwnLoads
+from trestle_entry.direct.rate_limits import RateLimits
 from trestle_entry.direct.shared_loads import SharedLoads
 from trestle_entry.direct.wire_types import ModelDemand
 from trestle_links.codec import decode_message
@@ -41,6 +42,7 @@
         self.speeds = EngineSpeeds()
         self.caches: dict[str, CachedParts] = {}
         self.reports = EntryReports(self.own.changed)
+        self.rate_limits = RateLimits(self.own.changed)
         # The entries that share the fleet, this one included.
         self.entry_count = 1
 
@@ -137,12 +139,14 @@
         self.own.keep_only(instances)
         self.shared.keep_only(instances)
         self.speeds.keep_only(instances)
+        self.rate_limits.keep_only(instances)
 
     def open_stream(self) -> list[BackendLoad]:
         """Return all loads of this entry, which open a stream."""
         loads = self.own.all_loads()
         self.own.unreported.clear()
         self.shared.start_stream(loads)
+        self.rate_limits.start_stream()
         return loads
 
     def take_change(self, number: int) -> LoadChange:
@@ -156,6 +160,8 @@
             self.speeds.take_transfer_samples(),
             self.speeds.take_fit_sums(),
             self.reports.take_failures(),
+            self.rate_limits.take_limits(),
+            self.rate_limits.take_sends(number),
         )
         self.shared.note_sent(number, change.loads)
         return change
@@ -167,6 +173,9 @@
             raise TrestleError(BAD_FRAME, 'the leader pushed no loads')
         self.shared.apply(push.applied, delta.loads, is_first=is_first)
         self.apply_delta(delta)
+        self.rate_limits.apply(
+            delta.limits, delta.sends, push.applied, self.entry_count
+        )
         return delta
 
     def apply_delta(self, delta: LoadDelta) -> None:
--- a/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
@@ -11,7 +11,6 @@
 
 from trestle_core.errorcodes import (
     ANSWER_INCOMPLETE,
-    NO_ENDPOINT,
 )
 from trestle_core.errors import TrestleError
 from trestle_core.verdict import Verdict
@@ -36,7 +35,7 @@
     broken_answer_error,
     check_not_blocked,
     check_resend,
-    make_failure,
+    make_no_backend_failure,
     note_broken,
     send_once,
     within_deadline,
@@ -133,7 +132,8 @@
     )
     if decode_engine is None:
         free_handle(run.context, handle)
-        raise make_failure(run, NO_ENDPOINT, 'no decode engine is left')
+        raise make_no_backend_failure(run, 'no decode engine is left')
+    run.hold_place(decode_engine.backend.instance)
     run.transfer = KvTransfer(
         decode_engine.backend.instance,
         decode_engine.link_ms,
--- a/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
@@ -52,6 +52,7 @@
         opened = open_stream(run)
     except BaseException:
         run.count_at('')
+        run.hold_place('')
         raise
     if isinstance(opened, CompleteAnswer):
         return complete_reply(opened)
@@ -96,6 +97,7 @@
             self.opened.connection.close()
             self.opened = None
         self.run.count_at('')
+        self.run.hold_place('')
         trace = self.run.trace
         trace.fields.update(self.timing.fields(self.run.events.count))
         is_complete = self.outcome == _SERVED
--- a/packages/trestle-entry/src/trestle_entry/direct/plain_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/plain_dispatch.py
@@ -10,7 +10,6 @@
 
 from trestle_core.errorcodes import (
     DEADLINE_UNREACHABLE,
-    NO_ENDPOINT,
     OVERLOADED,
 )
 from trestle_entry.direct.backend_calls import (
@@ -26,6 +25,7 @@
 from trestle_entry.direct.request_run import (
     RequestRun,
     make_failure,
+    make_no_backend_failure,
     send_once,
     within_deadline,
 )
@@ -96,13 +96,13 @@
 
 def _choose_backend(run: RequestRun) -> Backend:
     context = run.context
-    excluded = frozenset(run.avoided)
-    candidates = context.fleet.usable(run.service.name, excluded)
+    service = run.service.name
+    candidates = context.fleet.usable(service, run.unusable())
     if not candidates and run.avoided:
-        candidates = context.fleet.usable(run.service.name, frozenset())
+        full = frozenset(context.loads.rate_limits.full())
+        candidates = context.fleet.usable(service, full)
     if not candidates:
-        text = f'no back end for {run.service.name}'
-        raise make_failure(run, NO_ENDPOINT, text)
+        raise make_no_backend_failure(run, f'no back end for {service}')
     if run.remaining_ms <= 0:
         raise make_failure(
             run,
--- a/packages/trestle-entry/src/trestle_entry/direct/prompt_prefill.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/prompt_prefill.py
@@ -69,6 +69,7 @@
         f'{plan.work.copied_tokens} copied',
     )
     run.prefills += 1
+    run.context.loads.rate_limits.take(engine.instance)
     timeout_ms = plan.first_token_ms * _TIMEOUT_FACTOR + _TIMEOUT_BASE_MS
     limit = Timeout(timeout_ms / _MS_PER_SECOND)
     try:
@@ -80,6 +81,7 @@
         _avoid_engine(run, engine, 'no answer in time')
     except NotSentError as error:
         run.prefills -= 1
+        run.context.loads.rate_limits.give_back(engine.instance)
         run.note_not_sent(engine.instance, error)
     except BrokenAnswerError as error:
         _avoid_engine(run, engine, str(error))
--- a/packages/trestle-entry/src/trestle_entry/direct/request_run.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/request_run.py
@@ -17,6 +17,7 @@
     CRASH_SUSPECT,
     DEADLINE_PASSED,
     NO_ENDPOINT,
+    OVERLOADED,
     RETRY_BUDGET,
     ErrorCode,
 )
@@ -67,6 +68,8 @@
         self.failed_connects = 0
         self.runs = 0
         self.avoided: set[str] = set()
+        # The back end at which a place is held for this request, or empty.
+        self.held_at = ''
 
     @property
     def verdict(self) -> Verdict:
@@ -111,6 +114,25 @@
         """Return all under which crashes of back ends are counted."""
         return [*self.part_traits, self.content_trait()]
 
+    def unusable(self) -> frozenset[str]:
+        """Return the back ends that the request must not be sent to now."""
+        full = self.context.loads.rate_limits.full() - {self.held_at}
+        return frozenset(self.avoided | full)
+
+    def hold_place(self, instance: str) -> None:
+        """Count the request at a back end with a rate limit in advance.
+
+        A place that it holds elsewhere is given back; an empty name holds none.
+        """
+        if instance == self.held_at:
+            return
+        rate_limits = self.context.loads.rate_limits
+        if self.held_at:
+            rate_limits.give_back(self.held_at)
+        if instance:
+            rate_limits.take(instance)
+        self.held_at = instance
+
     def note_interrupted(self, instance: str, reason: str) -> None:
         """Record that a back end broke off its answer to this request."""
         context = self.context
@@ -156,6 +178,29 @@
     return RefusedError(code, text, retry_after)
 
 
+def make_no_backend_failure(run: RequestRun, text: str) -> TrestleError:
+    """Return the failure without a back end, with a true time to retry.
+
+    Back ends that have a rate limit take requests again at a known time.
+    """
+    context = run.context
+    waits = [
+        context.loads.rate_limits.wait_seconds(backend.instance)
+        for backend in context.fleet.by_service.get(run.service.name, [])
+    ]
+    waits = [seconds for seconds in waits if seconds > 0]
+    if not waits:
+        return make_failure(run, NO_ENDPOINT, text)
+    # Refused callers do not return together.
+    seconds = min(waits) * (1 + context.random.random())
+    return make_failure(
+        run,
+        OVERLOADED,
+        f'{text}: {len(waits)} have reached their rate limits',
+        max(DEFAULT_RETRY_AFTER_SECONDS, seconds),
+    )
+
+
 def check_not_blocked(run: RequestRun) -> None:
     """Raise `TrestleError` if back ends crash under such requests."""
     block = run.context.crash_guard.block_of(run.traits)
@@ -191,10 +236,14 @@
     if is_resend:
         check_resend(run)
     run.sends += 1
+    run.hold_place(instance)
+    # From here on the request counts as sent.
+    run.held_at = ''
     try:
         return send()
     except NotSentError as error:
         run.sends -= 1
+        run.context.loads.rate_limits.give_back(instance)
         if is_resend:
             run.context.return_resend(run.service.name)
         run.note_not_sent(instance, error)
--- a/packages/trestle-entry/src/trestle_entry/direct/run_planning.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/run_planning.py
@@ -4,7 +4,6 @@
 
 from trestle_core.errorcodes import (
     DEADLINE_UNREACHABLE,
-    NO_ENDPOINT,
     OVERLOADED,
 )
 from trestle_entry.direct.admission import Prediction, check_admission
@@ -12,7 +11,10 @@
 from trestle_entry.direct.placement import Plan, plan_request
 from trestle_entry.direct.prefill_work import PlacementRequest
 from trestle_entry.direct.replies import RefusedError
-from trestle_entry.direct.request_run import make_failure
+from trestle_entry.direct.request_run import (
+    make_failure,
+    make_no_backend_failure,
+)
 from trestle_links.direct_messages import PREFILL, Backend
 
 # Prefill calls of one request that reach an engine.
@@ -39,8 +41,8 @@
         may_copy=not run.prefills,
     )
     if plan is None:
-        raise make_failure(
-            run, NO_ENDPOINT, f'no usable engine for {run.service.name}'
+        raise make_no_backend_failure(
+            run, f'no usable engine for {run.service.name}'
         )
     if admit:
         _admit(run, plan)
@@ -50,12 +52,13 @@
             DEADLINE_UNREACHABLE,
             'the deadline passed before the next send',
         )
+    run.hold_place(plan.decode_engine.instance)
     return plan
 
 
 def usable_engines(run: ModelRun) -> list[Backend]:
     """Return the engines that this request has not tried in vain."""
-    return run.context.fleet.usable(run.service.name, frozenset(run.avoided))
+    return run.context.fleet.usable(run.service.name, run.unusable())
 
 
 def placement_request(run: ModelRun) -> PlacementRequest:
--- a/packages/trestle-links/src/trestle_links/load_messages.py
+++ b/packages/trestle-links/src/trestle_links/load_messages.py
@@ -49,6 +49,20 @@
     is_refused: bool
 
 
+class NamedLimit(NamedTuple):
+    """The rate limit that a back end names, in requests/s; None for none."""
+
+    instance: str
+    rate: float | None
+
+
+class SendCount(NamedTuple):
+    """Requests to a limited back end; negative if they were not sent."""
+
+    instance: str
+    requests: int
+
+
 class FitSums(NamedTuple):
     """The prefills of a service since the last report of an entry.
 
@@ -92,6 +106,8 @@
     transfer_slowness: dict[str, float]
     fits: list[FitSums]
     failures: list[FailureNotice]
+    limits: list[NamedLimit]
+    sends: list[SendCount]
 
 
 @message(151)
@@ -100,7 +116,8 @@
 
     `loads` are sums over all entries, the receiving one included. `memories`
     replace what is known of an engine's cache, before the placements.
-    `changing` lists the engines whose role is being changed.
+    `changing` lists the engines whose role is being changed. `sends` have those
+    since the push before, of the receiving entry those up to `applied`.
     """
 
     entries: int
@@ -113,6 +130,8 @@
     transfer_slowness: dict[str, float]
     speeds: list[FittedSpeed]
     failures: list[FailureNotice]
+    limits: list[NamedLimit]
+    sends: list[SendCount]
 
 
 @message(150)
--- a/testbed/limited_entries.py
+++ b/testbed/limited_entries.py
@@ -1,13 +1,11 @@
 """Entries that share back ends with rate limits, without a network."""
 
-from collections.abc import Iterator
-from contextlib import ExitStack, contextmanager
-from itertools import count, cycle
-from types import ModuleType
+from itertools import count
 from typing import Any, Final
 from unittest.mock import patch
 
-from testbed.direct_runs import DEMAND, make_context, make_match, make_request
+from testbed.direct_runs import DEMAND, make_match, make_request
+from testbed.entry_group import EntryGroup
 from trestle_core.errors import TrestleError
 from trestle_core.verdict import Verdict
 from trestle_entry.direct import plain_dispatch
@@ -17,36 +15,30 @@
 from trestle_entry.direct.wire_types import AnswerHead
 
 _SECONDS_PER_EXCHANGE: Final = 0.05
-_TIMED_MODULES: Final[tuple[ModuleType, ...]] = ()
 
 
-class LimitedEntries:
-    """Entries, and back ends that count what they get."""
+class LimitedEntries(EntryGroup):
+    """Entries, and back ends that name limits and count what they get."""
 
     def __init__(self, entries: int, backends: int) -> None:
-        """Start without limits; `seconds` is the time of all."""
+        """Start without limits."""
         names = [f'backend-{number}' for number in range(1, backends + 1)]
-        roles = dict.fromkeys(names, '')
-        self.entries = [
-            make_context(roles, resends=100, host=f'entry-{number}')
-            for number in range(entries)
-        ]
-        self.entries_in_turn = cycle(self.entries)
+        super().__init__(entries, dict.fromkeys(names, ''))
         self.rates: dict[str, float] = {}
         self.arrivals: dict[str, list[float]] = {name: [] for name in names}
         self.refusals: list[TrestleError] = []
-        self.seconds = 1000.0
         self.exchanged_at = 0.0
         self.numbers = count(1)
 
     def send(self, requests: int, seconds: float) -> None:
         """Send requests evenly over some seconds, to the entries in turn."""
-        for _ in range(requests):
+        for number in range(requests):
             self.seconds += seconds / requests
             if self.seconds > self.exchanged_at + _SECONDS_PER_EXCHANGE:
                 self.exchange()
+                self.exchanged_at = self.seconds
             with self.clock():
-                self.send_one(next(self.entries_in_turn))
+                self.send_one(self.entries[number % len(self.entries)])
 
     def send_one(self, entry: DirectContext) -> None:
         """Send a request to an entry; keep the refusal if it is refused."""
@@ -68,38 +60,25 @@
         self.arrivals[backend.instance].append(self.seconds)
         rate = self.rates.get(backend.instance, float('inf'))
         head = AnswerHead(200, 'r', True, False, False, False, 0, [], rate)
-        entry.rate_limits.note_named(backend.instance, rate)
+        entry.loads.rate_limits.note_named(backend.instance, rate, self.seconds)
         nothing: Any = None
         return OpenAnswer(nothing, nothing, head, backend)
 
-    def drop_arrivals_before(self, oldest: float) -> None:
-        """Forget what the back ends got before a time."""
-        for name, times in self.arrivals.items():
-            self.arrivals[name] = [at for at in times if at >= oldest]
+    def most_arrivals(self, number: int, window: float, last: float) -> int:
+        """Return the most requests to a back end in a window of some seconds.
 
-    def most_arrivals(self, backend: str, seconds: float) -> int:
-        """Return the most requests that a back end got in such a window."""
-        times = self.arrivals[backend]
-        return max(
-            sum(1 for at in times if start <= at < start + seconds)
+        Only the `last` seconds count.
+        """
+        times = [
+            at
+            for at in self.arrivals[f'backend-{number}']
+            if at >= self.seconds - last
+        ]
+        windows = [
+            sum(1 for at in times if start <= at < start + window)
             for start in times
-        )
-
-    def exchange(self) -> None:
-        """Let the entries tell each other what they know."""
-        self.exchanged_at = self.seconds
-
-    def now(self) -> float:
-        """Return the time of the group, s."""
-        return self.seconds
-
-    @contextmanager
-    def clock(self) -> Iterator[None]:
-        """Let the time of the group pass for what is done meanwhile."""
-        with ExitStack() as stack:
-            for module in _TIMED_MODULES:
-                stack.enter_context(patch.object(module, 'monotonic', self.now))
-            yield
+        ]
+        return max(windows, default=0)
 
 
 def read_whole(_entry: DirectContext, opened: OpenAnswer) -> CompleteAnswer:
--- a/testbed/placement_cases.py
+++ b/testbed/placement_cases.py
@@ -44,7 +44,9 @@
 
 def delta(placements: Sequence[Placement] = ()) -> LoadDelta:
     """Return what a leader of four entries pushes, without any load."""
-    return LoadDelta(4, [], list(placements), [], [], [], [], {}, [], [])
+    return LoadDelta(
+        4, [], list(placements), [], [], [], [], {}, [], [], [], []
+    )
 
 
 def tokens_of(loads: EngineLoads, engine_ms: float) -> int:
