--- a/features/steps/crashing_parts_steps.py
+++ b/features/steps/crashing_parts_steps.py
@@ -6,7 +6,8 @@
 from testbed.crash_entries import CrashEntries
 from trestle_core.errors import TrestleError
 from trestle_core.verdict import Verdict
-from trestle_entry.direct.request_run import RequestRun, send_once
+from trestle_entry.direct.request_run import RequestRun
+from trestle_entry.direct.request_sends import send_once
 
 
 @given('{entries:d} entry that knows {engines:d} engines')
--- a/features/steps/direct_connects_steps.py
+++ b/features/steps/direct_connects_steps.py
@@ -19,7 +19,7 @@
 from trestle_entry.direct.backend_exchange import NotSentError
 from trestle_entry.direct.fleet_view import FleetView
 from trestle_entry.direct.model_dispatch import open_stream
-from trestle_entry.direct.request_run import send_once
+from trestle_entry.direct.request_sends import send_once
 from trestle_entry.direct.wire_types import AnswerHead
 from trestle_links.direct_messages import PREFILL, Backend
 from trestle_links.load_messages import FailureNotice
--- a/features/steps/rate_limits_steps.py
+++ b/features/steps/rate_limits_steps.py
@@ -9,7 +9,8 @@
 from testbed.limited_entries import LimitedEntries
 from trestle_entry.direct.backend_exchange import NotSentError
 from trestle_entry.direct.request_log import RequestTrace
-from trestle_entry.direct.request_run import RequestRun, send_once
+from trestle_entry.direct.request_run import RequestRun
+from trestle_entry.direct.request_sends import send_once
 from trestle_platform.replica_http import read_head
 
 
--- a/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
@@ -31,7 +31,7 @@
     kv_cache_tokens,
     prefill_prompt,
 )
-from trestle_entry.direct.request_run import (
+from trestle_entry.direct.request_sends import (
     broken_answer_error,
     check_not_blocked,
     check_resend,
--- a/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
@@ -30,7 +30,7 @@
 from trestle_entry.direct.model_run import ModelRun
 from trestle_entry.direct.replies import AbortedAnswerError, DirectReply
 from trestle_entry.direct.request_log import RequestTrace
-from trestle_entry.direct.request_run import note_broken, within_deadline
+from trestle_entry.direct.request_sends import note_broken, within_deadline
 from trestle_entry.direct.wire_types import CallerRequest
 
 # Outcome of a stream that reached its end.
--- a/packages/trestle-entry/src/trestle_entry/direct/plain_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/plain_dispatch.py
@@ -22,9 +22,8 @@
 from trestle_entry.direct.direct_context import DirectContext, RouteMatch
 from trestle_entry.direct.replies import DirectReply, RefusedError
 from trestle_entry.direct.request_log import RequestTrace
-from trestle_entry.direct.request_run import (
-    RequestRun,
-    make_failure,
+from trestle_entry.direct.request_run import RequestRun, make_failure
+from trestle_entry.direct.request_sends import (
     make_no_backend_failure,
     send_once,
     within_deadline,
--- a/packages/trestle-entry/src/trestle_entry/direct/run_planning.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/run_planning.py
@@ -11,10 +11,8 @@
 from trestle_entry.direct.placement import Plan, plan_request
 from trestle_entry.direct.prefill_work import PlacementRequest
 from trestle_entry.direct.replies import RefusedError
-from trestle_entry.direct.request_run import (
-    make_failure,
-    make_no_backend_failure,
-)
+from trestle_entry.direct.request_run import make_failure
+from trestle_entry.direct.request_sends import make_no_backend_failure
 from trestle_links.direct_messages import PREFILL, Backend
 
 # Prefill calls of one request that reach an engine.
--- a/testbed/crash_entries.py
+++ b/testbed/crash_entries.py
@@ -17,7 +17,8 @@
 )
 from trestle_entry.direct.model_run import ModelRun
 from trestle_entry.direct.request_log import RequestTrace
-from trestle_entry.direct.request_run import RequestRun, note_broken
+from trestle_entry.direct.request_run import RequestRun
+from trestle_entry.direct.request_sends import note_broken
 from trestle_entry.direct.wire_types import ModelDemand, PromptPart
 
 _HEX_BASE: Final = 16
