--- a/packages/trestle-endpoint/src/trestle_endpoint/admission_state.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/admission_state.py
@@ -70,11 +70,6 @@
             return error.code
         return None
 
-    def is_superseded(self) -> bool:
-        """Return whether the view shows another incarnation of this host."""
-        endpoint = self.queries.own_endpoint()
-        return endpoint is not None and endpoint.incarnation != self.incarnation
-
     def _check_own_endpoint(self) -> None:
         endpoint = self.queries.own_endpoint()
         if endpoint is None or endpoint.incarnation != self.incarnation:
--- a/packages/trestle-endpoint/src/trestle_endpoint/slot_scheduler.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/slot_scheduler.py
@@ -12,7 +12,7 @@
 """
 
 from bisect import insort
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import NamedTuple
 
 from gevent import Timeout
@@ -81,12 +81,6 @@
                 self.running[waiter.work.permit.serial] = waiter.work
                 waiter.slot_granted.set()
 
-    def work_items(self) -> Iterator[WorkItem]:
-        """Return all running work, then all waiting work."""
-        yield from self.running.values()
-        for waiter in self.waiting:
-            yield waiter.work
-
     def is_idle(self) -> bool:
         """Return whether no work is running or waiting."""
         return not self.running and not self.waiting
--- a/packages/trestle-entry/src/trestle_entry/direct/fleet_view.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/fleet_view.py
@@ -84,11 +84,6 @@
         for instance in set(self.reports) - set(self.backends):
             self.reports.pop(instance)
 
-    def may_send(self, backend: Backend) -> bool:
-        """Return whether a back end is still listed and not leaving."""
-        listed = self.backends.get(backend.instance)
-        return listed is not None and not listed.leaving
-
     def usable(self, service: str, excluded: frozenset[str]) -> list[Backend]:
         """Return the candidates of a service, for each role the healthy ones.
 
