--- a/features/platform_calls.feature
+++ b/features/platform_calls.feature
@@ -20,3 +20,16 @@
     Given a server that answers garbage
     When a leader reads its list of back ends there 3 times
     Then each read counts as a failure
+
+  # Guards against: a request is taken for one that may have run because a
+  # number in its head is too large for an integer.
+  Scenario Outline: A number in the head of a request that is no finite number
+    Then a request with "<text>" ms to wait gets the default time
+
+    Examples:
+      | text     |
+      | inf      |
+      | -inf     |
+      | 1e999    |
+      | nan      |
+      | soon     |
--- a/features/steps/platform_calls_steps.py
+++ b/features/steps/platform_calls_steps.py
@@ -12,6 +12,7 @@
 from trestle_control.backend_list import BackendListReader
 from trestle_core.metrics import Metrics
 from trestle_links.direct_messages import Backend
+from trestle_platform.caller_http import read_request
 from trestle_platform.engine_caches import EngineCache
 from trestle_platform.instance_list import read_backends
 from trestle_platform.platform_calls import call_platform
@@ -98,3 +99,14 @@
 def step_failures(context: Context) -> None:
     """Check that no read ended the reader."""
     assert context.listed.failed_reads == context.reads
+
+
+@then('a request with "{text}" ms to wait gets the default time')
+def step_default_time(_context: Context, text: str) -> None:
+    """Decode a head with a number that is none."""
+    headers = [
+        ('Kingcuptrestle-Request-Id', 'r1'),
+        ('Kingcuptrestle-Deadline-Ms', text),
+    ]
+    request = read_request('GET', '/', headers, b'', None)
+    assert request.deadline - request.arrived_at == 30, request
