Whether a limited back end has room is known without a look at its level

Cause: every plan let the level of each limited back end fall to the present: 6.2 ms with 2,100 of them, several times a request. Change: a limit keeps the time from which it has room; levels move only when something is sent or told.

--- a/packages/trestle-entry/src/trestle_entry/direct/rate_limits.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/rate_limits.py
@@ -39,36 +39,44 @@
 
 
 class RateLimit:
-    """The limit of one back end, and the level of the sends to it."""
+    """The limit of one back end, and the level of the sends to it.
 
-    def __init__(self, rate: float) -> None:
-        """Start without room, as sends were counted only from now on."""
+    The level falls at a share of the rate, that of this entry.
+    """
+
+    def __init__(self, rate: float, share: float) -> None:
+        """Start without room, as sends are counted only from now on."""
         self.rate = rate
+        self.share = share
         self.named_at = monotonic()
-        self.level = self.burst
-        self.updated_at = monotonic()
-
-    @property
-    def burst(self) -> float:
-        """The level up to which requests are sent."""
-        return max(_MIN_BURST, self.rate * _BURST_SECONDS)
+        self.updated_at = self.named_at
+        self.level = 0.0
+        # The time from which there is room for one more request.
+        self.free_at = 0.0
+        self.add(max(_MIN_BURST, rate * _BURST_SECONDS))
 
-    def add(self, sends: int) -> None:
+    def add(self, sends: float) -> None:
         """Count sends, or with a negative figure take them back."""
-        self.level = max(0.0, self.level + sends)
-
-    def drain(self, share: float) -> None:
-        """Let the level fall by the share of the rate since the last call."""
         now = monotonic()
-        rate = max(self.rate, _LEAST_RATE) * share
-        self.level = max(0.0, self.level - (now - self.updated_at) * rate)
+        fallen = (now - self.updated_at) * self._falling_rate()
+        self.level = max(0.0, max(0.0, self.level - fallen) + sends)
         self.updated_at = now
+        self._update_free_at()
+
+    def change(self, rate: float, share: float) -> None:
+        """Go on with another rate or share."""
+        self.add(0)
+        self.rate = rate
+        self.share = share
+        self._update_free_at()
 
-    def wait_seconds(self, share: float) -> float:
-        """Return the time until there is room for one more request."""
-        self.drain(share)
-        rate = max(self.rate, _LEAST_RATE) * share
-        return max(0.0, self.level + 1 - self.burst) / rate
+    def _falling_rate(self) -> float:
+        return max(self.rate, _LEAST_RATE) * self.share
+
+    def _update_free_at(self) -> None:
+        burst = max(_MIN_BURST, self.rate * _BURST_SECONDS)
+        excess = max(0.0, self.level + 1 - burst)
+        self.free_at = self.updated_at + excess / self._falling_rate()
 
 
 class RateLimits:
@@ -85,15 +93,25 @@
         self.sent: deque[SentCounts] = deque()
         self.entry_count = 1
         self.heard_at = -inf
+        # The part of each rate that this entry may use.
+        self.share = 1.0
 
     def wait_seconds(self, instance: str) -> float:
         """Return the time until a back end takes one more request."""
         limit = self.limits.get(instance)
-        return limit.wait_seconds(self._share()) if limit else 0.0
+        return max(0.0, limit.free_at - monotonic()) if limit else 0.0
 
     def full(self) -> set[str]:
         """Return the back ends that take no more requests at present."""
-        return {name for name in self.limits if self.wait_seconds(name) > 0}
+        if not self.limits:
+            return set()
+        self._update_share()
+        now = monotonic()
+        return {
+            instance
+            for instance, limit in self.limits.items()
+            if limit.free_at > now
+        }
 
     def take(self, instance: str) -> None:
         """Count a request that is about to be sent."""
@@ -151,12 +169,10 @@
         entry_count: int,
     ) -> None:
         """Apply a push; its sends contain this entry's up to `applied`."""
-        # The time before the push counts at the share that held then.
-        share = self._share()
-        for limit in self.limits.values():
-            limit.drain(share)
+        self._update_share()
         self.entry_count = entry_count
         self.heard_at = monotonic()
+        self._update_share()
         for named in limits:
             self._apply_limit(named)
         others = Counter(dict(sends))
@@ -186,22 +202,26 @@
             return
         _log.info('{} names a limit of {:.2f} requests/s.', instance, rate)
         if limit is None:
-            self.limits[instance] = RateLimit(rate)
+            self.limits[instance] = RateLimit(rate, self.share)
             return
-        limit.drain(self._share())
-        limit.rate = rate
+        limit.change(rate, self.share)
         limit.named_at = monotonic()
 
     def _count(self, instance: str, sends: int) -> None:
         limit = self.limits.get(instance)
         if limit:
-            limit.drain(self._share())
             limit.add(sends)
             self.unreported_sends[instance] += sends
             self.changed.set()
 
-    def _share(self) -> float:
-        """Return the share of the rates that this entry may use."""
-        if monotonic() - self.heard_at < _CURRENT_SECONDS:
-            return 1.0
-        return 1 / max(1, self.entry_count)
+    def _update_share(self) -> None:
+        """Let the levels fall by what this entry may send, from now on.
+
+        What was sent before counts at the share that held then.
+        """
+        is_current = monotonic() - self.heard_at < _CURRENT_SECONDS
+        share = 1.0 if is_current else 1 / max(1, self.entry_count)
+        if share != self.share:
+            self.share = share
+            for limit in self.limits.values():
+                limit.change(limit.rate, share)
