One line for each crash instead of one for each request it broke off

Cause: a crash wrote some 25 lines at each entry, and an entry that started wrote one for each notice of ten minutes. What was served is told, not logged.

--- a/packages/trestle-entry/src/trestle_entry/direct/crash_guard.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/crash_guard.py
@@ -7,6 +7,7 @@
 what they saw, so that a block applies to all of them.
 """
 
+from collections import Counter
 from collections.abc import Callable
 from hashlib import blake2b
 from itertools import count
@@ -134,12 +135,10 @@
     def _record(self, notices: list[CrashNotice], now: float) -> None:
         before = self.evidence.blocks
         new = self.evidence.record(notices, now)
-        for notice in new:
+        broken_off = Counter(notice.instance for notice in new)
+        for instance, requests in broken_off.items():
             _log.info(
-                '{} crashed {} ms ago under a request with {}.',
-                notice.instance,
-                notice.age_ms,
-                ', '.join(notice.traits),
+                '{} crashed and broke off {} requests.', instance, requests
             )
         self._log_changes(before, now)
         self._vouch(self._served_here(new, now), now)
@@ -174,12 +173,6 @@
     ) -> list[ServedTrait]:
         before = self.evidence.blocks
         new = self.evidence.note_served(served_traits, now)
-        for served in new:
-            _log.info(
-                'A request with {} was served {} ms ago.',
-                served.trait,
-                served.age_ms,
-            )
         self._log_changes(before, now)
         return new
 
--- a/packages/trestle-links/src/trestle_links/crash_evidence.py
+++ b/packages/trestle-links/src/trestle_links/crash_evidence.py
@@ -8,8 +8,9 @@
 A trait that is suspected in enough crashes explains them and is blocked for a
 while. Of traits with which nothing was served shortly before, the most specific
 one does, and a part rather than the content: requests with such a part are
-rare. Another one does if it is suspected in clearly more crashes. The crashes that a trait explains are not held against
-others, so that a part that only accompanies a deadly one stays usable.
+rare. Another one does if it is suspected in clearly more crashes. The crashes
+that a trait explains are not held against others, so that a part that only
+accompanies a deadly one stays usable.
 
 Times are monotonic seconds of the process; messages carry ages instead.
 """
