--- a/packages/trestle-entry/src/trestle_entry/direct/request_run.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/request_run.py
@@ -1,8 +1,8 @@
 """State of one request while it is dispatched, and the failures it implies.
 
 The verdict depends on the runs: a back end that received the request and did
-not decline it may have run it. Every failure of a request is created here, so
-that none reports `not-run` after a run.
+not decline it may have run it. Refusals are created by `make_failure`, so that
+none reports `not-run` after a run.
 """
 
 from time import monotonic
@@ -15,9 +15,7 @@
 )
 from trestle_core.errors import TrestleError
 from trestle_core.verdict import Verdict
-from trestle_entry.direct.backend_exchange import (
-    NotSentError,
-)
+from trestle_entry.direct.backend_exchange import NotSentError
 from trestle_entry.direct.crash_guard import content_trait
 from trestle_entry.direct.crash_probe import probe_after_break
 from trestle_entry.direct.direct_context import DirectContext, RouteMatch
