Log the software versions of back ends, and which streams callers take up

The list's version (of the software, not of the weights) is read and travels with the list; lines of the list, and the steps read, send and first event of a request's line, name it. A request that takes a stream up says in its line which attempt brought the first event and after which event it goes on.

--- a/packages/trestle-control/src/trestle_control/backend_list.py
+++ b/packages/trestle-control/src/trestle_control/backend_list.py
@@ -89,9 +89,10 @@
     for backend in after:
         if known.get(backend.instance) != backend:
             _log.info(
-                'Listed {} at {}: role {}, leaving {}.',
+                'Listed {} at {}: software {}, role {}, leaving {}.',
                 backend.instance,
                 backend.address,
+                backend.software or 'unknown',
                 backend.role or 'none',
                 backend.leaving,
             )
--- a/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
@@ -192,7 +192,8 @@
     run: ModelRun, plan: Plan, options: SendOptions, handle: KvHandle | None
 ) -> OpenAnswer:
     instance = plan.decode_engine.instance
-    run.trace.add('send', instance if handle else f'{instance}: reads itself')
+    detail = f'{instance}: {plan.decode_engine.software or "no version"}'
+    run.trace.add('send', detail if handle else f'{detail}, reads itself')
     run.count_at(instance)
     with _track_own_prefill(run, plan, handle):
         return open_answer(
--- a/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
@@ -118,7 +118,7 @@
             events_received = events.feed(answer.drain_body())
             if events_received:
                 if self.timing.note():
-                    self.run.trace.add('first event')
+                    self.run.trace.add('first event', opened.backend.software)
                     self.run.note_first_event()
                 yield events_received
             if answer.message_complete:
--- a/packages/trestle-entry/src/trestle_entry/direct/model_run.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_run.py
@@ -41,6 +41,9 @@
         super().__init__(context, request, route_match, trace)
         self.demand = request.demand or _DEFAULT_DEMAND
         trace.fields['parts'] = [list(part) for part in self.demand.parts]
+        if request.resume_from or request.resumed_request:
+            trace.fields['resumes'] = request.resumed_request
+            trace.fields['resume_from'] = request.resume_from
         self.prefills = 0
         self.events = EventSplitter()
         self.events.last_id = request.resume_from
--- a/packages/trestle-entry/src/trestle_entry/direct/prompt_prefill.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/prompt_prefill.py
@@ -64,7 +64,8 @@
         return None
     run.trace.add(
         'read',
-        f'{engine.instance}: {plan.first_token_ms:.0f} ms predicted, '
+        f'{engine.instance}: {engine.software or "no version"}, '
+        f'{plan.first_token_ms:.0f} ms predicted, '
         f'{plan.work.uncached_tokens} of {run.demand.prompt_tokens} tokens, '
         f'{plan.work.copied_tokens} copied',
     )
--- a/packages/trestle-entry/src/trestle_entry/direct/wire_types.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/wire_types.py
@@ -39,7 +39,9 @@
     """A request as it was received.
 
     `target` is the path with its query, byte for byte. `forwarded_headers` are
-    sent on to the back end. `arrived_at` and `deadline`, after which the caller
+    sent on to the back end. A caller that takes up a stream names in
+    `resume_from` the last event that it has, and in `resumed_request` the attempt
+    that brought it the first one. `arrived_at` and `deadline`, after which the caller
     stops waiting, are in monotonic seconds.
     """
 
@@ -54,6 +56,7 @@
     arrived_at: float
     deadline: float
     socket: Any
+    resumed_request: str = ''
 
 
 class SendOptions(NamedTuple):
--- a/packages/trestle-links/src/trestle_links/direct_messages.py
+++ b/packages/trestle-links/src/trestle_links/direct_messages.py
@@ -20,7 +20,8 @@
     """One back end as the platform lists it.
 
     `role` is `PREFILL` or `DECODE` for an engine, and empty for a service
-    and for an engine that the list shows without one.
+    and for an engine that the list shows without one. `software` is the version
+    of its software, empty if an earlier version of this system wrote the list.
     """
 
     instance: str
@@ -30,6 +31,7 @@
     leaving: bool
     role: str
     slots: int
+    software: str = ''
 
 
 @message(140)
--- a/testbed/platform_fleet.py
+++ b/testbed/platform_fleet.py
@@ -151,6 +151,7 @@
                 'service': 'llm' if replica.stage else 'desk',
                 'addr': replica.address,
                 'zone': 'z1',
+                'version': 'v1',
                 'state': (
                     'draining' if replica.instance in self.leaving else 'ready'
                 ),
