--- /dev/null
+++ b/testbed/stream_runs.py
@@ -0,0 +1,207 @@
+"""Streams of model requests at engines without a network.
+
+Engines hold scripts: how many events they send, and how the answer ends.
+"""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any, Final, NamedTuple
+from unittest.mock import patch
+
+from testbed.direct_runs import make_context, make_match, make_request
+from trestle_core.errors import TrestleError
+from trestle_entry.direct import model_dispatch, model_relay
+from trestle_entry.direct.backend_calls import CompleteAnswer, OpenAnswer
+from trestle_entry.direct.backend_exchange import BrokenAnswerError
+from trestle_entry.direct.direct_context import DirectContext
+from trestle_entry.direct.model_relay import serve_model
+from trestle_entry.direct.request_log import RequestTrace
+from trestle_entry.direct.wire_types import (
+    AnswerHead,
+    ModelDemand,
+    PromptPart,
+    SendOptions,
+)
+from trestle_links.direct_messages import Backend
+
+ROLES: Final = {'read': 'prefill', 'write': 'decode'}
+EVENTS: Final = 6
+DEMAND: Final = ModelDemand(
+    'm', 1500, 6, (PromptPart(1, 400), PromptPart(2, 1100))
+)
+
+
+class Script(NamedTuple):
+    """How an engine answers: so many events, then a break, or to the end.
+
+    Without `status` 200 it fails with a text for a body.
+    """
+
+    breaks_after: int | None = None
+    status: int = 200
+
+
+class StreamSend(NamedTuple):
+    """A request that an engine got."""
+
+    instance: str
+    software: str
+    resume_from: str
+
+
+class Relayed(NamedTuple):
+    """What the caller of a stream got."""
+
+    status: int
+    body: bytes
+    whole: bool
+
+    @property
+    def ids(self) -> list[int]:
+        """The ids of the events, in order."""
+        return [
+            int(line[3:])
+            for line in self.body.splitlines()
+            if line.startswith(b'id:')
+        ]
+
+
+class ScriptedAnswer:
+    """The body of an engine's answer, one event at each read."""
+
+    def __init__(self, pieces: list[bytes], *, breaks: bool) -> None:
+        """Start before the first piece."""
+        self.pieces = pieces
+        self.breaks = breaks
+        self.received = b''
+        self.message_complete = False
+        self.has_trailing_bytes = False
+
+    def drain_body(self) -> bytes:
+        """Return what was read since the last call."""
+        drained = self.received
+        self.received = b''
+        return drained
+
+    def should_close(self) -> bool:
+        """Let no connection be kept."""
+        return True
+
+
+class ScriptedConnection:
+    """A connection without a socket."""
+
+    def read_more(self, answer: ScriptedAnswer) -> None:
+        """Read one piece, or reach the end of the script."""
+        if answer.pieces:
+            answer.received += answer.pieces.pop(0)
+        elif answer.breaks:
+            raise BrokenAnswerError('the script breaks off')
+        else:
+            answer.message_complete = True
+
+    def close(self) -> None:
+        """Close nothing."""
+
+
+class StreamEngines:
+    """An entry with engines `ROLE-SOFTWARE-NUMBER`, and what they got."""
+
+    def __init__(self, counts: dict[str, int]) -> None:
+        """Set up `counts` engines of each role and software version."""
+        self.context = make_context({}, resends=50)
+        self.scripts: dict[str, Script] = {}
+        self.sends: list[StreamSend] = []
+        self.list_engines(counts)
+
+    def list_engines(self, counts: dict[str, int]) -> None:
+        """Replace the list; keys are such as `write-v1`."""
+        self.context.fleet.replace_list(
+            [
+                engine(f'{kind}-{number}')
+                for kind, count in counts.items()
+                for number in range(count)
+            ]
+        )
+
+    def open(self, *call: Any, **_options: Any) -> OpenAnswer:
+        """Answer a request by the script of its engine."""
+        _, request, backend, options = call
+        self.sends.append(_note_send(backend, options))
+        script = self.scripts.get(backend.instance, Script())
+        first = int(options.resume_from or 0) + 1
+        last = EVENTS
+        if script.breaks_after is not None:
+            last = min(EVENTS, script.breaks_after)
+        pieces = [
+            f'id: {number}\ndata: {backend.software}\n\n'.encode()
+            for number in range(first, last + 1)
+        ]
+        head = AnswerHead(
+            script.status, request.request_id, True, False, False, True, 0, []
+        )
+        connection: Any = ScriptedConnection()
+        answer: Any = ScriptedAnswer(
+            pieces, breaks=script.breaks_after is not None
+        )
+        return OpenAnswer(connection, answer, head, backend)
+
+    def serve(self, **changes: Any) -> Relayed:
+        """Serve one request to its end; raises `TrestleError` if refused."""
+        request = make_request(DEMAND)._replace(**changes)
+        trace = RequestTrace(request.request_id, request.arrived_at)
+        with self.scripted(self.open):
+            reply = serve_model(
+                self.context, request, make_match(attempts=4), trace
+            )
+            return _relay(reply.status, reply.body)
+
+    @contextmanager
+    def scripted(self, opens: Callable[..., OpenAnswer]) -> Iterator[None]:
+        """Let engines answer by scripts and prefill nothing."""
+        with (
+            patch.object(model_dispatch, 'prefill_prompt', lambda *_: None),
+            patch.object(model_dispatch, 'open_answer', opens),
+            patch.object(model_dispatch, 'read_answer', _read_failure),
+            patch.object(model_relay, 'cancel_when_gone', _never_gone),
+            patch.object(DirectContext, 'take_resend', lambda *_: True),
+            patch.object(DirectContext, 'allows_resend', lambda *_: True),
+        ):
+            yield
+
+
+def engine(name: str) -> Backend:
+    """Return the engine of a name such as `write-v1-0`."""
+    role, software, _ = name.split('-')
+    return Backend(
+        name, 'llm', '127.0.0.1:1', 'z', False, ROLES[role], 64, software
+    )
+
+
+def _note_send(backend: Backend, options: SendOptions) -> StreamSend:
+    return StreamSend(backend.instance, backend.software, options.resume_from)
+
+
+def _read_failure(
+    _context: DirectContext, opened: OpenAnswer
+) -> CompleteAnswer:
+    return CompleteAnswer(opened.head, b'the engine failed\r\n\r\n')
+
+
+@contextmanager
+def _never_gone(_sock: Any) -> Iterator[None]:
+    yield
+
+
+def _relay(status: int, body: Any) -> Relayed:
+    received = b''
+    whole = True
+    try:
+        for piece in body:
+            received += piece
+    except TrestleError:
+        whole = False
+    finally:
+        if hasattr(body, 'close'):
+            body.close()
+    return Relayed(status, received, whole)
