A stream is resumed only at the software version that began it

What callers saw: one answer, status 200 and whole to the eye, whose first events came from one software version of a back end and the rest from another. Cause: to resume a stream, an entry plans anew over all engines of the service; the version was not known to the product at all. Class of fault: state that one software writes and another reads, without a check that they fit. Change: the first event fixes a stream's version, and only engines of that version may take it further; an unknown version is none. Without such an engine the answer breaks off visibly, as any stream that cannot go on.

--- a/packages/trestle-entry/src/trestle_entry/direct/fleet_view.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/fleet_view.py
@@ -84,14 +84,22 @@
         for instance in set(self.reports) - set(self.backends):
             self.reports.pop(instance)
 
-    def usable(self, service: str, excluded: frozenset[str]) -> list[Backend]:
+    def usable(
+        self,
+        service: str,
+        excluded: frozenset[str],
+        software: str | None = None,
+    ) -> list[Backend]:
         """Return the candidates of a service, for each role the healthy ones.
 
         A role without healthy back ends falls back to the available ones, and
-        then to all that are listed.
+        then to all that are listed. Unless `software` is None, only back ends of
+        that software version count; an empty one is unknown and fits none.
         """
         by_role: dict[str, list[Backend]] = {}
         for backend in self.by_service.get(service, []):
+            if software is not None and not _runs(backend, software):
+                continue
             if backend.instance not in excluded:
                 by_role.setdefault(backend.role, []).append(backend)
         chosen: list[Backend] = []
@@ -201,3 +209,8 @@
             health is not None
             and health.current_failure_rate() > _DEGRADED_FAILURE_RATE
         )
+
+
+def _runs(backend: Backend, software: str) -> bool:
+    """Return whether a back end is known to run a software version."""
+    return bool(software) and backend.software == software
--- a/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
@@ -1,7 +1,8 @@
 """Relays the stream of an engine to its caller, in complete events.
 
 If the route allows it, a stream that breaks off is resumed within the same
-answer: another engine continues after the last complete event. Otherwise the
+answer: another engine of the same software version continues after the last
+complete event, since what two versions write does not fit. Otherwise the
 caller's connection is closed without the end of the body, so that a truncated
 answer never looks complete.
 """
@@ -119,7 +120,7 @@
             if events_received:
                 if self.timing.note():
                     self.run.trace.add('first event', opened.backend.software)
-                    self.run.note_first_event()
+                    self.run.note_first_event(opened.backend.software)
                 yield events_received
             if answer.message_complete:
                 break
--- a/packages/trestle-entry/src/trestle_entry/direct/model_run.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_run.py
@@ -50,6 +50,9 @@
         # The instance in whose load this request is counted, empty for none.
         self.counted_at = ''
         self.transfer: KvTransfer | None = None
+        # The software version that began the stream, None before an event of it
+        # has been received.
+        self.software: str | None = None
 
     @property
     def part_traits(self) -> list[str]:
@@ -73,8 +76,12 @@
         if instance:
             own.add_running(instance, 1, self.kv_tokens)
 
-    def note_first_event(self) -> None:
-        """Record how long the KV transfer of the prompt took."""
+    def note_first_event(self, software: str) -> None:
+        """Record which software version began the stream.
+
+        And how long the KV transfer of the prompt took.
+        """
+        self.software = software
         transfer = self.transfer
         if transfer is None:
             return
--- a/packages/trestle-entry/src/trestle_entry/direct/run_planning.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/run_planning.py
@@ -40,7 +40,7 @@
     )
     if plan is None:
         raise make_no_backend_failure(
-            run, f'no usable engine for {run.service.name}'
+            run, f'no usable engine for {_pool_name(run)}'
         )
     if admit:
         _admit(run, plan)
@@ -55,8 +55,13 @@
 
 
 def usable_engines(run: ModelRun) -> list[Backend]:
-    """Return the engines that this request has not tried in vain."""
-    return run.context.fleet.usable(run.service.name, run.unusable())
+    """Return the engines that this request has not tried in vain.
+
+    A stream that has begun goes on only at the software version that began it.
+    """
+    return run.context.fleet.usable(
+        run.service.name, run.unusable(), run.software
+    )
 
 
 def placement_request(run: ModelRun) -> PlacementRequest:
@@ -93,3 +98,9 @@
             code = OVERLOADED
         text = f'{plan.first_token_ms:.0f} ms predicted until the first token'
         raise RefusedError(code, text, refusal.retry_after)
+
+
+def _pool_name(run: ModelRun) -> str:
+    if run.software is None:
+        return run.service.name
+    return f'{run.service.name} at software {run.software or "unknown"}'
--- a/testbed/stream_runs.py
+++ b/testbed/stream_runs.py
@@ -194,14 +194,13 @@
 
 
 def _relay(status: int, body: Any) -> Relayed:
-    received = b''
+    pieces: list[bytes] = []
     whole = True
     try:
-        for piece in body:
-            received += piece
+        pieces.extend(body)
     except TrestleError:
         whole = False
     finally:
         if hasattr(body, 'close'):
             body.close()
-    return Relayed(status, received, whole)
+    return Relayed(status, b''.join(pieces), whole)
