--- a/testbed/platform_fleet.py
+++ b/testbed/platform_fleet.py
@@ -50,9 +50,11 @@
         )
         self.list_server.start()
 
-    def add_replica(self, instance: str, stage: str = '') -> PlatformReplica:
+    def add_replica(
+        self, instance: str, stage: str = '', software: str = 'v1'
+    ) -> PlatformReplica:
         """Start a back end and put it on the list."""
-        replica = PlatformReplica(instance, stage, '127.0.0.1:0')
+        replica = PlatformReplica(instance, stage, '127.0.0.1:0', software)
         self.replicas.append(replica)
         return replica
 
@@ -97,12 +99,22 @@
         except OSError:
             return False
 
-    def call_entry(self, host: str, path: str, **headers: str) -> Answer:
-        """Make a caller's call at an entry."""
+    def call_entry(
+        self,
+        host: str,
+        path: str,
+        plain_headers: dict[str, str] | None = None,
+        **headers: str,
+    ) -> Answer:
+        """Make a caller's call at an entry.
+
+        `headers` are those with the platform's prefix.
+        """
         named = {
             f'Kingcuptrestle-{name.replace("_", "-")}': text
             for name, text in headers.items()
         }
+        named.update(plain_headers or {})
         return self.call(
             f'{self.ip(host)}:{self.port + 7}',
             'POST',
@@ -151,7 +163,7 @@
                 'service': 'llm' if replica.stage else 'desk',
                 'addr': replica.address,
                 'zone': 'z1',
-                'version': 'v1',
+                'version': replica.software,
                 'state': (
                     'draining' if replica.instance in self.leaving else 'ready'
                 ),
--- a/testbed/platform_replica.py
+++ b/testbed/platform_replica.py
@@ -46,10 +46,13 @@
 class PlatformReplica:
     """One back end: an engine of a stage, or a service without one."""
 
-    def __init__(self, instance: str, stage: str, listen: str) -> None:
+    def __init__(
+        self, instance: str, stage: str, listen: str, software: str = 'v1'
+    ) -> None:
         """Bind to `ip:port`."""
         self.instance = instance
         self.stage = stage
+        self.software = software
         self.ran: list[Received] = []
         self.declined: list[Received] = []
         self.handles: set[str] = set()
