A stream is taken up only at the software version that began it

What callers saw: a stream broke off, often because its entry was killed; taken up as the pages allow it came back with status 200 and ran to its end, but the rest was another software version's, and nothing showed it. Cause: no process remembered who began a stream. An entry knew only its own streams and lost them when it was killed, and a take-up was planned like a new request. Class of fault: a decision that needs a fact from before, taken from what is true now.

Change: before an entry sends a request whose stream may be resumed, it tells the leader, on the stream of loads, which service and version are about to begin it; it tells a new leader everything again. A take-up goes to that service and version, found at the entry itself or asked of the leader; a record is true whoever holds it, and without one, or without a back end of that version, the request is refused at once as not run (new code stream-unknown). Nothing is inferred from the list, so it does not matter who has left meanwhile.

--- a/features/software_versions.feature
+++ b/features/software_versions.feature
@@ -35,3 +35,46 @@
     And their callers take them up at "front-2"
     Then the take-ups of streams of "v1" are refused as not run
     And every stream of "v2" went on at the version that began it and is whole
+
+  # Guards against: origins that are lost with a leader, or believed too long.
+  Scenario: A leader that starts anew hears of all streams from the entries
+    Given 3 entries and their leader
+    When a stream begins through each entry
+    And another host leads that has just started
+    Then the leader knows who began each stream
+    And 20 seconds later it knows none
+
+  # Guards against: an origin that a second send before the first event made
+  # wrong.
+  Scenario: The last engine that a stream was sent to counts as its origin
+    Given 1 entries and their leader
+    When a stream is sent to "v1" and, before an event, to "v2"
+    Then the leader knows that "v2" began it
+
+  # Guards against: memory that grows with the streams that were ever begun.
+  Scenario: Only so many streams are kept, the newest
+    Given records of at most 100 streams
+    When 250 streams begin, each a second after the one before
+    Then the newest 100 are known and no other
+    And of streams that have ended nothing is left
+
+  # Guards against: a guess in place of a record, though one version is listed.
+  Scenario Outline: A stream of unknown origin goes on nowhere
+    Given 2 engines of "v1" and 0 idle engines of "v2" that decode
+    When a caller takes up a stream and <what>
+    Then it is refused as not run with "<code>" and nothing is sent
+
+    Examples:
+      | what                                 | code           |
+      | nobody knows its origin              | stream-unknown |
+      | names no attempt that began it       | stream-unknown |
+      | the leader does not answer           | stream-unknown |
+      | its version is no longer listed      | no-endpoint    |
+      | its route has moved to another service | no-endpoint  |
+      | its route may no longer be resumed   | no-endpoint    |
+
+  # Guards against: sound streams that are kept from going on.
+  Scenario: A stream that the leader knows goes on, whatever else is listed
+    Given 1 engines of "v1" and 4 idle engines of "v2" that decode
+    When a caller takes up a stream that "v1" began elsewhere
+    Then it went on at "v1" after the last event of its caller
--- a/features/steps/stream_take_ups_steps.py
+++ b/features/steps/stream_take_ups_steps.py
@@ -16,8 +16,6 @@
 from testbed.platform_replica import EVENTS
 from trestle_control.backend_list import READ_INTERVAL_SECONDS
 
-PREFIX = 'a{number:x}:400,b2:1100'
-
 
 class BegunStream(NamedTuple):
     """A stream of a caller: its first try, and the version that began it."""
@@ -77,16 +75,14 @@
     path = '/grade/plain' if request_id.startswith('first') else '/grade/slow'
     # Prompts with other beginnings go to other engines.
     number = int(request_id.rpartition('-')[2])
-    return fleet.call_entry(
-        entry,
-        path,
-        headers,
-        Request_Id=request_id,
-        Deadline_Ms='4000',
-        Model='m',
-        Token_Counts='1500,6',
-        Prefix_Hash=PREFIX.format(number=number),
-    )
+    demand = {
+        'Kingcuptrestle-Request-Id': request_id,
+        'Kingcuptrestle-Deadline-Ms': '4000',
+        'Kingcuptrestle-Model': 'm',
+        'Kingcuptrestle-Token-Counts': '1500,6',
+        'Kingcuptrestle-Prefix-Hash': f'a{number:x}:400,b2:1100',
+    }
+    return fleet.call_entry_with(entry, path, {**demand, **headers})
 
 
 def software_of(fleet: PlatformFleet, request_id: str) -> list[str]:
@@ -112,7 +108,7 @@
     for entry in entries:
         context.processes.started[entry].kill()
     context.begun = [
-        BegunStream(request_id, *software_of(fleet, request_id), task.get())
+        BegunStream(request_id, software_of(fleet, request_id)[0], task.get())
         for request_id, task in tasks.items()
     ]
     versions = {begun.software for begun in context.begun}
--- a/packages/kingcuptrestle/src/kingcuptrestle/request_cause.py
+++ b/packages/kingcuptrestle/src/kingcuptrestle/request_cause.py
@@ -16,11 +16,15 @@
     OVERLOADED,
     RETRY_BUDGET,
     STALE_NODE,
+    STREAM_UNKNOWN,
     UNKNOWN_ROUTE,
 )
 
 _SERVED: Final = 'served'
 _OK: Final = '200'
+_NOT_SENT_OUTCOMES: Final = frozenset(
+    (UNKNOWN_ROUTE.code, STALE_NODE.code, STREAM_UNKNOWN.code)
+)
 _LOST_STEPS: Final = ('broken', 'reader lost', 'unreachable')
 _DECLINED_STEPS: Final = ('declined', 'read declined')
 
@@ -115,7 +119,7 @@
 
 
 def _not_sent_cause(line: RequestLine) -> str:
-    if line.outcome not in {UNKNOWN_ROUTE.code, STALE_NODE.code}:
+    if line.outcome not in _NOT_SENT_OUTCOMES:
         return ''
     return f'Not sent to any back end: {line.reason}.'
 
--- a/packages/trestle-control/src/trestle_control/load_table.py
+++ b/packages/trestle-control/src/trestle_control/load_table.py
@@ -41,6 +41,12 @@
     LoadDelta,
     LoadPush,
 )
+from trestle_links.stream_messages import (
+    BegunStreams,
+    FindStream,
+    FoundStream,
+)
+from trestle_links.stream_origins import StreamOrigins
 
 # An entry reports at least twice a second.
 _SILENT_SECONDS: Final = 2.0
@@ -55,6 +61,8 @@
 # new role a second later.
 _ROLE_CHANGE_SECONDS: Final = 4.5
 _MAX_FAILURES: Final = 200
+# Longest time for which an entry may say that a stream can be taken up.
+_MAX_STREAM_SECONDS: Final = 3600
 # Change of a fitted line that is worth telling.
 _SPEED_CHANGE: Final = 0.03
 
@@ -94,6 +102,7 @@
         self.new_crashes: list[CrashNotice] = []
         self.new_served: list[ServedTrait] = []
         self.limits = LimitTable()
+        self.streams = StreamOrigins()
         self.new_failures: list[FailureNotice] = []
         self.fits: dict[str, LinearFit] = {}
         self.told_speeds: dict[str, FittedSpeed] = {}
@@ -103,7 +112,7 @@
 
     def handlers(self) -> Handlers:
         """Return the link handlers."""
-        return {FollowLoads: self.follow}
+        return {FollowLoads: self.follow, FindStream: self.find_stream}
 
     def run(self) -> None:
         """Push what has changed until the greenlet is killed."""
@@ -140,6 +149,18 @@
                 self._drop(opening.host)
             channel.close()
 
+    def find_stream(
+        self, request: FindStream, _channel: Channel
+    ) -> FoundStream:
+        """Tell who began a stream.
+
+        Raises `NotLeaderError` where another host may know.
+        """
+        origin = self.streams.find(request.key, monotonic())
+        if origin is None and not self.replica.is_leader:
+            raise NotLeaderError(self.replica.leader_address)
+        return FoundStream(origin)
+
     def push(self) -> None:
         """Send what has changed since the last push to every entry."""
         if not self.replica.is_leader:
@@ -166,6 +187,8 @@
         self._record_crashes(change)
         self.limits.record(change.limits, change.sends)
         self.new_failures.extend(change.failures)
+        for begun in change.streams:
+            self.streams.note_begun(_checked(begun), monotonic())
         for fit_sums in change.fits:
             self._pool(fit_sums)
 
@@ -270,6 +293,12 @@
         return list(self.changing_since)
 
 
+def _checked(begun: BegunStreams) -> BegunStreams:
+    if not 0 <= begun.seconds <= _MAX_STREAM_SECONDS:
+        raise TrestleError(BAD_FRAME, 'a stream ends at no possible time')
+    return begun
+
+
 def _check_loads(loads: list[BackendLoad]) -> None:
     if not all(load.is_valid for load in loads):
         raise TrestleError(BAD_FRAME, 'a load is not a possible figure')
--- a/packages/trestle-core/src/trestle_core/errorcodes.py
+++ b/packages/trestle-core/src/trestle_core/errorcodes.py
@@ -74,6 +74,9 @@
 STALE_NODE: Final = _refusal('stale-node', 503, 'The node lacks fresh state.')
 WITHDRAWN: Final = _refusal('withdrawn', 503, 'The endpoint is withdrawn.')
 NO_ENDPOINT: Final = _refusal('no-endpoint', 503, 'No endpoint is available.')
+STREAM_UNKNOWN: Final = _refusal(
+    'stream-unknown', 503, 'The origin of the stream is not known.'
+)
 RETRY_BUDGET: Final = _refusal(
     'retry-budget', 503, 'The retry budget of the route is spent.'
 )
--- a/packages/trestle-entry/src/trestle_entry/direct/direct_app.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/direct_app.py
@@ -23,6 +23,7 @@
 from trestle_entry.direct.caller_server import CallerServer
 from trestle_entry.direct.direct_context import DirectContext
 from trestle_entry.direct.load_stream import run_load_stream
+from trestle_entry.direct.take_ups import leader_origins
 from trestle_entry.direct.wire_types import BackendWire, CallerWire
 from trestle_links.control_client import ControlClient
 from trestle_links.handshake import read_key
@@ -76,6 +77,7 @@
     links = LinkPool(identity)
     app.add(start=control.start, stop=control.stop)
     app.add(stop=links.close)
+    context.ask_origin = leader_origins(control, links)
     app.add_task(lambda: run_load_stream(context, control, links))
     app.add_task(lambda: _close_expired_connections(context))
     _add_pages(app, context)
--- a/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
@@ -1,5 +1,6 @@
 """The state that all requests of a direct entry share."""
 
+from collections.abc import Callable
 from random import Random
 from typing import Final, NamedTuple
 
@@ -13,16 +14,22 @@
 from trestle_entry.direct.request_log import RequestLog
 from trestle_entry.direct.retry_limits import RetryLimits
 from trestle_entry.direct.wire_types import BackendWire, CallerWire
+from trestle_links.connection import LinkDownError
 from trestle_links.load_messages import FailureNotice
+from trestle_links.stream_messages import StreamOrigin
 
 _MS_PER_SECOND: Final = 1000
 
 
 class RouteMatch(NamedTuple):
-    """The route of a request, and the service selected by its weights."""
+    """The route of a request, and the service that is to run it.
+
+    `software` is the version that must run it, None for any.
+    """
 
     route: Route
     service: Service
+    software: str | None = None
 
 
 class DirectContext:
@@ -50,6 +57,8 @@
         self.log = RequestLog(metrics, settings.host)
         self.retry_limits: dict[str, RetryLimits] = {}
         self.random = Random(settings.host)
+        # Asks the leader who began a stream; raises `TrestleError`.
+        self.ask_origin: Callable[[int], StreamOrigin | None] = _no_leader
 
     def apply_settings(self, settings: DirectSettings) -> None:
         """Apply the settings that may change in a running process."""
@@ -103,3 +112,7 @@
         reason = 'taken' if allowed else 'refused'
         self.metrics.count('resends', reason)
         return allowed
+
+
+def _no_leader(_key: int) -> StreamOrigin | None:
+    raise LinkDownError('no leader is followed', sent=False)
--- a/packages/trestle-entry/src/trestle_entry/direct/dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/dispatch.py
@@ -19,6 +19,7 @@
     error_answer,
 )
 from trestle_entry.direct.request_log import RequestTrace
+from trestle_entry.direct.take_ups import find_origin, is_take_up
 from trestle_entry.direct.wire_types import CallerRequest, Headers
 
 _MS_PER_SECOND: Final = 1000
@@ -95,9 +96,13 @@
     route = table.find(request.host, path)
     if route is None:
         raise TrestleError(UNKNOWN_ROUTE, f'no route at {path}')
-    service = table.services[pick_share(route, context.random.random())]
     trace.fields['route'] = route.name
     trace.fields['version'] = table.version
     trace.fields['target_ms'] = route.target_ms
     trace.fields['gap_ms'] = route.gap_ms
+    if is_take_up(request, route):
+        origin = find_origin(context, request, route, trace)
+        service = table.services[origin.service]
+        return RouteMatch(route, service, origin.software)
+    service = table.services[pick_share(route, context.random.random())]
     return RouteMatch(route, service)
--- a/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
@@ -14,6 +14,7 @@
 from trestle_entry.direct.engine_speeds import EngineSpeeds, PrefillCall
 from trestle_entry.direct.entry_reports import EntryReports
 from trestle_entry.direct.own_loads import OwnLoads
+from trestle_entry.direct.own_streams import OwnStreams
 from trestle_entry.direct.rate_limits import RateLimits
 from trestle_entry.direct.shared_loads import SharedLoads
 from trestle_entry.direct.wire_types import ModelDemand
@@ -43,6 +44,7 @@
         self.caches: dict[str, CachedParts] = {}
         self.reports = EntryReports(self.own.changed)
         self.rate_limits = RateLimits(self.own.changed)
+        self.streams = OwnStreams(self.own.changed)
         # The entries that share the fleet, this one included.
         self.entry_count = 1
 
@@ -147,6 +149,7 @@
         self.own.unreported.clear()
         self.shared.start_stream(loads)
         self.rate_limits.start_stream()
+        self.streams.report_all()
         return loads
 
     def take_change(self, number: int) -> LoadChange:
@@ -162,6 +165,7 @@
             self.reports.take_failures(),
             self.rate_limits.take_limits(),
             self.rate_limits.take_sends(number),
+            self.streams.take_unreported(),
         )
         self.shared.note_sent(number, change.loads)
         return change
--- a/packages/trestle-entry/src/trestle_entry/direct/model_run.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_run.py
@@ -9,6 +9,8 @@
 from trestle_entry.direct.request_log import RequestTrace
 from trestle_entry.direct.request_run import RequestRun
 from trestle_entry.direct.wire_types import CallerRequest, ModelDemand
+from trestle_links.direct_messages import Backend
+from trestle_links.stream_messages import StreamOrigin
 
 _DEFAULT_DEMAND: Final = ModelDemand('', 1, 1, ())
 _MS_PER_SECOND: Final = 1000
@@ -51,8 +53,8 @@
         self.counted_at = ''
         self.transfer: KvTransfer | None = None
         # The software version that began the stream, None before an event of it
-        # has been received.
-        self.software: str | None = None
+        # has been received here or by the caller.
+        self.software = route_match.software
 
     @property
     def part_traits(self) -> list[str]:
@@ -67,6 +69,17 @@
         """The most tokens that the request takes in an engine's KV cache."""
         return self.demand.prompt_tokens + self.demand.max_tokens
 
+    def note_origin(self, engine: Backend) -> None:
+        """Record, before a send, who will have begun the stream."""
+        if self.software is not None or not self.route.resumable:
+            return
+        if engine.software:
+            self.context.loads.streams.note(
+                self.request.request_id,
+                StreamOrigin(self.service.name, engine.software),
+                self.request.waits_until,
+            )
+
     def count_at(self, instance: str) -> None:
         """Move the request to the load of a back end, or to none."""
         own = self.context.loads.own
--- /dev/null
+++ b/packages/trestle-entry/src/trestle_entry/direct/take_ups.py
@@ -0,0 +1,110 @@
+"""Finds where a stream goes on that a caller takes up.
+
+What two software versions write does not fit together, so such a request goes
+to the service and the version that began the stream, and nowhere else. That is
+a matter of records only: what is listed now tells nothing about a stream that
+began before. This entry knows its own streams; the leader knows those of all.
+"""
+
+from collections.abc import Callable
+from typing import Final
+
+from trestle_core.errorcodes import NO_ENDPOINT, STREAM_UNKNOWN
+from trestle_core.errors import TrestleError
+from trestle_core.route_table import Repeat, Route
+from trestle_entry.direct.direct_context import DirectContext
+from trestle_entry.direct.replies import RefusedError
+from trestle_entry.direct.request_log import RequestTrace
+from trestle_entry.direct.wire_types import CallerRequest
+from trestle_links.connection import LinkDownError
+from trestle_links.control_client import ControlClient
+from trestle_links.link import LinkPool
+from trestle_links.stream_messages import (
+    FindStream,
+    FoundStream,
+    StreamOrigin,
+    stream_key,
+)
+
+# A leader that takes longer is as good as lost.
+_ASK_SECONDS: Final = 0.3
+# Time for a leader to be elected or to be told by the entries.
+_RETRY_SECONDS: Final = 0.5
+
+
+def is_take_up(request: CallerRequest, route: Route) -> bool:
+    """Return whether a caller already holds events of the stream it wants."""
+    holds_events = request.resumed_request or request.resume_from
+    return route.repeat is Repeat.STREAM and bool(holds_events)
+
+
+def find_origin(
+    context: DirectContext,
+    request: CallerRequest,
+    route: Route,
+    trace: RequestTrace,
+) -> StreamOrigin:
+    """Return where a stream that is taken up must go on.
+
+    Raises `RefusedError` if that is not known, or not allowed by the route.
+    """
+    origin = context.loads.streams.find(request.resumed_request)
+    source = 'own'
+    if origin is None:
+        source = 'leader'
+        origin = _ask_leader(context, request)
+    if origin is None:
+        context.metrics.count('stream_take_ups', 'unknown')
+        raise RefusedError(
+            STREAM_UNKNOWN, 'nobody knows who began the stream', _RETRY_SECONDS
+        )
+    context.metrics.count('stream_take_ups', source)
+    trace.add(
+        'taken up', f'{origin.service} {origin.software}, known by {source}'
+    )
+    _check_route(route, origin)
+    return origin
+
+
+def _ask_leader(
+    context: DirectContext, request: CallerRequest
+) -> StreamOrigin | None:
+    if not request.resumed_request:
+        return None
+    try:
+        return context.ask_origin(stream_key(request.resumed_request))
+    except TrestleError as error:
+        context.metrics.count('stream_take_ups', 'unreachable')
+        raise RefusedError(
+            STREAM_UNKNOWN,
+            f'the leader did not tell who began the stream: {error.message}',
+            _RETRY_SECONDS,
+        ) from error
+
+
+def _check_route(route: Route, origin: StreamOrigin) -> None:
+    services = {share.service for share in route.shares if share.weight}
+    if not route.resumable or origin.service not in services:
+        raise RefusedError(
+            NO_ENDPOINT,
+            f'the route does not let a stream of {origin.service} go on',
+            _RETRY_SECONDS,
+        )
+
+
+def leader_origins(
+    control: ControlClient, links: LinkPool
+) -> Callable[[int], StreamOrigin | None]:
+    """Return the call that asks the leader for the origin of a stream.
+
+    The call raises `TrestleError` if the leader cannot be asked.
+    """
+
+    def ask(key: int) -> StreamOrigin | None:
+        link = links.link_to(control.leader_address)
+        # The stream of loads connects it; callers do not wait for that.
+        if not link.is_connected:
+            raise LinkDownError('no leader is connected', sent=False)
+        return link.call(FindStream(key), FoundStream, _ASK_SECONDS).origin
+
+    return ask
--- a/packages/trestle-entry/src/trestle_entry/direct/wire_types.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/wire_types.py
@@ -41,8 +41,8 @@
     `target` is the path with its query, byte for byte. `forwarded_headers` are
     sent on to the back end. A caller that takes up a stream names in
     `resume_from` the last event that it has, and in `resumed_request` the attempt
-    that brought it the first one. `arrived_at` and `deadline`, after which the caller
-    stops waiting, are in monotonic seconds.
+    that brought it the first one. Times are in monotonic seconds: after `deadline`
+    no answer is wanted, after `waits_until` the caller itself stops waiting.
     """
 
     request_id: str
@@ -57,6 +57,7 @@
     deadline: float
     socket: Any
     resumed_request: str = ''
+    waits_until: float = 0.0
 
 
 class SendOptions(NamedTuple):
--- a/packages/trestle-links/src/trestle_links/load_messages.py
+++ b/packages/trestle-links/src/trestle_links/load_messages.py
@@ -11,6 +11,7 @@
 from trestle_links.codec import message
 from trestle_links.crash_messages import CrashNotice, ServedTrait
 from trestle_links.direct_messages import EngineMemory, Placement
+from trestle_links.stream_messages import BegunStreams
 
 # Larger figures are not loads; a message with them is malformed.
 MAX_LOAD_FIGURE: Final = 1_000_000_000
@@ -95,7 +96,8 @@
     """What changed at an entry since its last message.
 
     `number` counts the changes of a stream from 1. `transfer_slowness` has the
-    ratios of actual to predicted times of KV transfers by engine.
+    ratios of actual to predicted times of KV transfers by engine. `streams` are
+    those that engines are about to begin.
     """
 
     number: int
@@ -108,6 +110,7 @@
     failures: list[FailureNotice]
     limits: list[NamedLimit]
     sends: list[SendCount]
+    streams: list[BegunStreams] = []
 
 
 @message(151)
--- a/testbed/direct_runs.py
+++ b/testbed/direct_runs.py
@@ -67,6 +67,7 @@
         now,
         now + SECONDS,
         None,
+        waits_until=now + SECONDS,
     )
 
 
--- a/testbed/platform_fleet.py
+++ b/testbed/platform_fleet.py
@@ -99,28 +99,24 @@
         except OSError:
             return False
 
-    def call_entry(
-        self,
-        host: str,
-        path: str,
-        plain_headers: dict[str, str] | None = None,
-        **headers: str,
-    ) -> Answer:
-        """Make a caller's call at an entry.
-
-        `headers` are those with the platform's prefix.
-        """
+    def call_entry(self, host: str, path: str, **headers: str) -> Answer:
+        """Make a caller's call at an entry."""
         named = {
             f'Kingcuptrestle-{name.replace("_", "-")}': text
             for name, text in headers.items()
         }
-        named.update(plain_headers or {})
+        return self.call_entry_with(host, path, named)
+
+    def call_entry_with(
+        self, host: str, path: str, headers: dict[str, str]
+    ) -> Answer:
+        """Make a caller's call at an entry, with headers by their full names."""
         return self.call(
             f'{self.ip(host)}:{self.port + 7}',
             'POST',
             path,
             b'{"lot":1}',
-            named,
+            headers,
         )
 
     def call(
--- a/testbed/stream_runs.py
+++ b/testbed/stream_runs.py
@@ -146,14 +146,16 @@
         )
         return OpenAnswer(connection, answer, head, backend)
 
-    def serve(self, **changes: Any) -> Relayed:
-        """Serve one request to its end; raises `TrestleError` if refused."""
+    def serve(self, software: str | None = None, **changes: Any) -> Relayed:
+        """Serve one request to its end; raises `TrestleError` if refused.
+
+        With a software version, only that one may serve it.
+        """
         request = make_request(DEMAND)._replace(**changes)
         trace = RequestTrace(request.request_id, request.arrived_at)
         with self.scripted(self.open):
-            reply = serve_model(
-                self.context, request, make_match(attempts=4), trace
-            )
+            matched = make_match(attempts=4)._replace(software=software)
+            reply = serve_model(self.context, request, matched, trace)
             return _relay(reply.status, reply.body)
 
     @contextmanager
