KV cache stays within a software version

What callers could get: an answer whose prompt one software version had read and another one went on with; nothing checks that the two fit.

Change: a plan is made for each version by itself and the cheapest is taken, so the engine that prefills, the one that decodes and the source of a copy are of one version. A prompt whose version can decode nowhere any more when it has been read is given back and planned again, where the request failed before. The leader splits the engines of each version into roles by itself; a version whose engines all prefill gets one that decodes at once.

--- a/features/direct_placement.feature
+++ b/features/direct_placement.feature
@@ -156,3 +156,26 @@
     And reader 5 was asked to read the beginning of a long prompt
     When 2 s pass without an answer
     Then the beginning does not count as held by reader 5
+
+  # Guards against: KV cache that one software version fills and another one uses.
+  Scenario Outline: KV cache stays within a software version
+    Given 6 engines that read and 3 that decode
+    And <which> are of another software version
+    And reader 5 holds the beginning of a long prompt
+    And readers 0, 1 and 5 have 900 ms of prompts ahead
+    When 12 different prompts and the long one are planned
+    Then no plan has engines of two software versions
+    And no plan copies between software versions
+
+    Examples:
+      | which                          |
+      | readers 0 to 2                 |
+      | decoders 0 to 1                |
+      | readers 3 to 5 and decoder 2   |
+      | all readers                    |
+
+  # Guards against: the same, where the list changes while a prompt is read.
+  Scenario: KV cache whose version can decode nowhere any more is given back
+    Given a request whose prompt is read at "v1" while the engines of "v1" leave
+    When its stream is opened
+    Then its KV cache is freed and it is served at "v2" from its beginning
--- a/features/split_policy.feature
+++ b/features/split_policy.feature
@@ -18,6 +18,7 @@
       | 4       | 0      | 3       | 0   | 3      |
       | 0       | 4      | 0       | 95  | 3      |
       | 0       | 1      | 0       | 0   | 0      |
+      | 1       | 0      | 0       | 0   | 0      |
 
     Examples: long answers fill the slots while readers are idle
       | prefill | decode | prompts | use | wanted |
@@ -60,3 +61,18 @@
     Given a leader with 300 engines of which 100 read, without load
     When it looks at them for 60 seconds
     Then 16 engines were ordered to read
+
+  # Guards against: a software version whose engines all have one role, so that
+  # it cannot serve.
+  Scenario Outline: Each software version gets both roles
+    Given a leader with <old> engines of "v1" and <new> of "v2", all of "v2" with the role "<role>"
+    When it looks at them for 10 seconds
+    Then <changed> engines of "v2" were ordered another role
+    And of "v1" at least one engine has each role
+
+    Examples:
+      | old | new | role    | changed |
+      | 5   | 4   | prefill | 1       |
+      | 5   | 4   | decode  | 3       |
+      | 5   | 1   | prefill | 1       |
+      | 5   | 1   | decode  | 0       |
--- a/packages/trestle-control/src/trestle_control/direct_roles.py
+++ b/packages/trestle-control/src/trestle_control/direct_roles.py
@@ -11,7 +11,7 @@
 """
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from time import monotonic
 from typing import Final, NamedTuple
 
@@ -54,6 +54,16 @@
 SendOrder = Callable[[RoleOrder], bool]
 
 
+class EnginePool(NamedTuple):
+    """The engines that can serve a request together.
+
+    Those of one software version, as their KV cache fits no other one.
+    """
+
+    service: str
+    software: str
+
+
 class PendingRole(NamedTuple):
     """A role that an engine was ordered to take, and its expiry."""
 
@@ -98,10 +108,12 @@
         self.metrics = metrics
         self.pending: dict[str, PendingRole] = {}
         # By pool: its size and the missing prefill engines, and since when.
-        self.requested_changes: dict[str, tuple[tuple[int, int], float]] = {}
+        self.requested_changes: dict[
+            EnginePool, tuple[tuple[int, int], float]
+        ] = {}
         # By pool: the averages of its load, and the orders without a load.
-        self.averages: dict[str, LoadAverage] = {}
-        self.usual_orders: Counter[str] = Counter()
+        self.averages: dict[EnginePool, LoadAverage] = {}
+        self.usual_orders: Counter[EnginePool] = Counter()
 
     def run(self) -> None:
         """Check every pool periodically while this host leads."""
@@ -113,21 +125,31 @@
         """Order the changes that the pools need, if this host leads."""
         if self.replica.leading_seconds <= self._previous_lease_seconds():
             return
-        for pool, engines in self._pools().items():
+        pools = self._pools()
+        self._forget_pools_except(pools)
+        for pool, engines in pools.items():
             self._balance_pool(pool, engines)
 
+    def _forget_pools_except(self, pools: Iterable[EnginePool]) -> None:
+        """Drop what is known of pools whose engines have all left."""
+        for pool in self.averages.keys() - set(pools):
+            self.averages.pop(pool)
+            self.requested_changes.pop(pool, None)
+            self.usual_orders.pop(pool, None)
+
     def _previous_lease_seconds(self) -> float:
         # The first leader has no predecessor.
         return 0.0 if self.replica.term <= 1 else self.lease_seconds
 
-    def _pools(self) -> dict[str, list[Backend]]:
-        pools: dict[str, list[Backend]] = {}
+    def _pools(self) -> dict[EnginePool, list[Backend]]:
+        pools: dict[EnginePool, list[Backend]] = {}
         for backend in self.state_machine.state.backends:
             if backend.role and not backend.leaving:
-                pools.setdefault(backend.service, []).append(backend)
+                pool = EnginePool(backend.service, backend.software)
+                pools.setdefault(pool, []).append(backend)
         return pools
 
-    def _balance_pool(self, pool: str, engines: list[Backend]) -> None:
+    def _balance_pool(self, pool: EnginePool, engines: list[Backend]) -> None:
         now = monotonic()
         roles = {
             engine.instance: self._expected_role(engine, now)
@@ -148,7 +170,7 @@
         self._change_roles(engines, roles, role, count)
 
     def _pool_load(
-        self, pool: str, engines: list[Backend], roles: dict[str, str]
+        self, pool: EnginePool, engines: list[Backend], roles: dict[str, str]
     ) -> PoolLoad:
         """Return the load of a pool, averaged over a few polls."""
         totals = self.loads.totals.totals
@@ -180,7 +202,11 @@
         )
 
     def _is_settled(
-        self, pool: str, load: PoolLoad, wanted: WantedSplit, now: float
+        self,
+        pool: EnginePool,
+        load: PoolLoad,
+        wanted: WantedSplit,
+        now: float,
     ) -> bool:
         """Return whether a pool has needed the same change long enough."""
         requested = (load.engines, wanted.prefill - load.prefill)
--- a/packages/trestle-control/src/trestle_control/split_policy.py
+++ b/packages/trestle-control/src/trestle_control/split_policy.py
@@ -69,7 +69,7 @@
 def wanted_split(load: PoolLoad) -> WantedSplit:
     """Return the split that a pool needs at its present load."""
     usual = usual_prefill_count(load.engines)
-    if usual and not (load.prefill and load.decode):
+    if not load.decode or (usual and not load.prefill):
         return WantedSplit(usual, _MISSING_SETTLE_SECONDS)
     step = max(1, round(load.engines * _STEP_SHARE))
     if _lacks_decode(load):
--- a/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
@@ -35,7 +35,6 @@
     broken_answer_error,
     check_not_blocked,
     check_resend,
-    make_no_backend_failure,
     note_broken,
     send_once,
     within_deadline,
@@ -87,12 +86,9 @@
         if _must_prefill_again(run, plan, handle):
             continue
         if handle:
-            # The list of engines may change during the prefill.
-            plan = _with_current_decode_engine(run, plan, handle)
-        opened = _try_decode(run, plan, handle)
-        if opened is None and handle:
-            # A full engine leaves the KV cache at its source for another one.
-            opened = _try_other_decode_engine(run, plan, handle)
+            opened = _decode_from(run, plan, handle)
+        else:
+            opened = _try_decode(run, plan, None)
         if opened is not None:
             return opened
 
@@ -111,6 +107,21 @@
     return is_failed and run.prefills < MAX_PREFILLS
 
 
+def _decode_from(
+    run: ModelRun, plan: Plan, handle: KvHandle
+) -> OpenAnswer | CompleteAnswer | None:
+    """Send to the decode engine that is best now, or to a second one."""
+    # The list of engines may have changed during the prefill.
+    current_plan = _with_current_decode_engine(run, plan, handle)
+    if current_plan is None:
+        return None
+    opened = _try_decode(run, current_plan, handle)
+    if opened is None:
+        # A full engine leaves the KV cache at its source for another one.
+        return _try_other_decode_engine(run, current_plan, handle)
+    return opened
+
+
 def _try_other_decode_engine(
     run: ModelRun, plan: Plan, handle: KvHandle
 ) -> OpenAnswer | CompleteAnswer | None:
@@ -118,21 +129,28 @@
         free_handle(run.context, handle)
         return None
     new_plan = _with_current_decode_engine(run, plan, handle)
+    if new_plan is None:
+        return None
     return _try_decode(run, new_plan, handle, is_last=True)
 
 
 def _with_current_decode_engine(
     run: ModelRun, plan: Plan, handle: KvHandle
-) -> Plan:
+) -> Plan | None:
+    """Return the plan with the decode engine that is best now.
+
+    Without one that can use the KV cache, frees it and returns None.
+    """
     decode_engine = choose_decode_engine(
         usable_engines(run),
         run.context.loads,
         placement_request(run),
-        handle.engine.zone,
+        handle.engine,
     )
     if decode_engine is None:
+        run.trace.add('read in vain', handle.engine.instance)
         free_handle(run.context, handle)
-        raise make_no_backend_failure(run, 'no decode engine is left')
+        return None
     run.hold_place(decode_engine.backend.instance)
     run.transfer = KvTransfer(
         decode_engine.backend.instance,
--- a/packages/trestle-entry/src/trestle_entry/direct/placement.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/placement.py
@@ -7,6 +7,9 @@
 and a small extra for engines other than the preferred one, which rendezvous
 hashing selects, so that entries that share no state still send a shared prefix
 to the same engine.
+
+The KV cache that one software version has filled fits no other one, so the
+engines of a plan, and those that a prefix is copied between, are of one version.
 """
 
 from typing import Final, NamedTuple
@@ -25,7 +28,7 @@
     PrefillWork,
     copy_sources,
 )
-from trestle_links.direct_messages import DECODE, PREFILL, Backend
+from trestle_links.direct_messages import PREFILL, Backend
 
 # Longer prefills are never done at a decode engine while there are prefill
 # engines: callers wait for the next event of the streams that they stall.
@@ -37,7 +40,7 @@
 
     If `prefill_engine` is None, the decode engine also prefills the prompt.
     `wait_ms` is the work ahead of the prompt, `work` that of the engine that
-    prefills.
+    prefills. `cost` is what plans are compared by.
     """
 
     prefill_engine: Backend | None
@@ -46,6 +49,7 @@
     prefill_ms: float
     first_token_ms: float
     work: PrefillWork
+    cost: float = 0.0
 
 
 def plan_request(
@@ -59,6 +63,25 @@
 
     Unless `may_copy` is set, no engine copies KV cache before it prefills.
     """
+    plans = [
+        _plan_at(alike, loads, request, may_copy=may_copy)
+        for alike in _by_software(_with_roles(engines))
+    ]
+    return min(
+        (plan for plan in plans if plan),
+        key=lambda plan: plan.cost,
+        default=None,
+    )
+
+
+def _plan_at(
+    engines: list[Backend],
+    loads: EngineLoads,
+    request: PlacementRequest,
+    *,
+    may_copy: bool,
+) -> Plan | None:
+    """Return the best plan at engines of one software version."""
     decode_engines = _decode_engines(engines)
     prefill_engines = [engine for engine in engines if engine.role == PREFILL]
     if not decode_engines:
@@ -98,6 +121,7 @@
         prefill_engine.engine_ms,
         first_token_ms,
         prefill_engine.work,
+        prefill_engine.cost + decode_engine.cost,
     )
 
 
@@ -105,30 +129,45 @@
     engines: list[Backend],
     loads: EngineLoads,
     request: PlacementRequest,
-    zone: str,
+    source: Backend,
 ) -> DecodeCandidate | None:
-    """Return the decode engine for a KV transfer from a zone.
+    """Return the decode engine for a KV transfer from an engine.
 
-    The choice uses the present loads.
+    The choice uses the present loads. None if no engine of its software version
+    is left.
     """
-    decode_engines = _decode_engines(engines)
+    decode_engines = [
+        engine
+        for engine in _decode_engines(_with_roles(engines))
+        if engine.software == source.software
+    ]
     if not decode_engines:
         return None
     inputs = cost_inputs(decode_engines, loads, request)
     return min(
-        decode_candidate(inputs, engine, zone) for engine in decode_engines
+        decode_candidate(inputs, engine, source.zone)
+        for engine in decode_engines
     )
 
 
-def _decode_engines(engines: list[Backend]) -> list[Backend]:
-    """Return the engines that may decode.
+def _with_roles(engines: list[Backend]) -> list[Backend]:
+    """Return the engines that have a role, or all if none has.
 
-    An engine that crashed is listed without a role for a while. Such engines
-    are used only if no engine of the pool has a role.
+    An engine that crashed is listed without a role for a while.
     """
-    if any(engine.role for engine in engines):
-        return [engine for engine in engines if engine.role == DECODE]
-    return engines
+    return [engine for engine in engines if engine.role] or engines
+
+
+def _by_software(engines: list[Backend]) -> list[list[Backend]]:
+    """Return the engines of each software version."""
+    by_software: dict[str, list[Backend]] = {}
+    for engine in engines:
+        by_software.setdefault(engine.software, []).append(engine)
+    return list(by_software.values())
+
+
+def _decode_engines(engines: list[Backend]) -> list[Backend]:
+    return [engine for engine in engines if engine.role != PREFILL]
 
 
 def _colocated_plan(colocated: PrefillCandidate) -> Plan:
@@ -139,4 +178,5 @@
         colocated.engine_ms,
         colocated.wait_ms + colocated.engine_ms,
         colocated.work,
+        colocated.cost,
     )
--- a/testbed/stream_runs.py
+++ b/testbed/stream_runs.py
@@ -15,6 +15,7 @@
 from trestle_entry.direct.backend_exchange import BrokenAnswerError
 from trestle_entry.direct.direct_context import DirectContext
 from trestle_entry.direct.model_relay import serve_model
+from trestle_entry.direct.prompt_prefill import KvHandle
 from trestle_entry.direct.request_log import RequestTrace
 from trestle_entry.direct.wire_types import (
     AnswerHead,
@@ -31,6 +32,10 @@
 )
 
 
+def _read_nothing(*_call: Any) -> KvHandle | None:
+    return None
+
+
 class Script(NamedTuple):
     """How an engine answers: so many events, then a break, or to the end.
 
@@ -146,23 +151,33 @@
         )
         return OpenAnswer(connection, answer, head, backend)
 
-    def serve(self, software: str | None = None, **changes: Any) -> Relayed:
+    def serve(
+        self,
+        software: str | None = None,
+        read: Callable[..., KvHandle | None] = _read_nothing,
+        **changes: Any,
+    ) -> Relayed:
         """Serve one request to its end; raises `TrestleError` if refused.
 
-        With a software version, only that one may serve it.
+        With a software version, only that one may serve it; `read` stands for
+        the prefill of its prompt.
         """
         request = make_request(DEMAND)._replace(**changes)
         trace = RequestTrace(request.request_id, request.arrived_at)
-        with self.scripted(self.open):
+        with self.scripted(self.open, read):
             matched = make_match(attempts=4)._replace(software=software)
             reply = serve_model(self.context, request, matched, trace)
             return _relay(reply.status, reply.body)
 
     @contextmanager
-    def scripted(self, opens: Callable[..., OpenAnswer]) -> Iterator[None]:
-        """Let engines answer by scripts and prefill nothing."""
+    def scripted(
+        self,
+        opens: Callable[..., OpenAnswer],
+        read: Callable[..., KvHandle | None],
+    ) -> Iterator[None]:
+        """Let engines answer by scripts."""
         with (
-            patch.object(model_dispatch, 'prefill_prompt', lambda *_: None),
+            patch.object(model_dispatch, 'prefill_prompt', read),
             patch.object(model_dispatch, 'open_answer', opens),
             patch.object(model_dispatch, 'read_answer', _read_failure),
             patch.object(model_relay, 'cancel_when_gone', _never_gone),
