An answer counts only for the request whose id it bears

What callers saw, where a faulty back end wrote an earlier refusal once more on a kept connection: a booking ran up to four times at two back ends, or was answered "not run" although it had run. Cause: a refusal was believed before the request id of the answer was compared, and an answer with another id ended the call. Class of fault: input used before it is known whom it concerns.

Change: whose an answer is comes first; nothing of it, a rate limit included, is believed before. One that repeats the answer to an earlier request of the same connection is passed over and the connection closed after use; any other foreign one leaves the call in doubt, as before. A connection that has answered a request is not used for it again, as a repetition would bear the same id.

--- a/features/direct_rules.feature
+++ b/features/direct_rules.feature
@@ -154,3 +154,15 @@
     Given a model request on 20 engines that read, and no resend is allowed
     When all engines refuse connections
     Then the request is refused as not run after at most 9 connections
+
+  Scenario Outline: An earlier answer is passed over, wherever the bytes are cut
+    Then an earlier answer with <framing> before the own one is passed over
+
+    Examples:
+      | framing  |
+      | a length |
+      | chunks   |
+      | no body  |
+
+  Scenario: An earlier answer without an end of its own leaves the call in doubt
+    Then an earlier answer that ends with its connection breaks the call
--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -104,3 +104,19 @@
     Then every entry is ready within its bound
     And a stream that runs while every process gets SIGHUP comes back whole
     And every process still runs
+
+  # Guards against: "not run" for a request that ran, and a second run, because
+  # a back end wrote an earlier refusal once more on a kept connection.
+  Scenario: A refusal that comes once more is not taken for the next answer
+    Given a platform with 5 control hosts, 2 entries, 2 services and 3 engines
+    When document 3 is published at "core-1"
+    Then every entry is ready within its bound
+    And 4 calls of "/book/decline-twice" each leave the next calls of "/book/plain" to run once
+
+  # Guards against: the answer of one request for another one, and failures of
+  # calls whose own answer came behind it.
+  Scenario: A late second answer is passed over, and the own answer delivered
+    Given a platform with 5 control hosts, 2 entries, 2 services and 3 engines
+    When document 3 is published at "core-1"
+    Then every entry is ready within its bound
+    And 8 calls of "/book/late-extra" in a row each run once and get their own answer
--- /dev/null
+++ b/features/steps/kept_connections_steps.py
@@ -0,0 +1,97 @@
+"""Steps on answers that come again on kept connections."""
+
+from behave import then
+from behave.runner import Context
+from gevent import sleep, spawn
+from gevent.socket import socketpair
+
+from features.steps.platform_path_steps import call, fleet_of
+from trestle_entry.direct.backend_exchange import (
+    BackendAnswer,
+    BackendConnection,
+    BrokenAnswerError,
+)
+
+
+@then(
+    '{count:d} calls of "{path}" each leave the next calls of "{other}" to run '
+    'once'
+)
+def step_decline_twice(
+    context: Context, count: int, path: str, other: str
+) -> None:
+    """Let back ends refuse, and use their connections again."""
+    for _ in range(count):
+        assert call(context, path).status == 503
+        assert not context.ran
+        for _replica in fleet_of(context).replicas:
+            answer = call(context, other)
+            assert answer.status == 200 and answer.whole, answer
+            assert len(context.ran) == 1, context.ran
+
+
+@then(
+    '{count:d} calls of "{path}" in a row each run once and get their own answer'
+)
+def step_own_answer(context: Context, count: int, path: str) -> None:
+    """Check that earlier answers belong to nobody."""
+    for _ in range(count):
+        answer = call(context, path)
+        assert answer.status == 200 and answer.whole, answer
+        assert b'nobody' not in answer.body
+        own = answer.headers['kingcuptrestle-request-id']
+        assert own == context.request_id
+        assert len(context.ran) == 1, context.ran
+
+
+EARLIER = {
+    'a length': b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale',
+    'chunks': (
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+        b'5\r\nstale\r\n0\r\n\r\n'
+    ),
+    'no body': b'HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n',
+}
+OWN = b'HTTP/1.1 201 Made\r\nContent-Length: 3\r\n\r\nown'
+
+
+def read_behind_earlier(pieces: list[bytes]) -> tuple[int, bytes]:
+    """Return status and body of the second answer in what was sent."""
+    back_end, entry = socketpair()
+    connection = BackendConnection(entry, 'a:1', 'i-1')
+
+    def send() -> None:
+        for piece in pieces:
+            back_end.sendall(piece)
+            # Let the other side read each piece by itself.
+            sleep(0)
+        back_end.close()
+
+    spawn(send)
+    answer = BackendAnswer('POST')
+    try:
+        connection.read_head(answer)
+        own = connection.pass_over(answer)
+        connection.read_head(own)
+        return own.status, connection.read_body(own)
+    finally:
+        connection.close()
+
+
+@then('an earlier answer with {framing} before the own one is passed over')
+def step_passed_over(_context: Context, framing: str) -> None:
+    """Cut the bytes of both answers in two at every place."""
+    both = EARLIER[framing] + OWN
+    for place in range(1, len(both)):
+        pieces = [both[:place], both[place:]]
+        assert read_behind_earlier(pieces) == (201, b'own'), place
+
+
+@then('an earlier answer that ends with its connection breaks the call')
+def step_unframed(_context: Context) -> None:
+    """Send an answer without a length, and the connection's end."""
+    try:
+        read_behind_earlier([b'HTTP/1.1 200 OK\r\n\r\n', b'stale'])
+    except BrokenAnswerError:
+        return
+    raise AssertionError('an answer was made up')
--- a/packages/trestle-entry/src/trestle_entry/direct/backend_calls.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/backend_calls.py
@@ -8,6 +8,7 @@
 from time import monotonic
 from typing import Final, NamedTuple
 
+from trestle_core.logs import part_logger
 from trestle_entry.direct.backend_exchange import (
     BackendAnswer,
     BackendConnection,
@@ -27,6 +28,8 @@
 
 _MS_PER_SECOND: Final = 1000
 
+_log = part_logger('fleet')
+
 
 class OpenAnswer(NamedTuple):
     """An answer whose head has been read."""
@@ -67,6 +70,7 @@
         backend.instance,
         max(seconds, 0.01),
         at_most_once=at_most_once,
+        request_id=request.request_id,
     )
     try:
         return _exchange(context, request, backend, options, connection)
@@ -100,7 +104,10 @@
     """Keep the connection of a complete answer, or close it."""
     head = opened.head
     must_close = head.closes_connection or opened.answer.should_close()
-    if must_close or opened.answer.has_trailing_bytes:
+    is_faulty = (
+        opened.answer.has_trailing_bytes or opened.connection.has_repeated
+    )
+    if must_close or is_faulty:
         opened.connection.close()
         return
     context.pool.release(opened.connection, head.idle_seconds)
@@ -123,23 +130,49 @@
     )
     sent_at = monotonic()
     connection.send(request_bytes)
-    answer = BackendAnswer(request.method)
-    connection.read_head(answer)
-    head = wire.read_head(answer.status, answer.header_list())
+    answer, head = _read_own_head(context, request, connection)
+    connection.answered_ids.append(request.request_id)
     context.loads.rate_limits.note_named(
         backend.instance, head.rate_limit, sent_at
     )
-    _check_head(request, head, options)
+    _check_head(head, options)
     return OpenAnswer(connection, answer, head, backend)
 
 
-def _check_head(
-    request: CallerRequest, head: AnswerHead, options: SendOptions
-) -> None:
+def _read_own_head(
+    context: DirectContext,
+    request: CallerRequest,
+    connection: BackendConnection,
+) -> tuple[BackendAnswer, AnswerHead]:
+    """Read the head of the request's answer; pass over earlier ones.
+
+    Nothing of an answer is believed before it is known whose it is. One without
+    a request id may be that of any request of its connection.
+    """
+    answer = BackendAnswer(request.method)
+    while True:
+        connection.read_head(answer)
+        head = context.backend_wire.read_head(
+            answer.status, answer.header_list()
+        )
+        if head.request_id == request.request_id:
+            return answer, head
+        if not head.request_id and not connection.answered_ids:
+            return answer, head
+        if head.request_id not in connection.answered_ids:
+            raise BrokenAnswerError('the answer belongs to another request')
+        context.metrics.count('repeated_answers')
+        _log.info(
+            '{} wrote its answer to {} once more.',
+            connection.instance,
+            head.request_id,
+        )
+        answer = connection.pass_over(answer)
+
+
+def _check_head(head: AnswerHead, options: SendOptions) -> None:
     if head.is_declined:
         return
-    if head.request_id and head.request_id != request.request_id:
-        raise BrokenAnswerError('the answer belongs to another request')
     is_success = OK <= head.status < MULTIPLE_CHOICES
     if not is_success or options.is_prefill:
         return
--- a/packages/trestle-entry/src/trestle_entry/direct/backend_exchange.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/backend_exchange.py
@@ -7,6 +7,7 @@
 Invariant: `NotSentError` means that no byte of the request was sent.
 """
 
+from collections import deque
 from http.client import HTTPException
 from typing import Final
 
@@ -38,6 +39,11 @@
 _BODILESS: Final = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 _READ_BYTES: Final = 65_536
 _FIRST_FINAL_STATUS: Final = 200
+# An answer comes once more soon after its request, if at all.
+_MAX_ANSWERED_IDS: Final = 32
+# A longer earlier answer is not worth passing over.
+_MAX_PASSED_BYTES: Final = 1_048_576
+_CLOSED: Final = 'the connection was closed'
 
 
 class NotSentError(OSError):
@@ -61,15 +67,31 @@
         super().__init__(method)
         self.status = 0
         self.has_trailing_bytes = False
+        # What was received until the head was complete.
+        self.received = b''
 
     def feed_bytes(self, received: bytes) -> None:
         """Parse received bytes; raises `BrokenAnswerError` if malformed."""
+        if not self.headers_complete:
+            self.received += received
         try:
             self.feed(received)
         except HTTPException as error:
             if not self.has_trailing_bytes:
                 raise BrokenAnswerError(str(error)) from error
 
+    def feed_to_end(self, received: bytes) -> bytes | None:
+        """Parse bytes up to the end of the answer; return those behind it.
+
+        None if the end is not among them. Raises `BrokenAnswerError`.
+        """
+        # Byte by byte, as the parser does not tell where an answer ends.
+        for position, octet in enumerate(received, start=1):
+            self.feed_bytes(bytes((octet,)))
+            if self.message_complete:
+                return received[position:]
+        return None
+
     def drain_body(self) -> bytes:
         """Return the body bytes parsed since the last call."""
         taken = bytes(self._body_buffer)
@@ -104,6 +126,10 @@
         self.instance = instance
         self.idle_since = 0.0
         self.idle_seconds = 0.0
+        # Whether an answer came once more.
+        self.has_repeated = False
+        # Requests that were answered on this connection, the latest ones.
+        self.answered_ids: deque[str] = deque(maxlen=_MAX_ANSWERED_IDS)
 
     @classmethod
     def open(
@@ -135,13 +161,30 @@
 
     def read_more(self, answer: BackendAnswer) -> None:
         """Receive and parse once; raises `BrokenAnswerError`."""
-        try:
-            received = self.sock.recv(_READ_BYTES)
-        except OSError as error:
-            raise BrokenAnswerError(str(error)) from error
+        received = self._receive_or_end()
         answer.feed_bytes(received)
         if not received and not answer.message_complete:
-            raise BrokenAnswerError('the connection was closed')
+            raise BrokenAnswerError(_CLOSED)
+
+    def pass_over(self, answer: BackendAnswer) -> BackendAnswer:
+        """Read an answer to its end; return the one that follows it.
+
+        Raises `BrokenAnswerError`, also if it has no end of its own.
+        """
+        self.has_repeated = True
+        passed = BackendAnswer(answer.method)
+        received = answer.received
+        passed_bytes = len(received)
+        behind = passed.feed_to_end(received)
+        while behind is None:
+            if passed_bytes > _MAX_PASSED_BYTES:
+                raise BrokenAnswerError('an earlier answer does not end')
+            received = self._receive()
+            passed_bytes += len(received)
+            behind = passed.feed_to_end(received)
+        following = BackendAnswer(answer.method)
+        following.feed_bytes(behind)
+        return following
 
     def read_body(self, answer: BackendAnswer) -> bytes:
         """Read and return the body to its end; raises `BrokenAnswerError`."""
@@ -153,6 +196,19 @@
         """Close the connection; the back end cancels a running request."""
         self.sock.close()
 
+    def _receive(self) -> bytes:
+        received = self._receive_or_end()
+        if not received:
+            raise BrokenAnswerError(_CLOSED)
+        return received
+
+    def _receive_or_end(self) -> bytes:
+        """Receive once, nothing at the end of the connection."""
+        try:
+            return self.sock.recv(_READ_BYTES)
+        except OSError as error:
+            raise BrokenAnswerError(str(error)) from error
+
 
 def set_dead_peer_timeout(sock: socket) -> None:
     """Make the kernel close a connection whose peer stops acknowledging."""
--- a/packages/trestle-entry/src/trestle_entry/direct/connection_pool.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/connection_pool.py
@@ -39,15 +39,19 @@
         timeout_seconds: float,
         *,
         at_most_once: bool,
+        request_id: str = '',
     ) -> BackendConnection:
         """Return a kept connection, or connect within `timeout_seconds`.
 
+        A connection on which the request was answered before is not used for
+        it again: the earlier answer may come once more, with the same id.
         Raises `NotSentError`.
         """
         idle = self.idle_connections.get(instance, [])
         while idle:
             connection = idle.pop()
-            if is_usable(connection, at_most_once=at_most_once):
+            is_new = not request_id or request_id not in connection.answered_ids
+            if is_new and is_usable(connection, at_most_once=at_most_once):
                 return connection
             connection.close()
         self.metrics.count('backend_connects')
--- a/testbed/platform_replica.py
+++ b/testbed/platform_replica.py
@@ -59,6 +59,8 @@
         self.freed: list[str] = []
         self.orders: list[bytes] = []
         self.cut_streams = 0
+        # Answers to write once more before the next one of a connection.
+        self.repeated: dict[socket, bytes] = {}
         self.cache = StandInCache(instance)
         ip, _, port = listen.rpartition(':')
         self.server = StreamServer((ip, int(port)), self._serve)
@@ -72,6 +74,7 @@
     def _serve(self, sock: socket, _address: object) -> None:
         try:
             while received := _read_request(sock):
+                sock.sendall(self.repeated.pop(sock, b''))
                 if not self._answer(sock, received):
                     return
         except OSError:
@@ -103,7 +106,12 @@
 
     def _decline(self, sock: socket, received: Received, status: int) -> bool:
         self.declined.append(received)
-        headers = {f'{_PREFIX}Not-Executed': '1'}
+        headers = {
+            f'{_PREFIX}Not-Executed': '1',
+            f'{_PREFIX}Request-Id': received.named('Request-Id'),
+        }
+        if received.fault == 'decline-twice':
+            self.repeated[sock] = _whole(status, headers, b'')
         return _send(sock, status, headers, b'')
 
     def _read_prompt(self, sock: socket, received: Received) -> bool:
@@ -114,12 +122,13 @@
         prefix = received.named('Prefix-Hash')
         sleep(self.cache.missing_tokens(prefix) * _SECONDS_PER_TOKEN)
         self.cache.note_read(prefix)
-        return _send(sock, 200, {}, encode({'kvHandle': handle}))
+        headers = {f'{_PREFIX}Request-Id': received.named('Request-Id')}
+        return _send(sock, 200, headers, encode({'kvHandle': handle}))
 
     def _run(self, sock: socket, received: Received) -> bool:
         if self.stage == 'prefill':
             return self._decline(sock, received, 421)
-        if received.fault == 'decline':
+        if received.fault in {'decline', 'decline-twice'}:
             return self._decline(sock, received, 503)
         self.ran.append(received)
         if self.stage:
@@ -162,8 +171,11 @@
             sock.sendall(b'\x00\x01 no answer at all\r\n\r\n')
             return False
         _send(sock, 200, headers, body)
+        extra = _whole(200, headers, b'{"belongs":"nobody"}')
         if fault == 'extra':
-            _send(sock, 200, headers, b'{"belongs":"nobody"}')
+            sock.sendall(extra)
+        if fault == 'late-extra':
+            self.repeated[sock] = extra
         return True
 
     def _stream(self, sock: socket, received: Received) -> bool:
@@ -238,12 +250,21 @@
     body: bytes,
     told: int | None = None,
 ) -> bool:
-    length = len(body) if told is None else told
-    head = _head(status, {**headers, 'Content-Length': str(length)})
-    sock.sendall(head + body)
+    sock.sendall(_whole(status, headers, body, told))
     return True
 
 
+def _whole(
+    status: int,
+    headers: dict[str, str],
+    body: bytes,
+    told: int | None = None,
+) -> bytes:
+    """Return an answer whose head tells a length, by default the true one."""
+    length = len(body) if told is None else told
+    return _head(status, {**headers, 'Content-Length': str(length)}) + body
+
+
 def _send_piece(sock: socket, content: bytes, is_bare: bool) -> None:
     if is_bare:
         sock.sendall(content)
