--- a/testbed/stream_runs.py
+++ b/testbed/stream_runs.py
@@ -39,11 +39,14 @@
 class Script(NamedTuple):
     """How an engine answers: so many events, then a break, or to the end.
 
-    Without `status` 200 it fails with a text for a body.
+    Without `status` 200 it fails with a text for a body. `body` replaces the
+    events.
     """
 
     breaks_after: int | None = None
     status: int = 200
+    is_declined: bool = False
+    body: bytes | None = None
 
 
 class StreamSend(NamedTuple):
@@ -96,6 +99,8 @@
 class ScriptedConnection:
     """A connection without a socket."""
 
+    has_repeated = False
+
     def read_more(self, answer: ScriptedAnswer) -> None:
         """Read one piece, or reach the end of the script."""
         if answer.pieces:
@@ -143,8 +148,17 @@
             for number in range(first, last + 1)
         ]
         head = AnswerHead(
-            script.status, request.request_id, True, False, False, True, 0, []
+            script.status,
+            request.request_id,
+            True,
+            script.is_declined,
+            False,
+            True,
+            0,
+            [],
         )
+        if script.body is not None:
+            pieces = [script.body]
         connection: Any = ScriptedConnection()
         answer: Any = ScriptedAnswer(
             pieces, breaks=script.breaks_after is not None
