A take-up waits a moment for an entry's connection to the leader

What callers saw: an entry that has just started, or whose leader changes, refused to let a sound stream go on because its link to the leader was not there yet; once in a run of software_versions beside other tests (503 stream-unknown, "no leader is connected", right after the entries came back). Cause: asked before the stream of loads, which connects the link, had been opened. Change: the call waits for the link as long as it would wait for an answer.

--- a/features/steps/stream_take_ups_steps.py
+++ b/features/steps/stream_take_ups_steps.py
@@ -1,6 +1,5 @@
 """Steps on streams that callers take up, with real processes."""
 
-from functools import partial
 from typing import NamedTuple
 
 from behave import given, then, when
@@ -144,25 +143,25 @@
 
 @when('their callers take them up at "{entry}"')
 def step_take_up(context: Context, entry: str) -> None:
-    """Send each stream again, with what its caller has."""
+    """Take up each stream with what its caller has."""
     tasks = {
-        begun.request_id: spawn(
-            partial(
-                stream,
-                context.fleet,
-                entry,
-                f'again-{begun.request_id}',
-                **{
-                    'Resumes': begun.request_id,
-                    'Last-Event-Id': begun.last_id,
-                },
-            )
-        )
+        begun.request_id: spawn(take_up, context.fleet, entry, begun)
         for begun in context.begun
     }
     context.taken_up = {name: task.get() for name, task in tasks.items()}
 
 
+def take_up(fleet: PlatformFleet, entry: str, begun: BegunStream) -> Answer:
+    """Send a stream again, and once more when refused, after Retry-After."""
+    headers = {'Resumes': begun.request_id, 'Last-Event-Id': begun.last_id}
+    request_id = f'again-{begun.request_id}'
+    answer = stream(fleet, entry, request_id, **headers)
+    if answer.status == 503:
+        sleep(float(answer.headers['retry-after']))
+        answer = stream(fleet, entry, request_id, **headers)
+    return answer
+
+
 @then('every stream went on at the version that began it and is whole')
 def step_went_on(context: Context) -> None:
     """Check every stream."""
--- a/packages/trestle-entry/src/trestle_entry/direct/take_ups.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/take_ups.py
@@ -7,8 +7,11 @@
 """
 
 from collections.abc import Callable
+from time import monotonic
 from typing import Final
 
+from gevent import sleep
+
 from trestle_core.errorcodes import NO_ENDPOINT, STREAM_UNKNOWN
 from trestle_core.errors import TrestleError
 from trestle_core.route_table import Repeat, Route
@@ -18,7 +21,7 @@
 from trestle_entry.direct.wire_types import CallerRequest
 from trestle_links.connection import LinkDownError
 from trestle_links.control_client import ControlClient
-from trestle_links.link import LinkPool
+from trestle_links.link import Link, LinkPool
 from trestle_links.stream_messages import (
     FindStream,
     FoundStream,
@@ -28,6 +31,7 @@
 
 # A leader that takes longer is as good as lost.
 _ASK_SECONDS: Final = 0.3
+_POLL_SECONDS: Final = 0.02
 # Time for a leader to be elected or to be told by the entries.
 _RETRY_SECONDS: Final = 0.5
 
@@ -101,10 +105,23 @@
     """
 
     def ask(key: int) -> StreamOrigin | None:
-        link = links.link_to(control.leader_address)
-        # The stream of loads connects it; callers do not wait for that.
-        if not link.is_connected:
-            raise LinkDownError('no leader is connected', sent=False)
+        link = _connected_leader(control, links)
         return link.call(FindStream(key), FoundStream, _ASK_SECONDS).origin
 
     return ask
+
+
+def _connected_leader(control: ControlClient, links: LinkPool) -> Link:
+    """Return the link to the leader, which the stream of loads connects.
+
+    An entry that has just started, or changes the leader, waits for that a
+    moment. Raises `LinkDownError`.
+    """
+    until = monotonic() + _ASK_SECONDS
+    while True:
+        link = links.link_to(control.leader_address)
+        if link.is_connected:
+            return link
+        if monotonic() > until:
+            raise LinkDownError('no leader is connected', sent=False)
+        sleep(_POLL_SECONDS)
