Only events that follow each other pass to the callers of streams

What callers could get, after an engine of theirs broke off or without that: an error's text or its whole head in the middle of a stream (an empty line of a head ends like an event), an event left out or one twice, in answers that looked complete. An error status of the next engine was no such case: it already ends the answer visibly. Class of fault: bytes of a back end passed on without a look at them.

Change: an event has lower-case fields and an id, and follows the last one by one; comments pass. Anything else is a fault of the engine, like bytes that break off: what came before it is delivered, and the stream goes on at another engine after the last sound event or ends visibly broken.

Six scenarios keep sound streams byte for byte, wherever cut.

--- /dev/null
+++ b/features/steps/stream_events_steps.py
@@ -0,0 +1,93 @@
+"""Steps on what passes from engines to the callers of streams."""
+
+from behave import given, then, when
+from behave.runner import Context
+
+from testbed.stream_runs import EVENTS, Script, StreamEngines
+from trestle_core.errors import TrestleError
+from trestle_entry.direct.event_stream import EventSplitter
+
+ERROR_HEAD = b'HTTP/1.1 500 Failed\r\nContent-Type: text/plain\r\n\r\n'
+REST = b''.join(
+    f'id: {number}\ndata: v1\n\n'.encode() for number in range(3, EVENTS + 1)
+)
+SCRIPTS = {
+    'an error': Script(status=500),
+    'a refusal': Script(status=503, is_declined=True),
+    "an error's text as its stream": Script(body=b'engine failed\n\n'),
+    "an error's head within its stream": Script(
+        body=b'id: 3\ndata: v1\n\n' + ERROR_HEAD
+    ),
+    "an error's head within an event": Script(
+        body=b'id: 3\ndata: v' + ERROR_HEAD
+    ),
+    'event 4 after event 2': Script(body=REST.partition(b'\n\n')[2]),
+    'event 2 once more': Script(body=b'id: 2\ndata: v1\n\n' + REST),
+    'the end of its stream at once': Script(body=b'HTTP'),
+}
+SOUND = {
+    'ids from 0': b'id: 0\ndata: a\n\nid: 1\ndata: b\n\n',
+    'lines that end with CR and LF': (
+        b'id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n'
+    ),
+    'a comment between events': b'id: 1\ndata: a\n\n: wait\n\nid: 2\ndata: b\n\n',
+    'an event with a version line first': (
+        b'id: 1\ndata: a\n\nsome-weight-versions: 2\nid: 2\ndata: b\n\n'
+    ),
+    'several data lines in an event': b'id: 1\ndata: a\ndata: b\n\n',
+    'ids that are no numbers': b'id: x9\ndata: a\n\nid: x4\ndata: b\n\n',
+}
+
+
+@given(
+    '{count:d} engines that decode, of which the first breaks off after event '
+    '{event:d}'
+)
+def step_engines(context: Context, count: int, event: int) -> None:
+    """Set up engines of one version; only the first takes new streams."""
+    engines = StreamEngines({'write-v1': count})
+    engines.scripts['write-v1-0'] = Script(breaks_after=event)
+    for number in range(1, count):
+        engines.context.loads.own.add_running(f'write-v1-{number}', 8 + number)
+    context.engines = engines
+
+
+@when('the next engine answers with {what}')
+def step_next(context: Context, what: str) -> None:
+    """Serve a stream; the second engine follows a script, the others none."""
+    context.engines.scripts['write-v1-1'] = SCRIPTS[what]
+    try:
+        context.relayed = context.engines.serve()
+    except TrestleError as error:
+        raise AssertionError(error) from error
+    sent_to = [send.instance for send in context.engines.sends]
+    assert sent_to[:2] == ['write-v1-0', 'write-v1-1'], sent_to
+
+
+@then(
+    'the caller gets events 1 to {last:d} once each, or a visibly broken answer'
+)
+def step_events(context: Context, last: int) -> None:
+    """Check the ids, up to where the answer broke off."""
+    relayed = context.relayed
+    assert relayed.status == 200
+    assert relayed.ids == list(range(1, len(relayed.ids) + 1)), relayed
+    assert relayed.ids == list(range(1, last + 1)) or not relayed.whole, relayed
+
+
+@then('nothing but events')
+def step_only_events(context: Context) -> None:
+    """Check every line."""
+    for line in context.relayed.body.splitlines():
+        assert line in {b'', b'data: v1'} or line.startswith(b'id: '), line
+
+
+@then('a stream with {what} passes unchanged')
+def step_unchanged(_context: Context, what: str) -> None:
+    """Cut the bytes in two at every place."""
+    for place in range(len(SOUND[what]) + 1):
+        events = EventSplitter()
+        passed = events.feed(SOUND[what][:place])
+        passed += events.feed(SOUND[what][place:])
+        assert passed == SOUND[what], (place, passed)
+        assert not events.fault, events.fault
--- /dev/null
+++ b/features/stream_events.feature
@@ -0,0 +1,33 @@
+Feature: Nothing but the events of a stream reaches its caller
+
+  # Guards against: an error's text, or its whole head, in the middle of a stream,
+  # and a stream that ends as if it were complete.
+  Scenario Outline: A stream broke off and the next engine sends <what>
+    Given 4 engines that decode, of which the first breaks off after event 2
+    When the next engine answers with <what>
+    Then the caller gets events 1 to 6 once each, or a visibly broken answer
+    And nothing but events
+
+    Examples:
+      | what                                  |
+      | an error                              |
+      | a refusal                             |
+      | an error's text as its stream         |
+      | an error's head within its stream     |
+      | an error's head within an event       |
+      | event 4 after event 2                 |
+      | event 2 once more                     |
+      | the end of its stream at once         |
+
+  # Guards against: sound streams that a check cuts.
+  Scenario Outline: What a sound stream may contain passes byte for byte
+    Then a stream with <what> passes unchanged
+
+    Examples:
+      | what                                |
+      | ids from 0                          |
+      | lines that end with CR and LF       |
+      | a comment between events            |
+      | an event with a version line first  |
+      | several data lines in an event      |
+      | ids that are no numbers             |
--- a/packages/trestle-entry/src/trestle_entry/direct/event_stream.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/event_stream.py
@@ -2,14 +2,20 @@
 
 Only complete events are relayed to callers, because a back end may fail in the
 middle of one; the stream is then resumed at another back end after the last
-complete one.
+complete one. Bytes that are no event of the stream, such as an error's text, and
+an event that does not follow the last one are a fault of the back end.
 """
 
+import re
+from collections.abc import Iterator
 from time import monotonic
 from typing import Final
 
 _MS_PER_SECOND: Final = 1000
 _EVENT_ENDS: Final = (b'\n\n', b'\r\n\r\n')
+_EVENT: Final = re.compile(rb'.*?(?:\n\n|\r\n\r\n)', re.DOTALL)
+# An empty line, a comment, or a field, whose names are in lower case.
+_LINE: Final = re.compile(rb'$|[a-z-]*:')
 
 
 class EventSplitter:
@@ -21,24 +27,49 @@
         self.last_id = ''
         # Complete events so far.
         self.count = 0
+        # Why the bytes after the last event were not passed, empty if they were.
+        self.fault = ''
 
     def feed(self, received: bytes) -> bytes:
-        """Return the bytes of all events that are complete now."""
+        """Return the bytes of all events that are complete now.
+
+        Sets `fault` and returns the events before it if bytes are no event.
+        """
         buffered = self.incomplete + received
         end = max(
             _end_of_last_event(buffered, separator) for separator in _EVENT_ENDS
         )
-        complete = buffered[:end]
         self.incomplete = buffered[end:]
-        if complete:
-            self._record_ids(complete)
-        return complete
+        return b''.join(self._take_sound(buffered[:end]))
+
+    def go_on(self) -> None:
+        """Expect the event after the last one, from another back end."""
+        self.incomplete = b''
+        self.fault = ''
 
-    def _record_ids(self, complete: bytes) -> None:
-        for line in complete.splitlines():
-            if line.startswith(b'id:'):
-                self.last_id = line[3:].strip().decode('latin-1')
-                self.count += 1
+    def _take_sound(self, complete: bytes) -> Iterator[bytes]:
+        """Record and return events up to the first that is not sound."""
+        for match in _EVENT.finditer(complete):
+            lines = match.group().splitlines()
+            self.fault = self.fault or self._fault_of(lines)
+            if self.fault:
+                return
+            yield match.group()
+
+    def _fault_of(self, lines: list[bytes]) -> str:
+        """Record an event if it is sound; return its fault, or nothing."""
+        if not all(_LINE.match(line) for line in lines):
+            return 'bytes that are no event'
+        ids = [line[3:].strip() for line in lines if line.startswith(b'id:')]
+        if not ids:
+            is_comment = all(line[:1] in {b'', b':'} for line in lines)
+            return '' if is_comment else 'an event without an id'
+        event_id = ids[-1].decode('latin-1')
+        if not _follows(self.last_id, event_id):
+            return f'event {event_id} after {self.last_id}'
+        self.last_id = event_id
+        self.count += 1
+        return ''
 
 
 class StreamTiming:
@@ -71,6 +102,13 @@
         }
 
 
+def _follows(last_id: str, event_id: str) -> bool:
+    """Return whether no event is missing between two, or came before."""
+    if not (last_id.isdecimal() and event_id.isdecimal()):
+        return True
+    return int(event_id) == int(last_id) + 1
+
+
 def _end_of_last_event(buffered: bytes, separator: bytes) -> int:
     position = buffered.rfind(separator)
     return 0 if position < 0 else position + len(separator)
--- a/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
@@ -122,6 +122,8 @@
                     self.run.trace.add('first event', opened.backend.software)
                     self.run.note_first_event(opened.backend.software)
                 yield events_received
+            if events.fault:
+                raise BrokenAnswerError(events.fault)
             if answer.message_complete:
                 break
             opened.connection.read_more(answer)
@@ -139,7 +141,7 @@
         run.count_at('')
         if not run.may_run_again:
             raise _aborted(str(error)) from error
-        run.events.incomplete = b''
+        run.events.go_on()
         try:
             self.opened = reopen_stream(run)
         except CallerGoneError:
