An interim answer is not taken for the final one

What callers could get: the head of an interim answer (103) as their answer, while the connection went back to the pool before the real answer had come, which the next request would then meet. Cause: reading of the head ended with the first head. Change: a head counts from status 200 on; a connection that ends behind an interim answer breaks the call. The scenario failed before; every cut of both answers is tried.

--- a/features/direct_rules.feature
+++ b/features/direct_rules.feature
@@ -166,3 +166,9 @@
 
   Scenario: An earlier answer without an end of its own leaves the call in doubt
     Then an earlier answer that ends with its connection breaks the call
+
+  # Guards against: an interim answer taken for the final one, whose connection
+  # is then kept for the next request.
+  Scenario: An interim answer is not the answer
+    Then an interim answer before the own one is passed over, wherever it is cut
+    And an interim answer and the end of the connection break the call
--- a/features/steps/kept_connections_steps.py
+++ b/features/steps/kept_connections_steps.py
@@ -95,3 +95,45 @@
     except BrokenAnswerError:
         return
     raise AssertionError('an answer was made up')
+
+
+INTERIM = b'HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n'
+
+
+def read_answer(pieces: list[bytes]) -> tuple[int, bytes]:
+    """Return status and body of the answer in what was sent."""
+    back_end, entry = socketpair()
+    connection = BackendConnection(entry, 'a:1', 'i-1')
+    answer = BackendAnswer('POST')
+
+    def send() -> None:
+        for piece in pieces:
+            back_end.sendall(piece)
+            sleep(0)
+        back_end.close()
+
+    spawn(send)
+    try:
+        connection.read_head(answer)
+        return answer.status, connection.read_body(answer)
+    finally:
+        connection.close()
+
+
+@then('an interim answer before the own one is passed over, wherever it is cut')
+def step_interim(_context: Context) -> None:
+    """Cut the bytes of both in two at every place."""
+    both = INTERIM + OWN
+    for place in range(1, len(both)):
+        answer = read_answer([both[:place], both[place:]])
+        assert answer == (201, b'own'), (place, answer)
+
+
+@then('an interim answer and the end of the connection break the call')
+def step_interim_only(_context: Context) -> None:
+    """Close the connection behind an interim answer."""
+    try:
+        read_answer([INTERIM])
+    except BrokenAnswerError:
+        return
+    raise AssertionError('an interim answer was taken for the final one')
--- a/packages/trestle-entry/src/trestle_entry/direct/backend_exchange.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/backend_exchange.py
@@ -70,9 +70,22 @@
         # What was received until the head was complete.
         self.received = b''
 
+    @property
+    def has_final_head(self) -> bool:
+        """Whether the head of the answer itself has been read.
+
+        Interim answers, with a status below 200, may come before it.
+        """
+        return self.headers_complete and self.status >= _FIRST_FINAL_STATUS
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the answer itself is complete, not only an interim one."""
+        return self.has_final_head and self.message_complete
+
     def feed_bytes(self, received: bytes) -> None:
         """Parse received bytes; raises `BrokenAnswerError` if malformed."""
-        if not self.headers_complete:
+        if not self.has_final_head:
             self.received += received
         try:
             self.feed(received)
@@ -156,14 +169,14 @@
 
     def read_head(self, answer: BackendAnswer) -> None:
         """Read until the head is complete; raises `BrokenAnswerError`."""
-        while not answer.headers_complete:
+        while not answer.has_final_head:
             self.read_more(answer)
 
     def read_more(self, answer: BackendAnswer) -> None:
         """Receive and parse once; raises `BrokenAnswerError`."""
         received = self._receive_or_end()
         answer.feed_bytes(received)
-        if not received and not answer.message_complete:
+        if not received and not answer.is_whole:
             raise BrokenAnswerError(_CLOSED)
 
     def pass_over(self, answer: BackendAnswer) -> BackendAnswer:
