Bytes of a back end without end break its answer

Cause: nothing bounded what is collected of one answer. Change: a head with its interim answers may take 128 KB, a body that is collected 16 MB, an event 1 MB; beyond that the answer has broken off. Besides: a stream that is planned again without a KV transfer no longer has the time of the transfer before counted against an engine.

--- a/features/direct_rules.feature
+++ b/features/direct_rules.feature
@@ -172,3 +172,16 @@
   Scenario: An interim answer is not the answer
     Then an interim answer before the own one is passed over, wherever it is cut
     And an interim answer and the end of the connection break the call
+
+  # Guards against: bytes without end that take the memory of the entry.
+  Scenario Outline: Bytes of a back end without end break the answer
+    When a back end sends <what> without end
+    Then the call is broken off after at most <limit> MB
+
+    Examples:
+      | what        | limit |
+      | a head      | 1     |
+      | a head line | 1     |
+      | interim answers | 1 |
+      | a body      | 20    |
+      | an event    | 3     |
--- a/features/steps/kept_connections_steps.py
+++ b/features/steps/kept_connections_steps.py
@@ -1,6 +1,6 @@
 """Steps on answers that come again on kept connections."""
 
-from behave import then
+from behave import then, when
 from behave.runner import Context
 from gevent import sleep, spawn
 from gevent.socket import socketpair
@@ -11,6 +11,7 @@
     BackendConnection,
     BrokenAnswerError,
 )
+from trestle_entry.direct.event_stream import EventSplitter
 
 
 @then(
@@ -137,3 +138,46 @@
     except BrokenAnswerError:
         return
     raise AssertionError('an interim answer was taken for the final one')
+
+
+ENDLESS = {
+    'a head': (b'HTTP/1.1 200 OK\r\n', b'X-Pad: ' + b'x' * 1000 + b'\r\n'),
+    'a head line': (b'HTTP/1.1 200 OK\r\nX-Pad: ', b'x' * 1000),
+    'interim answers': (b'', INTERIM),
+    'a body': (b'HTTP/1.1 200 OK\r\n\r\n', b'x' * 65_536),
+}
+MEGABYTE = 1_000_000
+
+
+@when('a back end sends {what} without end')
+def step_endless(context: Context, what: str) -> None:
+    """Feed bytes until they are refused, or far too many were taken."""
+    if what == 'an event':
+        context.taken = feed_event()
+        return
+    begin, more = ENDLESS[what]
+    answer = BackendAnswer('POST')
+    context.taken = 0
+    try:
+        answer.feed_bytes(begin)
+        while context.taken < 100 * MEGABYTE:
+            context.taken += len(more)
+            answer.feed_bytes(more)
+    except BrokenAnswerError:
+        return
+
+
+def feed_event() -> int:
+    """Return how many bytes of an event are taken."""
+    events = EventSplitter()
+    taken = 0
+    while not events.fault and taken < 100 * MEGABYTE:
+        taken += 65_536
+        events.feed(b'x' * 65_536)
+    return taken
+
+
+@then('the call is broken off after at most {limit:d} MB')
+def step_bounded(context: Context, limit: int) -> None:
+    """Check how much was taken."""
+    assert context.taken <= limit * MEGABYTE, context.taken
--- a/packages/trestle-entry/src/trestle_entry/direct/backend_exchange.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/backend_exchange.py
@@ -41,6 +41,9 @@
 _FIRST_FINAL_STATUS: Final = 200
 # An answer comes once more soon after its request, if at all.
 _MAX_ANSWERED_IDS: Final = 32
+# Far more than back ends send; each request may take so much memory.
+_MAX_HEAD_BYTES: Final = 131_072
+_MAX_BODY_BYTES: Final = 16_777_216
 # A longer earlier answer is not worth passing over.
 _MAX_PASSED_BYTES: Final = 1_048_576
 _CLOSED: Final = 'the connection was closed'
@@ -92,6 +95,7 @@
         except HTTPException as error:
             if not self.has_trailing_bytes:
                 raise BrokenAnswerError(str(error)) from error
+        self._check_bounds()
 
     def feed_to_end(self, received: bytes) -> bytes | None:
         """Parse bytes up to the end of the answer; return those behind it.
@@ -115,6 +119,13 @@
         """Return every header in order."""
         return [(name, str(text)) for name, text in self.items()]
 
+    def _check_bounds(self) -> None:
+        """Raise `BrokenAnswerError` for an answer that does not seem to end."""
+        if not self.has_final_head and len(self.received) > _MAX_HEAD_BYTES:
+            raise BrokenAnswerError('the head of the answer does not end')
+        if len(self._body_buffer) > _MAX_BODY_BYTES:
+            raise BrokenAnswerError('the body of the answer does not end')
+
     def _on_headers_complete(self) -> int | bool | None:
         skips_body = super()._on_headers_complete()
         self.status = self.get_code()
--- a/packages/trestle-entry/src/trestle_entry/direct/event_stream.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/event_stream.py
@@ -13,6 +13,8 @@
 
 _MS_PER_SECOND: Final = 1000
 _EVENT_ENDS: Final = (b'\n\n', b'\r\n\r\n')
+# Far more than an event of a few tokens takes.
+_MAX_EVENT_BYTES: Final = 1_048_576
 _EVENT: Final = re.compile(rb'.*?(?:\n\n|\r\n\r\n)', re.DOTALL)
 # An empty line, a comment, or a field, whose names are in lower case.
 _LINE: Final = re.compile(rb'$|[a-z-]*:')
@@ -40,7 +42,10 @@
             _end_of_last_event(buffered, separator) for separator in _EVENT_ENDS
         )
         self.incomplete = buffered[end:]
-        return b''.join(self._take_sound(buffered[:end]))
+        sound = b''.join(self._take_sound(buffered[:end]))
+        if not self.fault and len(self.incomplete) > _MAX_EVENT_BYTES:
+            self.fault = 'an event that does not end'
+        return sound
 
     def go_on(self) -> None:
         """Expect the event after the last one, from another back end."""
--- a/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
@@ -172,6 +172,9 @@
 
     Frees the KV cache of `handle` if no other engine will use it.
     """
+    if handle is None:
+        # A transfer that was planned before is not what follows.
+        run.transfer = None
     instance = plan.decode_engine.instance
     options = SendOptions(
         instance,
