--- a/features/steps/kept_connections_steps.py
+++ b/features/steps/kept_connections_steps.py
@@ -1,4 +1,7 @@
-"""Steps on answers that come again on kept connections."""
+"""Steps on answers that come again, come early, or do not end."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 from behave import then, when
 from behave.runner import Context
@@ -13,6 +16,24 @@
 )
 from trestle_entry.direct.event_stream import EventSplitter
 
+EARLIER = {
+    'a length': b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale',
+    'chunks': (
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+        b'5\r\nstale\r\n0\r\n\r\n'
+    ),
+    'no body': b'HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n',
+}
+OWN = b'HTTP/1.1 201 Made\r\nContent-Length: 3\r\n\r\nown'
+INTERIM = b'HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n'
+ENDLESS = {
+    'a head': (b'HTTP/1.1 200 OK\r\n', b'X-Pad: ' + b'x' * 1000 + b'\r\n'),
+    'a head line': (b'HTTP/1.1 200 OK\r\nX-Pad: ', b'x' * 1000),
+    'interim answers': (b'', INTERIM),
+    'a body': (b'HTTP/1.1 200 OK\r\n\r\n', b'x' * 65_536),
+}
+MEGABYTE = 1_000_000
+
 
 @then(
     '{count:d} calls of "{path}" each leave the next calls of "{other}" to run '
@@ -45,21 +66,10 @@
         assert len(context.ran) == 1, context.ran
 
 
-EARLIER = {
-    'a length': b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale',
-    'chunks': (
-        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
-        b'5\r\nstale\r\n0\r\n\r\n'
-    ),
-    'no body': b'HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n',
-}
-OWN = b'HTTP/1.1 201 Made\r\nContent-Length: 3\r\n\r\nown'
-
-
-def read_behind_earlier(pieces: list[bytes]) -> tuple[int, bytes]:
-    """Return status and body of the second answer in what was sent."""
+@contextmanager
+def connected_to(pieces: list[bytes]) -> Iterator[BackendConnection]:
+    """Connect to a back end that sends pieces, one at a time, and closes."""
     back_end, entry = socketpair()
-    connection = BackendConnection(entry, 'a:1', 'i-1')
 
     def send() -> None:
         for piece in pieces:
@@ -69,14 +79,21 @@
         back_end.close()
 
     spawn(send)
-    answer = BackendAnswer('POST')
+    connection = BackendConnection(entry, 'a:1', 'i-1')
     try:
+        yield connection
+    finally:
+        connection.close()
+
+
+def read_behind_earlier(pieces: list[bytes]) -> tuple[int, bytes]:
+    """Return status and body of the second answer in what was sent."""
+    with connected_to(pieces) as connection:
+        answer = BackendAnswer('POST')
         connection.read_head(answer)
         own = connection.pass_over(answer)
         connection.read_head(own)
         return own.status, connection.read_body(own)
-    finally:
-        connection.close()
 
 
 @then('an earlier answer with {framing} before the own one is passed over')
@@ -98,27 +115,12 @@
     raise AssertionError('an answer was made up')
 
 
-INTERIM = b'HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n'
-
-
 def read_answer(pieces: list[bytes]) -> tuple[int, bytes]:
     """Return status and body of the answer in what was sent."""
-    back_end, entry = socketpair()
-    connection = BackendConnection(entry, 'a:1', 'i-1')
-    answer = BackendAnswer('POST')
-
-    def send() -> None:
-        for piece in pieces:
-            back_end.sendall(piece)
-            sleep(0)
-        back_end.close()
-
-    spawn(send)
-    try:
+    with connected_to(pieces) as connection:
+        answer = BackendAnswer('POST')
         connection.read_head(answer)
         return answer.status, connection.read_body(answer)
-    finally:
-        connection.close()
 
 
 @then('an interim answer before the own one is passed over, wherever it is cut')
@@ -140,15 +142,6 @@
     raise AssertionError('an interim answer was taken for the final one')
 
 
-ENDLESS = {
-    'a head': (b'HTTP/1.1 200 OK\r\n', b'X-Pad: ' + b'x' * 1000 + b'\r\n'),
-    'a head line': (b'HTTP/1.1 200 OK\r\nX-Pad: ', b'x' * 1000),
-    'interim answers': (b'', INTERIM),
-    'a body': (b'HTTP/1.1 200 OK\r\n\r\n', b'x' * 65_536),
-}
-MEGABYTE = 1_000_000
-
-
 @when('a back end sends {what} without end')
 def step_endless(context: Context, what: str) -> None:
     """Feed bytes until they are refused, or far too many were taken."""
