--- a/review/stand_ins/fleet.py
+++ b/review/stand_ins/fleet.py
@@ -228,8 +228,9 @@
         host, _, port = address.rpartition(':')
         reader, writer = await asyncio.open_connection(host, int(port))
         try:
-            lines = [f'{method} {path} HTTP/1.1', f'Host: {host}']
-            lines += [f'{k}: {v}' for k, v in (headers or {}).items()]
+            lines = [f'{method} {path} HTTP/1.1']
+            sent = {'Host': host, **(headers or {})}
+            lines += [f'{name}: {text}' for name, text in sent.items()]
             lines += [f'Content-Length: {len(body)}', 'Connection: close']
             writer.write(
                 '\r\n'.join(lines).encode('latin-1') + b'\r\n\r\n' + body
