--- a/review/5/case.py
+++ b/review/5/case.py
@@ -79,10 +79,20 @@
         if process.poll() is None
     ]
     record.write('running:', *alive)
-    if not desk.ran:
-        record.write('BROKEN: Fault: no request is served')
+    reads = {}
+    for node in CORES:
+        try:
+            reads[node], _, _ = await http(
+                fleet.control(node), 'GET', '/config'
+            )
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            reads[node] = 0
+    record.write('answers to GET /config:', reads)
+    if 200 not in reads.values():
+        record.write('BROKEN: CONFIG: read back, the manifest does not come')
+        record.write('requests served:', len(desk.ran))
         return 1
-    record.write('served', len(desk.ran))
+    record.write('CONFIG holds; requests served:', len(desk.ran))
     return 0
 
 
