--- a/review/stand_ins/fleet.py
+++ b/review/stand_ins/fleet.py
@@ -49,7 +49,7 @@
     def __init__(self, record: Record) -> None:
         self.record = record
         self.folder = Path(tempfile.mkdtemp(prefix='review-'))
-        self.net = _free_net()
+        self.net, self.keeper = _reserve_net()
         self.port = _free_port()
         self.processes: dict[str, subprocess.Popen] = {}
         self.commands = {
@@ -197,21 +197,26 @@
                 process.kill()
         for process in self.processes.values():
             process.wait()
+        self.keeper.close()
         if os.environ.get('KEEP_LOGS'):
             print('logs in', self.folder)
             return
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def _free_net() -> int:
+def _reserve_net() -> tuple[int, socket.socket]:
+    """Find a loopback network; the socket keeps other runs off it."""
     for net in random.sample(range(20, 250), 60):
+        keeper = socket.socket()
         try:
+            keeper.bind((f'127.{net}.8.1', METRICS_PORT))
             for role in (1, 2):
                 with socket.socket() as probe:
                     probe.bind((f'127.{net}.{role}.1', METRICS_PORT))
-            return net
         except OSError:
+            keeper.close()
             continue
+        return net, keeper
     raise OSError('no free loopback network')
 
 
