--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,116 +1,95 @@
 # flake8: noqa
-"""A leader that was frozen while it gave orders goes on with them.
-
-It takes the generation number of the leader that replaced it.
-"""
+"""The leader freezes while it orders roles, and goes on as a follower."""
 
 import asyncio
-import itertools
 import signal
 import sys
 import time
 from pathlib import Path
 
-HERE = Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / 'stand_ins'))
-
-from fleet import TROUBLE, manifest, publish, run_case  # noqa: E402
-from replicas import Provider, Replica  # noqa: E402
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / 'stand_ins'))
+from fleet import TROUBLE, manifest, publish, run_case
+from replicas import Provider, Replica
 
-CORES = [f'core-{n}' for n in range(1, 6)]
+CORE = [f'core-{number}' for number in range(1, 6)]
 ENGINES = 9
-FREEZE_S = 4.5
+FREEZE_S = 3.5
 THAW_S = 0.3
+# Orders without an answer: 2 of 6, which is under the share of 0.35. They are
+# carried out 2 to 12 s later.
+UNANSWERED = 2
+LATE_S = 8.0
 
 
 async def run(record, fleet):
     provider = Provider(fleet.cloud)
     await provider.start()
-    for number in range(1, ENGINES + 1):
-        replica = Replica(
-            record,
-            f'i-{number}',
-            'llm',
-            fleet.replica_address(number),
-            'z1',
-            'decode',
-        )
-        await replica.start()
-        provider.replicas.append(replica)
-    desk = Replica(
-        record, 'd-1', 'desk', fleet.replica_address(99), 'z1', slots=6
-    )
-    await desk.start()
-    provider.replicas.append(desk)
+    engines = []
+    state = {'unanswered': 0, 'thawed_at': 0.0, 'frozen': ''}
 
-    first_late = asyncio.Event()
-    holder = []
-    turn = itertools.count()
+    async def freeze(holder):
+        await asyncio.sleep(0.2)
+        state['frozen'] = holder
+        fleet.signal(holder, signal.SIGSTOP)
+        record.write(holder, 'freezes')
+        await asyncio.sleep(FREEZE_S)
+        fleet.signal(holder, signal.SIGCONT)
+        state['thawed_at'] = time.monotonic()
+        record.write(holder, 'wakes')
 
     def late_order(order):
-        """Leave every second order unanswered; carry it out 8 s later."""
-        if next(turn) % 2:
+        if not TROUBLE or state['unanswered'] >= UNANSWERED:
             return None
-        if not holder:
-            holder.append(order['holder'])
-            first_late.set()
-        return 8.0
+        if state['unanswered'] and order['holder'] != state['frozen']:
+            return None
+        state['unanswered'] += 1
+        if state['unanswered'] == 1:
+            asyncio.get_running_loop().create_task(freeze(order['holder']))
+        return LATE_S
 
-    if TROUBLE:
-        for replica in provider.replicas:
-            replica.late_order = late_order
-    for node in CORES:
+    for number in range(1, ENGINES + 1):
+        engine = Replica(
+            record,
+            f'i-llm-{number}',
+            'llm',
+            fleet.replica_address(number),
+            f'z{number % 3 + 1}',
+            stage='decode',
+        )
+        engine.late_order = late_order
+        await engine.start()
+        engines.append(engine)
+    for node in [*CORE, 'entry-1']:
         fleet.start(node)
-    if not await publish(fleet, manifest(1), CORES):
+    if not await publish(fleet, manifest(3), CORE):
+        return 2
+    provider.replicas.extend(engines)
+    record.write('the list shows', ENGINES, 'engines, all of them decode')
+    await asyncio.sleep(20)
+    if not any(engine.orders for engine in engines):
+        record.write('no order was sent')
         return 2
-    thawed_at = None
-    if TROUBLE:
-        try:
-            await asyncio.wait_for(first_late.wait(), 30)
-        except asyncio.TimeoutError:
-            return 2
-        record.write('freeze', holder[0])
-        fleet.signal(holder[0], signal.SIGSTOP)
-        await asyncio.sleep(FREEZE_S)
-        thawed_at = time.monotonic()
-        fleet.signal(holder[0], signal.SIGCONT)
-        record.write('thaw', holder[0])
-        await asyncio.sleep(25)
-    else:
-        await asyncio.sleep(20)
-    return judge(record, provider.replicas, holder, thawed_at)
-
-
-def judge(record, replicas, holder, thawed_at):
-    """Return 1 if two holders used one generation number at a replica."""
-    orders = 0
     broken = False
-    for replica in replicas:
-        by_fence = {}
-        for order in replica.orders:
-            orders += 1
-            if thawed_at and order['holder'] == holder[0]:
-                if 0 <= order['at'] - thawed_at <= THAW_S:
-                    continue
-            by_fence.setdefault(order['fence'], set()).add(order['holder'])
-        for fence, holders in by_fence.items():
-            if len(holders) > 1:
+    for engine in engines:
+        holders = {}
+        for order in engine.orders:
+            is_excused = (
+                order['holder'] == state['frozen']
+                and 0 <= order['at'] - state['thawed_at'] <= THAW_S
+            )
+            if not is_excused:
+                holders.setdefault(order['fence'], set()).add(order['holder'])
+        for fence, names in holders.items():
+            if len(names) > 1:
                 broken = True
                 record.write(
-                    'BROKEN: ONE:',
-                    replica.instance,
-                    'got generation',
+                    engine.instance,
+                    'got the generation number',
                     fence,
                     'from',
-                    ', '.join(sorted(holders)),
+                    *sorted(names),
                 )
-    if not orders:
-        record.write('no order was given')
-        return 2
-    record.write(
-        'ONE is broken' if broken else 'ONE holds', f'({orders} orders)'
-    )
-    return int(broken)
+    return 1 if broken else 0
 
 
-sys.exit(run_case(HERE, run))
+sys.exit(run_case(str(Path(__file__).resolve().parent), run))
