--- a/review/stand_ins/replicas.py
+++ b/review/stand_ins/replicas.py
@@ -82,6 +82,8 @@
         self.server = None
         self.writers = set()
         self.work_s = 0.0225
+        self.running = set()
+        self.software = 'v1'
         self.cached = {}
 
     async def start(self):
@@ -93,7 +95,7 @@
             'service': self.service,
             'addr': self.address,
             'zone': self.zone,
-            'version': 'v1',
+            'version': self.software,
             'slots': self.slots,
             'state': self.state,
             'coldLeftMs': 0,
@@ -178,11 +180,14 @@
 
     async def _run(self, request, writer):
         self.note_run(request)
+        name = request.own('request-id')
         headers = {
-            'Kingcuptrestle-Request-Id': request.own('request-id'),
+            'Kingcuptrestle-Request-Id': name,
             'Kingcuptrestle-Server-Seal': f'{self.instance}.seal',
         }
+        self.running.add(name)
         await asyncio.sleep(self.work_s)
+        self.running.discard(name)
         writer.write(answer(200, headers, b'{"done":1}'))
         return True
 
