--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,131 +1,118 @@
 # flake8: noqa
-"""An entry that cannot be read stands in the provider's list."""
+"""A request in the body of another one runs, where the head has two lengths.
+
+Also where a line of the head before the length is no header.
+"""
 
 import asyncio
 import sys
-import time
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent / 'stand_ins'))
-from fleet import TROUBLE, http, manifest, publish, run_case
-from replicas import Provider, Replica
-
-CORE = [f'core-{number}' for number in range(1, 6)]
-DRAIN_S = 3.0
-# Requests a second; each takes 22.5 ms at its desk.
-PER_S = 60
-# Python's encoder writes this name as the escape \ud800, which is no character.
-UNREADABLE = '\ud800'
-
-
-async def reserve(fleet, record, number):
-    """Send one reservation; return its status, 0 for a closed channel."""
-    headers = {
-        'Host': 'firm.example',
-        'Kingcuptrestle-Request-Id': f'r{number:04d}',
-        'Kingcuptrestle-Deadline-Ms': '600',
-    }
-    try:
-        status, _, _ = await http(
-            fleet.front('entry-1'),
-            'POST',
-            '/reserve/lot',
-            b'{"lot":1}',
-            headers,
-            timeout=2.0,
-        )
-    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
-        status = 0
-    return status
+HERE = Path(__file__).resolve().parent
+sys.path.insert(0, str(HERE.parent / 'stand_ins'))
 
+from fleet import TROUBLE, http, manifest, publish, run_case  # noqa: E402
+from replicas import Provider, Replica  # noqa: E402
 
-async def run(record, fleet):
+CORES = [f'core-{n}' for n in range(1, 6)]
+FRONT = 'front-1'
+TIMES = 5
+
+
+async def start_system(record, fleet):
     provider = Provider(fleet.cloud)
     await provider.start()
-    desks = []
-    for number in (1, 2, 3, 4):
-        desk = Replica(
-            record,
-            f'i-desk-{number}',
-            'desk',
-            fleet.replica_address(number),
-            'z1',
-            slots=6,
-        )
-        await desk.start()
-        desks.append(desk)
-    provider.replicas.extend(desks)
-    for node in [*CORE, 'entry-1']:
+    replica = Replica(
+        record, 'd-1', 'desk', fleet.replica_address(1), 'z1', slots=6
+    )
+    await replica.start()
+    provider.replicas.append(replica)
+    for node in CORES:
         fleet.start(node)
-    if not await publish(fleet, manifest(3), CORE):
-        return 2
-    await asyncio.sleep(3)
-
-    async def replace(old, number):
-        new = Replica(
-            record,
-            f'i-desk-{number}',
-            'desk',
-            fleet.replica_address(number),
-            'z1',
-            slots=6,
-        )
-        await new.start()
-        provider.replicas.append(new)
-        old.state = 'draining'
-        record.write('the list shows', old.instance, 'as draining')
-
-    def leave(old):
-        old.stop()
-        provider.replicas.remove(old)
-        record.write(old.instance, 'has left')
-
-    if TROUBLE:
-        foreign = Replica(
-            record, UNREADABLE, 'desk', fleet.replica_address(9), 'z1'
-        )
-        provider.replicas.append(foreign)
-        record.write('another writer adds an entry that cannot be read')
-    answers = {}
-    drained_at = {}
-    sent = []
-    begun = time.monotonic()
-
-    async def ask(number):
-        status = await reserve(fleet, record, number)
-        answers.setdefault(status, []).append(f'r{number:04d}')
-
-    for number in range(PER_S * 20):
-        await asyncio.sleep(
-            max(0, begun + number / PER_S - time.monotonic())
-        )
-        # One desk is replaced: the new one starts first, the old one drains
-        # and leaves 9 s later.
-        if number == 2 * PER_S:
-            await replace(desks[0], 5)
-            drained_at[0] = time.monotonic()
-        if number == 11 * PER_S:
-            leave(desks[0])
-        sent.append(asyncio.create_task(ask(number)))
-    await asyncio.gather(*sent)
-    late = [
-        (request, desks[step].instance, at - since)
-        for step, since in drained_at.items()
-        for at, request, _, _ in desks[step].ran
-        if at > since + DRAIN_S
+    fleet.start(FRONT)
+    if not await publish(fleet, manifest(1), CORES):
+        return None
+    for _ in range(100):
+        await asyncio.sleep(0.1)
+        try:
+            status, _, _ = await http(fleet.ready(FRONT), 'GET', '/ready')
+        except (OSError, asyncio.TimeoutError):
+            continue
+        if status == 200:
+            await asyncio.sleep(2)
+            return replica
+    return None
+
+
+def head(request_id):
+    return [
+        'POST /reserve/7 HTTP/1.1',
+        'Host: firm.example',
+        f'Kingcuptrestle-Request-Id: {request_id}',
+        'Kingcuptrestle-Deadline-Ms: 600',
     ]
-    record.write({status: len(names) for status, names in answers.items()})
-    for request, instance, seconds in late[:5]:
-        record.write(
-            request,
-            'reached',
-            instance,
-            f'{seconds:.2f} s after the list showed it as draining',
-        )
-    record.write(len(late), 'requests reached one later than', DRAIN_S, 's')
-    if not any(desk.ran for desk in desks):
+
+
+def inner(request_id):
+    """A body that is itself a request."""
+    lines = [
+        'POST /reserve/8 HTTP/1.1',
+        'Host: firm.example',
+        f'Kingcuptrestle-Request-Id: {request_id}',
+        'Content-Length: 0',
+    ]
+    return '\r\n'.join(lines).encode() + b'\r\n\r\n'
+
+
+def lengths(kind, body):
+    """Return the lines of the head that tell the length of the body."""
+    length = f'Content-Length: {len(body)}'
+    if not TROUBLE:
+        return [length]
+    return {
+        'two lengths': ['Content-Length: 0', length],
+        'a line that is no header': ['this line is no header', length],
+    }[kind]
+
+
+async def send(fleet, data):
+    """Send bytes on a channel; return the statuses of the answers."""
+    host, _, port = fleet.front(FRONT).rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    received = b''
+    try:
+        writer.write(data)
+        while more := await asyncio.wait_for(reader.read(65536), 1.0):
+            received += more
+    except (OSError, asyncio.TimeoutError):
+        pass
+    finally:
+        writer.close()
+    parts = received.split(b'HTTP/1.1 ')[1:]
+    return [int(part[:3]) for part in parts]
+
+
+async def run(record, fleet):
+    replica = await start_system(record, fleet)
+    if replica is None:
         return 2
-    return 1 if late else 0
+    smuggled = []
+    for kind in ('two lengths', 'a line that is no header'):
+        for number in range(TIMES):
+            outer_id = f'outer-{kind[:3]}-{number}'.replace(' ', '')
+            inner_id = f'inner-{kind[:3]}-{number}'.replace(' ', '')
+            body = inner(inner_id)
+            lines = head(outer_id) + lengths(kind, body)
+            data = '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
+            statuses = await send(fleet, data)
+            record.write(kind, outer_id, 'answered', statuses)
+            if inner_id in [entry[1] for entry in replica.ran]:
+                smuggled.append(inner_id)
+    if smuggled:
+        record.write('BROKEN: UNASKED: ran from inside a body:', *smuggled)
+        return 1
+    record.write('UNASKED holds,', len(replica.ran), 'ran')
+    return 0
 
 
-sys.exit(run_case(str(Path(__file__).resolve().parent), run))
+sys.exit(run_case(HERE, run))
