--- a/review/4/case.py
+++ b/review/4/case.py
@@ -151,7 +151,10 @@
         channel = Channel(fleet.front('entry-1'))
         await channel.open()
         status, _ = await channel.ask(
-            'GET', '/check/lot', f'c{number:04d}', ['Kingcuptrestle-Deadline-Ms: 2000']
+            'GET',
+            '/check/lot',
+            f'c{number:04d}',
+            ['Kingcuptrestle-Deadline-Ms: 2000'],
         )
         tokens = SHORT if number % 3 else LONG
         begun = time.monotonic()
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -100,9 +100,7 @@
         answers.setdefault(status, []).append(f'r{number:04d}')
 
     for number in range(PER_S * 20):
-        await asyncio.sleep(
-            max(0, begun + number / PER_S - time.monotonic())
-        )
+        await asyncio.sleep(max(0, begun + number / PER_S - time.monotonic()))
         # One desk is replaced: the new one starts first, the old one drains
         # and leaves 9 s later.
         if number == 2 * PER_S:
