--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,197 +1,118 @@
 # flake8: noqa
-"""The time limit of a route falls below what some of its requests take.
+"""A request in the body of another one runs, where the head has two lengths.
 
-The engines are sound. They send the head of an answer at once and its events
-as they are made.
+Also where a line of the head before the length is no header.
 """
 
 import asyncio
 import sys
-import time
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent / 'stand_ins'))
-from fleet import TROUBLE, manifest, publish, run_case
-from replicas import Provider, Replica, answer
+HERE = Path(__file__).resolve().parent
+sys.path.insert(0, str(HERE.parent / 'stand_ins'))
 
-CORE = [f'core-{number}' for number in range(1, 6)]
-ENGINES = 9
-TIMEOUT_MS = 1500
-# Tokens of a prompt that an engine reads in a second.
-TOKENS_PER_S = 10_000
-SHORT, LONG = 600, 20_000
-EVENTS = 3
+from fleet import TROUBLE, http, manifest, publish, run_case  # noqa: E402
+from replicas import Provider, Replica  # noqa: E402
 
+CORES = [f'core-{n}' for n in range(1, 6)]
+FRONT = 'front-1'
+TIMES = 5
 
-async def serve_stream(engine, request, _reader, writer):
-    """Prefill, or send the head at once and the events as they are made."""
-    if not request.target.startswith('/grade/'):
+
+async def start_system(record, fleet):
+    provider = Provider(fleet.cloud)
+    await provider.start()
+    replica = Replica(
+        record, 'd-1', 'desk', fleet.replica_address(1), 'z1', slots=6
+    )
+    await replica.start()
+    provider.replicas.append(replica)
+    for node in CORES:
+        fleet.start(node)
+    fleet.start(FRONT)
+    if not await publish(fleet, manifest(1), CORES):
         return None
-    own = {'Kingcuptrestle-Request-Id': request.own('request-id')}
-    if request.own('serving-stage') == 'prefill':
-        if engine.stage != 'prefill':
-            writer.write(engine._declined(request, 421))
-            return True
-        await asyncio.sleep(0.05)
-        engine.handles = getattr(engine, 'handles', 0) + 1
-        handle = f'{engine.instance}-{engine.handles}'
-        body = b'{"kvHandle":"%s","tokens":600,"version":1}' % handle.encode()
-        writer.write(answer(200, own, body))
-        return True
-    if engine.stage != 'decode':
-        writer.write(engine._declined(request, 421))
-        return True
-    engine.note_run(request)
-    lines = [
-        'HTTP/1.1 200 OK',
-        'Content-Type: text/event-stream',
-        'Transfer-Encoding: chunked',
-        f'Kingcuptrestle-Server-Seal: {engine.instance}.seal',
-        f'Kingcuptrestle-Request-Id: {request.own("request-id")}',
+    for _ in range(100):
+        await asyncio.sleep(0.1)
+        try:
+            status, _, _ = await http(fleet.ready(FRONT), 'GET', '/ready')
+        except (OSError, asyncio.TimeoutError):
+            continue
+        if status == 200:
+            await asyncio.sleep(2)
+            return replica
+    return None
+
+
+def head(request_id):
+    return [
+        'POST /reserve/7 HTTP/1.1',
+        'Host: firm.example',
+        f'Kingcuptrestle-Request-Id: {request_id}',
+        'Kingcuptrestle-Deadline-Ms: 600',
     ]
-    writer.write(('\r\n'.join(lines) + '\r\n\r\n').encode())
-    await writer.drain()
-    tokens = int(request.own('token-counts').partition(',')[0])
-    await asyncio.sleep(tokens / TOKENS_PER_S)
-    for number in range(1, EVENTS + 1):
-        event = f'id: {number}\ndata: token\n\n'.encode()
-        writer.write(b'%x\r\n%s\r\n' % (len(event), event))
-        await writer.drain()
-        await asyncio.sleep(0.02)
-    writer.write(b'0\r\n\r\n')
-    return True
-
-
-class Channel:
-    """A channel of a requester that is kept for many requests."""
-
-    def __init__(self, address):
-        self.host, _, port = address.rpartition(':')
-        self.port = int(port)
-
-    async def open(self):
-        self.reader, self.writer = await asyncio.open_connection(
-            self.host, self.port
-        )
-
-    async def ask(self, method, path, request_id, headers):
-        """Return the status and the whole answer; 0 for a closed channel."""
-        lines = [
-            f'{method} {path} HTTP/1.1',
-            'Host: firm.example',
-            f'Kingcuptrestle-Request-Id: {request_id}',
-            *headers,
-        ]
-        body = b'' if method == 'GET' else b'{"question":1}'
-        if body:
-            lines.append(f'Content-Length: {len(body)}')
-        self.writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n' + body)
-        received = b''
-        while not is_whole(received):
-            more = await self.reader.read(65536)
-            if not more:
-                break
-            received += more
-        status = int(received.split(b' ', 2)[1]) if received else 0
-        return status, received
 
 
-def is_whole(received):
-    head, separator, body = received.partition(b'\r\n\r\n')
-    if not separator:
-        return False
-    if b'chunked' in head.lower():
-        return body.endswith(b'0\r\n\r\n')
-    for line in head.lower().split(b'\r\n'):
-        if line.startswith(b'content-length:'):
-            return len(body) >= int(line.partition(b':')[2])
-    return False
+def inner(request_id):
+    """A body that is itself a request."""
+    lines = [
+        'POST /reserve/8 HTTP/1.1',
+        'Host: firm.example',
+        f'Kingcuptrestle-Request-Id: {request_id}',
+        'Content-Length: 0',
+    ]
+    return '\r\n'.join(lines).encode() + b'\r\n\r\n'
+
+
+def lengths(kind, body):
+    """Return the lines of the head that tell the length of the body."""
+    length = f'Content-Length: {len(body)}'
+    if not TROUBLE:
+        return [length]
+    return {
+        'two lengths': ['Content-Length: 0', length],
+        'a line that is no header': ['this line is no header', length],
+    }[kind]
+
+
+async def send(fleet, data):
+    """Send bytes on a channel; return the statuses of the answers."""
+    host, _, port = fleet.front(FRONT).rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    received = b''
+    try:
+        writer.write(data)
+        while more := await asyncio.wait_for(reader.read(65536), 1.0):
+            received += more
+    except (OSError, asyncio.TimeoutError):
+        pass
+    finally:
+        writer.close()
+    parts = received.split(b'HTTP/1.1 ')[1:]
+    return [int(part[:3]) for part in parts]
 
 
 async def run(record, fleet):
-    provider = Provider(fleet.cloud)
-    await provider.start()
-    engines = []
-    for number in range(1, ENGINES + 1):
-        engine = Replica(
-            record,
-            f'i-llm-{number}',
-            'llm',
-            fleet.replica_address(number),
-            'z1',
-            stage='prefill' if number <= 6 else 'decode',
-        )
-        engine.fault = serve_stream
-        await engine.start()
-        engines.append(engine)
-    desk = Replica(
-        record, 'i-desk-1', 'desk', fleet.replica_address(20), 'z1', slots=6
-    )
-    await desk.start()
-    provider.replicas.extend([*engines, desk])
-    for node in [*CORE, 'entry-1']:
-        fleet.start(node)
-    if not await publish(fleet, manifest(3), CORE):
-        return 2
-    await asyncio.sleep(6)
-    if TROUBLE:
-        document = manifest(7)
-        for route in document['routes']:
-            if route['name'] == 'grade':
-                route['timeoutMs'] = TIMEOUT_MS
-        record.write('timeoutMs of the route becomes', TIMEOUT_MS)
-        if not await publish(fleet, document, CORE):
-            return 2
-    # Later than `configApplyMs` and `stableWindowMs`.
-    await asyncio.sleep(4)
-    outcomes = {}
-    tasks = []
-
-    async def question(number):
-        channel = Channel(fleet.front('entry-1'))
-        await channel.open()
-        status, _ = await channel.ask(
-            'GET',
-            '/check/lot',
-            f'c{number:04d}',
-            ['Kingcuptrestle-Deadline-Ms: 2000'],
-        )
-        tokens = SHORT if number % 3 else LONG
-        begun = time.monotonic()
-        graded, received = await channel.ask(
-            'POST',
-            '/grade/lot',
-            f'g{number:04d}',
-            [
-                'Kingcuptrestle-Deadline-Ms: 6000',
-                'Kingcuptrestle-Model: m',
-                f'Kingcuptrestle-Token-Counts: {tokens},30',
-                f'Kingcuptrestle-Prefix-Hash: 5c1e07a2:350,{0xA000 + number:x}:{tokens - 350}',
-            ],
-        )
-        outcome = graded if is_whole(received) else f'{graded} broken off'
-        if not received:
-            outcome = 'closed without an answer'
-            record.write(
-                f'g{number:04d}',
-                'on a kept channel',
-                f'(before: {status}):',
-                outcome,
-                f'after {time.monotonic() - begun:.2f} s',
-            )
-        outcomes.setdefault(outcome, []).append(number)
-        channel.writer.close()
-
-    begun = time.monotonic()
-    for number in range(60):
-        await asyncio.sleep(max(0, begun + number * 0.1 - time.monotonic()))
-        tasks.append(asyncio.create_task(question(number)))
-    await asyncio.gather(*tasks)
-    for outcome, numbers in outcomes.items():
-        record.write(outcome, len(numbers))
-    if not any(isinstance(key, int) and key == 200 for key in outcomes):
+    replica = await start_system(record, fleet)
+    if replica is None:
         return 2
-    return 1 if len(outcomes.get('closed without an answer', [])) > 3 else 0
-
-
-sys.exit(run_case(str(Path(__file__).resolve().parent), run))
+    smuggled = []
+    for kind in ('two lengths', 'a line that is no header'):
+        for number in range(TIMES):
+            outer_id = f'outer-{kind[:3]}-{number}'.replace(' ', '')
+            inner_id = f'inner-{kind[:3]}-{number}'.replace(' ', '')
+            body = inner(inner_id)
+            lines = head(outer_id) + lengths(kind, body)
+            data = '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
+            statuses = await send(fleet, data)
+            record.write(kind, outer_id, 'answered', statuses)
+            if inner_id in [entry[1] for entry in replica.ran]:
+                smuggled.append(inner_id)
+    if smuggled:
+        record.write('BROKEN: UNASKED: ran from inside a body:', *smuggled)
+        return 1
+    record.write('UNASKED holds,', len(replica.ran), 'ran')
+    return 0
+
+
+sys.exit(run_case(HERE, run))
