platform: an odd entry of the list spoils no sound one

What callers saw: one entry of another writer in the list of back ends froze the list (DRAIN: requests at a draining replica, one of them lost), and for some entries for as long as that leader led.

Cause: the page was decoded as a whole. The decoder reads through raw entries, so an escape that is no character, a control byte, NaN, a number of 300 digits or deep nesting failed all of them; RecursionError and OverflowError were not caught and ended the reader's task. What was decoded was hardly checked: ports 0, -1, 70000 and 1_0, digits that are not ASCII, host names, ids with line feeds, slots of 64 bits (which can't be packed) were stored and passed on.

A later page that can't be read, a token that repeats or is odd, pages without an end or cut short make the listing incomplete: what it doesn't name stays as it is known. Of two entries with one id the known one stays. Skipped entries are counted and logged when their number changes.

--- a/packages/trestle-control/src/trestle_control/backend_list.py
+++ b/packages/trestle-control/src/trestle_control/backend_list.py
@@ -8,7 +8,7 @@
 """
 
 from collections.abc import Callable
-from typing import Final
+from typing import Final, NamedTuple
 
 from gevent import sleep
 
@@ -19,7 +19,21 @@
 from trestle_core.metrics import Metrics
 from trestle_links.direct_messages import Backend, ListBackends
 
-ReadBackends = Callable[[], list[Backend]]
+
+class BackendListing(NamedTuple):
+    """The sound back ends of the list, in its order; an id may come twice.
+
+    Unless the listing is complete, there may be more of them. `skipped` counts
+    the entries that name no back end; `reason` is that of the first one.
+    """
+
+    backends: list[Backend]
+    is_complete: bool = True
+    skipped: int = 0
+    reason: str = ''
+
+
+ReadBackends = Callable[[], BackendListing]
 
 # A back end that leaves must be noticed well within the platform's drain
 # limit of three seconds, of which the lag of the list takes nearly one.
@@ -45,6 +59,7 @@
         self.replica = replica
         self.metrics = metrics
         self.failed_reads = 0
+        self.skipped = 0
 
     def run(self) -> None:
         """Refresh the list periodically while this host leads."""
@@ -56,7 +71,7 @@
     def refresh(self) -> None:
         """Read the list once and commit what changed."""
         try:
-            listed = self.read()
+            listing = self.read()
         except (OSError, ValueError) as error:
             self._record_failure(error)
             return
@@ -67,15 +82,31 @@
             )
             self.failed_reads = 0
         self.metrics.count('backend_list_reads')
-        if listed == self.state_machine.state.backends:
+        self._record_skipped(listing)
+        known = self.state_machine.state.backends
+        listed = _merge(known, listing)
+        if listed == known:
             return
-        _log_changes(self.state_machine.state.backends, listed)
+        _log_changes(known, listed)
         try:
             self.replica.submit(ListBackends(listed), _SUBMIT_TIMEOUT_SECONDS)
         except TrestleError as error:
             # The next read submits the difference again.
             _log.warning('Cannot commit the list of back ends: {}.', error)
 
+    def _record_skipped(self, listing: BackendListing) -> None:
+        """Tell of entries that name no back end, when that changes."""
+        self.metrics.set_gauge('backend_list_skipped', listing.skipped)
+        if not listing.is_complete:
+            self.metrics.count('backend_list_incomplete')
+        if listing.skipped != self.skipped:
+            self.skipped = listing.skipped
+            _log.warning(
+                'Skipping {} entries of the list, the first one because: {}.',
+                listing.skipped,
+                listing.reason or 'none is left',
+            )
+
     def _record_failure(self, error: Exception) -> None:
         self.failed_reads += 1
         self.metrics.count('backend_list_failures')
@@ -83,6 +114,29 @@
             _log.warning('Cannot read the list of back ends: {}.', error)
 
 
+def _merge(known: list[Backend], listing: BackendListing) -> list[Backend]:
+    """Return the back ends of a listing, one for each id, sorted.
+
+    Of several with one id, that which is known stays, else the first one. What
+    an incomplete listing does not name stays as it is known.
+    """
+    known_by_id = {backend.instance: backend for backend in known}
+    merged = {} if listing.is_complete else dict(known_by_id)
+    seen: dict[str, Backend] = {}
+    for backend in listing.backends:
+        instance = backend.instance
+        before = seen.get(instance)
+        if before is None or _is_same(known_by_id.get(instance), backend):
+            seen[instance] = backend
+    merged.update(seen)
+    return sorted(merged.values())
+
+
+def _is_same(known: Backend | None, backend: Backend) -> bool:
+    """Return whether a back end is the known one, in whatever state."""
+    return known is not None and known[1:3] == backend[1:3]
+
+
 def _log_changes(before: list[Backend], after: list[Backend]) -> None:
     known = {backend.instance: backend for backend in before}
     listed = {backend.instance for backend in after}
