streams: what the leader is told of a stream is never wrong

Cause: an entry noted the origin before each send, and corrected it with the next one. The correction can be overtaken (a report groups streams by origin, so of two notes of one stream the first could be told last) or lost (with the entry, or with its link). Class: a guess told as a fact, to be withdrawn later.

Instead the origin is noted once, when the first event has arrived, before the caller gets it: until then a stream goes anywhere, and there is nothing to withdraw. A numbered record was ruled out: one that is lost leaves the wrong one in force.

Reports also keep the later of two records of one id (`OwnStreams`).

--- a/features/software_versions.feature
+++ b/features/software_versions.feature
@@ -78,3 +78,25 @@
     Given 1 engines of "v1" and 4 idle engines of "v2" that decode
     When a caller takes up a stream that "v1" began elsewhere
     Then it went on at "v1" after the last event of its caller
+
+  # Guards against: a stream that another version carries on, since the record
+  # of its beginning was made for an engine that brought no event.
+  Scenario Outline: What the leader was told of a stream stays true
+    Given 1 engines of "v1" and 1 idle engines of "v2" that decode
+    And a leader that hears only the first report
+    When a stream is sent to "v1", which <fails> before any event
+    Then "v2" brought its events and is the one that the leader knows
+
+    Examples:
+      | fails                  |
+      | breaks off             |
+      | declines               |
+      | answers with a failure |
+      | cannot be connected to |
+
+  # Guards against: a record that is replaced by the one before it, as reports
+  # tell of streams by their origin.
+  Scenario: Of two records in one report the later one counts
+    Given 1 entries and their leader
+    When streams of "v2", of "v1" and of "v2" are noted before a report, the last two under one id
+    Then the leader knows that "v2" began it
--- a/features/steps/software_versions_steps.py
+++ b/features/steps/software_versions_steps.py
@@ -1,5 +1,7 @@
 """Steps on streams at engines of several software versions."""
 
+from typing import Any
+
 from behave import given, then, when
 from behave.runner import Context
 
@@ -7,6 +9,13 @@
 
 # Running requests that make an engine dear.
 BUSY = 40
+# How an engine fails without an event.
+FAILURES = {
+    'breaks off': Script(breaks_after=0),
+    'declines': Script(status=503, is_declined=True),
+    'answers with a failure': Script(status=500),
+    'cannot be connected to': Script(is_unreachable=True),
+}
 
 
 @given(
@@ -25,22 +34,25 @@
 
 @when('a stream begins at "{software}" and breaks off after event {event:d}')
 def step_breaks(context: Context, software: str, event: int) -> None:
-    """Serve a stream whose first engine breaks off.
+    """Serve a stream whose first engine breaks off."""
+    serve_from(context, software, Script(breaks_after=event))
+
+
+def serve_from(context: Context, software: str, script: Script) -> None:
+    """Serve a stream; its first engine, of a version, follows a script.
 
-    Until it has begun, the engines of other versions decline connections.
+    Until that one was asked, no other engine is usable.
     """
     engines = context.engines
     first = f'write-{software}-0'
-    engines.scripts[first] = Script(breaks_after=event)
-    everything = engines.context.fleet.backends
-    others = set(everything) - {first}
+    engines.scripts[first] = script
+    others = set(engines.context.fleet.backends) - {first}
     engines.context.fleet.changing_role = others
     serve_first = engines.open
 
     def open_first(*call: object, **options: object) -> object:
-        opened = serve_first(*call, **options)
         engines.context.fleet.changing_role = set()
-        return opened
+        return serve_first(*call, **options)
 
     engines.open = open_first
     context.relayed = engines.serve()
@@ -74,3 +86,34 @@
     relayed = context.relayed
     assert relayed.whole, relayed
     assert relayed.ids == list(range(1, EVENTS + 1)), relayed
+
+
+@given('a leader that hears only the first report')
+def step_first_report(context: Context) -> None:
+    """Keep what the entry first reports of its streams, and nothing later."""
+    streams = context.engines.context.loads.streams
+    context.told = []
+    note = streams.note
+
+    def report_first(*noted: Any) -> None:
+        note(*noted)
+        if not context.told:
+            context.told = streams.take_unreported()
+
+    streams.note = report_first
+
+
+@when('a stream is sent to "{software}", which {fails} before any event')
+def step_fails_first(context: Context, software: str, fails: str) -> None:
+    """Serve a stream whose first engine brings nothing."""
+    serve_from(context, software, FAILURES[fails])
+
+
+@then('"{software}" brought its events and is the one that the leader knows')
+def step_record_is_true(context: Context, software: str) -> None:
+    """Compare the events with the record."""
+    check_whole(context)
+    body = context.relayed.body
+    assert body.count(b'data: ') == body.count(software.encode()), body
+    known = [begun.origin.software for begun in context.told]
+    assert known == [software], context.told
--- a/features/steps/stream_origins_steps.py
+++ b/features/steps/stream_origins_steps.py
@@ -116,6 +116,20 @@
     report(context)
 
 
+@when(
+    'streams of "{first}", of "{second}" and of "{third}" are noted before a '
+    'report, the last two under one id'
+)
+def step_one_report(
+    context: Context, first: str, second: str, third: str
+) -> None:
+    """Note streams and report them together."""
+    begin(context.entries[0], 'another', first)
+    begin(context.entries[0], 's0', second)
+    begin(context.entries[0], 's0', third)
+    report(context)
+
+
 @then('the leader knows that "{software}" began it')
 def step_last_counts(context: Context, software: str) -> None:
     """Check the record at the entry and at the leader."""
--- a/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
@@ -216,7 +216,6 @@
     detail = f'{instance}: {plan.decode_engine.software or "no version"}'
     run.trace.add('send', detail if handle else f'{detail}, reads itself')
     run.count_at(instance)
-    run.note_origin(plan.decode_engine)
     with _track_own_prefill(run, plan, handle):
         return open_answer(
             run.context,
--- a/packages/trestle-entry/src/trestle_entry/direct/model_run.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_run.py
@@ -9,7 +9,6 @@
 from trestle_entry.direct.request_log import RequestTrace
 from trestle_entry.direct.request_run import RequestRun
 from trestle_entry.direct.wire_types import CallerRequest, ModelDemand
-from trestle_links.direct_messages import Backend
 from trestle_links.stream_messages import StreamOrigin
 
 _DEFAULT_DEMAND: Final = ModelDemand('', 1, 1, ())
@@ -69,17 +68,6 @@
         """The most tokens that the request takes in an engine's KV cache."""
         return self.demand.prompt_tokens + self.demand.max_tokens
 
-    def note_origin(self, engine: Backend) -> None:
-        """Record, before a send, who will have begun the stream."""
-        if self.software is not None or not self.route.resumable:
-            return
-        if engine.software:
-            self.context.loads.streams.note(
-                self.request.request_id,
-                StreamOrigin(self.service.name, engine.software),
-                self.request.waits_until,
-            )
-
     def count_at(self, instance: str) -> None:
         """Move the request to the load of a back end, or to none."""
         own = self.context.loads.own
@@ -94,6 +82,12 @@
 
         And how long the KV transfer of the prompt took.
         """
+        if self.software is None and self.route.resumable and software:
+            self.context.loads.streams.note(
+                self.request.request_id,
+                StreamOrigin(self.service.name, software),
+                self.request.waits_until,
+            )
         self.software = software
         transfer = self.transfer
         if transfer is None:
--- a/packages/trestle-entry/src/trestle_entry/direct/own_streams.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/own_streams.py
@@ -1,7 +1,8 @@
 """Streams that began through this entry, and what it has to tell of them.
 
-The leader is told before a stream begins, so that it knows the origin of a
-stream whose entry is killed in its middle.
+The leader is told when a stream has begun, so that it knows the origin of a
+stream whose entry is killed in its middle. What it was told cannot be taken
+back, so nothing is told of an engine that has not brought an event.
 """
 
 from collections import defaultdict
@@ -32,14 +33,14 @@
         """Start without streams; `changed` is set when there is news."""
         self.changed = changed
         self.origins = StreamOrigins()
-        self.unreported: defaultdict[tuple[StreamOrigin, int], list[int]] = (
-            defaultdict(list)
-        )
+        # Who began each stream that was not told of, and for how many seconds
+        # it may be taken up.
+        self.unreported: dict[int, tuple[StreamOrigin, int]] = {}
 
     def note(
         self, request_id: str, origin: StreamOrigin, waits_until: float
     ) -> None:
-        """Record an origin before the request is sent to it.
+        """Record who began a stream, before its caller gets an event.
 
         `waits_until` is the time at which the caller stops waiting.
         """
@@ -47,7 +48,7 @@
         key = stream_key(request_id)
         until = min(waits_until, now + _MAX_WAIT_SECONDS) + _SLACK_SECONDS
         self.origins.note(key, origin, until, now)
-        self.unreported[origin, ceil(until - now)].append(key)
+        self.unreported[key] = (origin, ceil(until - now))
         self.changed.set()
 
     def find(self, request_id: str) -> StreamOrigin | None:
@@ -56,16 +57,20 @@
 
     def take_unreported(self) -> list[BegunStreams]:
         """Return the streams since the last call."""
-        taken = [
+        keys_by_group: defaultdict[tuple[StreamOrigin, int], list[int]] = (
+            defaultdict(list)
+        )
+        for key, group in self.unreported.items():
+            keys_by_group[group].append(key)
+        self.unreported.clear()
+        return [
             BegunStreams(origin, seconds, keys)
-            for (origin, seconds), keys in self.unreported.items()
+            for (origin, seconds), keys in keys_by_group.items()
         ]
-        self.unreported.clear()
-        return taken
 
     def report_all(self) -> None:
         """Tell of every stream again, to a leader that may not know any."""
         self.unreported.clear()
         for origin, seconds, keys in self.origins.all_begun(monotonic()):
-            self.unreported[origin, seconds].extend(keys)
+            self.unreported.update(dict.fromkeys(keys, (origin, seconds)))
         self.changed.set()
--- a/testbed/stream_runs.py
+++ b/testbed/stream_runs.py
@@ -12,7 +12,10 @@
 from trestle_core.errors import TrestleError
 from trestle_entry.direct import model_dispatch, model_relay
 from trestle_entry.direct.backend_calls import CompleteAnswer, OpenAnswer
-from trestle_entry.direct.backend_exchange import BrokenAnswerError
+from trestle_entry.direct.backend_exchange import (
+    BrokenAnswerError,
+    NotSentError,
+)
 from trestle_entry.direct.direct_context import DirectContext
 from trestle_entry.direct.model_relay import serve_model
 from trestle_entry.direct.prompt_prefill import KvHandle
@@ -40,13 +43,14 @@
     """How an engine answers: so many events, then a break, or to the end.
 
     Without `status` 200 it fails with a text for a body. `body` replaces the
-    events.
+    events. One that is unreachable gets nothing.
     """
 
     breaks_after: int | None = None
     status: int = 200
     is_declined: bool = False
     body: bytes | None = None
+    is_unreachable: bool = False
 
 
 class StreamSend(NamedTuple):
@@ -137,8 +141,10 @@
     def open(self, *call: Any, **_options: Any) -> OpenAnswer:
         """Answer a request by the script of its engine."""
         _, request, backend, options = call
-        self.sends.append(_note_send(backend, options))
         script = self.scripts.get(backend.instance, Script())
+        if script.is_unreachable:
+            raise NotSentError('nobody listens there')
+        self.sends.append(_note_send(backend, options))
         first = int(options.resume_from or 0) + 1
         last = EVENTS
         if script.breaks_after is not None:
