entry: a stream that fails before its first event is answered with an error

Callers saw: a kept channel that closes with no status, no head and no error after the request had been passed on to a sound engine, when the time limit of the route came between the head of the engine's answer and its first event (LOST, CONFIG). The same when the engine broke off, or sent no event but a text, before the first event and no other engine could go on, and on an unexpected error there.

Cause: the answer counted as begun as soon as the engine's head was read, so a failure after it could only close the channel; but the server sends nothing before the first event. Class: a state that is told from what was received, not from what has been sent.

Change: serve_model waits for the first events before it returns an answer. Any failure until then goes the way of all others: an error answer with a true status (504, 502 or 500, never one that denies a run), and one log line. The head that is sent is that of the engine that gave the first event, where it was that of the engine that broke off.

Ruled out: plain answers (read to their end before the answer is made), and the order of sending (gevent's server sends head and first event in two writes without a switch in between).

--- a/features/steps/stream_events_steps.py
+++ b/features/steps/stream_events_steps.py
@@ -1,10 +1,13 @@
 """Steps on what passes from engines to the callers of streams."""
 
+from time import monotonic
+
 from behave import given, then, when
 from behave.runner import Context
 
 from testbed.stream_runs import EVENTS, Script, StreamEngines
 from trestle_core.errors import TrestleError
+from trestle_core.verdict import Verdict
 from trestle_entry.direct.event_stream import EventSplitter
 
 ERROR_HEAD = b'HTTP/1.1 500 Failed\r\nContent-Type: text/plain\r\n\r\n'
@@ -25,6 +28,12 @@
     'event 2 once more': Script(body=b'id: 2\ndata: v1\n\n' + REST),
     'the end of its stream at once': Script(body=b'HTTP'),
 }
+BEFORE_FIRST = {
+    'reaches its time limit': Script(pause_seconds=5),
+    'breaks off': Script(breaks_after=0),
+    'sends no event but an error': Script(body=b'engine failed\n\n'),
+}
+LIMIT_SECONDS = 0.5
 SOUND = {
     'ids from 0': b'id: 0\ndata: a\n\nid: 1\ndata: b\n\n',
     'lines that end with CR and LF': (
@@ -91,3 +100,24 @@
         passed += events.feed(SOUND[what][place:])
         assert passed == SOUND[what], (place, passed)
         assert not events.fault, events.fault
+
+
+@given('an engine whose stream {fails} before its first event')
+def step_before_first(context: Context, fails: str) -> None:
+    """Set up one engine, so that no other one can go on."""
+    context.engines = StreamEngines({'write-v1': 1})
+    context.engines.scripts['write-v1-0'] = BEFORE_FIRST[fails]
+
+
+@then(
+    'the caller of that stream gets {status:d}, which does not deny that it ran'
+)
+def step_error_answer(context: Context, status: int) -> None:
+    """Check that no answer is begun and that the error is true."""
+    try:
+        relayed = context.engines.serve(deadline=monotonic() + LIMIT_SECONDS)
+    except TrestleError as error:
+        assert error.code.status == status, error.code
+        assert error.verdict is Verdict.MAY_HAVE_RUN, error.verdict
+        return
+    raise AssertionError(f'an answer was begun: {relayed}')
--- a/features/stream_events.feature
+++ b/features/stream_events.feature
@@ -31,3 +31,15 @@
       | an event with a version line first  |
       | several data lines in an event      |
       | ids that are no numbers             |
+
+  # Guards against: a channel that is closed without any answer, although nothing
+  # of one has left yet.
+  Scenario Outline: A stream that <fails> before its first event is answered <status>
+    Given an engine whose stream <fails> before its first event
+    Then the caller of that stream gets <status>, which does not deny that it ran
+
+    Examples:
+      | fails                        | status |
+      | reaches its time limit       | 504    |
+      | breaks off                   | 502    |
+      | sends no event but an error  | 502    |
--- a/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
@@ -32,7 +32,7 @@
 from trestle_entry.direct.replies import AbortedAnswerError, DirectReply
 from trestle_entry.direct.request_log import RequestTrace
 from trestle_entry.direct.request_sends import note_broken, within_deadline
-from trestle_entry.direct.wire_types import CallerRequest
+from trestle_entry.direct.wire_types import AnswerHead, CallerRequest
 
 # Outcome of a stream that reached its end.
 _SERVED: Final = 'served'
@@ -57,18 +57,19 @@
         raise
     if isinstance(opened, CompleteAnswer):
         return complete_reply(opened)
+    stream = RelayedStream(run, opened)
+    head = stream.begin()
     return DirectReply(
-        opened.head.status,
-        opened.head.forwarded_headers,
-        RelayedStream(run, opened),
-        logs_on_close=True,
+        head.status, head.forwarded_headers, stream, logs_on_close=True
     )
 
 
 class RelayedStream:
     """The body of a streamed answer.
 
-    `close` ends the request at its engine and writes its log line.
+    Nothing is sent to the caller before `begin` has returned, so that a failure
+    until then is answered with an error. `close` ends the request at its engine
+    and writes its log line.
     """
 
     def __init__(self, run: ModelRun, opened: OpenAnswer) -> None:
@@ -78,13 +79,30 @@
         # A caller that disconnects ends the iteration without an error.
         self.outcome = CANCELLED.code
         self.timing = StreamTiming()
+        self.head = opened.head
+        self.events = self._events()
+        self.first_events = b''
+
+    def begin(self) -> AnswerHead:
+        """Wait for the first events; return the head of the answer with them.
+
+        Raises `TrestleError`.
+        """
+        try:
+            with within_deadline(self.run):
+                self.first_events = next(self.events, b'')
+        except BaseException:
+            self._release()
+            raise
+        return self.head
 
     def __iter__(self) -> Iterator[bytes]:
         """Yield complete events as they arrive."""
         run = self.run
         try:
             with within_deadline(run), cancel_when_gone(run.request.socket):
-                yield from self._events()
+                yield self.first_events
+                yield from self.events
             self.outcome = _SERVED
         except TrestleError as error:
             self.outcome = error.code.code
@@ -94,17 +112,20 @@
 
     def close(self) -> None:
         """Close the engine's connection unless its answer was complete."""
-        if self.opened:
-            self.opened.connection.close()
-            self.opened = None
-        self.run.count_at('')
-        self.run.hold_place('')
+        self._release()
         trace = self.run.trace
         trace.fields.update(self.timing.fields(self.run.events.count))
         is_complete = self.outcome == _SERVED
         verdict = Verdict.RAN if is_complete else self.run.verdict
         self.run.context.log.write(trace, self.outcome, verdict.value)
 
+    def _release(self) -> None:
+        if self.opened:
+            self.opened.connection.close()
+            self.opened = None
+        self.run.count_at('')
+        self.run.hold_place('')
+
     def _events(self) -> Iterator[bytes]:
         while self.opened:
             try:
@@ -144,6 +165,7 @@
         run.events.go_on()
         try:
             self.opened = reopen_stream(run)
+            self.head = self.opened.head
         except CallerGoneError:
             raise
         except TrestleError as failure:
--- a/testbed/stream_runs.py
+++ b/testbed/stream_runs.py
@@ -8,6 +8,8 @@
 from typing import Any, Final, NamedTuple
 from unittest.mock import patch
 
+from gevent import sleep
+
 from testbed.direct_runs import make_context, make_match, make_request
 from trestle_core.errors import TrestleError
 from trestle_entry.direct import model_dispatch, model_relay
@@ -40,13 +42,14 @@
     """How an engine answers: so many events, then a break, or to the end.
 
     Without `status` 200 it fails with a text for a body. `body` replaces the
-    events.
+    events. Each read takes `pause_seconds`.
     """
 
     breaks_after: int | None = None
     status: int = 200
     is_declined: bool = False
     body: bytes | None = None
+    pause_seconds: float = 0
 
 
 class StreamSend(NamedTuple):
@@ -101,8 +104,13 @@
 
     has_repeated = False
 
+    def __init__(self, pause_seconds: float) -> None:
+        """Let each read take so long."""
+        self.pause_seconds = pause_seconds
+
     def read_more(self, answer: ScriptedAnswer) -> None:
         """Read one piece, or reach the end of the script."""
+        sleep(self.pause_seconds)
         if answer.pieces:
             answer.received += answer.pieces.pop(0)
         elif answer.breaks:
@@ -159,7 +167,7 @@
         )
         if script.body is not None:
             pieces = [script.body]
-        connection: Any = ScriptedConnection()
+        connection: Any = ScriptedConnection(script.pause_seconds)
         answer: Any = ScriptedAnswer(
             pieces, breaks=script.breaks_after is not None
         )
