core: a task that fails begins again instead of ending

What callers saw: a process that stopped following the list (or the caches, the loads, its settings file) for as long as it ran, and said so in one line only.

Cause: a task of a process is a bare greenlet. Each loop names the errors that its author thought of; any other one ended it for good.

Evidence: the scenario of this commit on the code before: the reader's greenlet "failed with MemoryError", the next reading never came.

Change: Application.add_task and the cache tracker's task of each engine run through keep_running: the error is logged with its trace, counted (task_failures) and the task begins again after 0.5 s. Tasks of the replicated log stay as they are: there, an unknown error is fatal on purpose.

--- a/features/foreign_list.feature
+++ b/features/foreign_list.feature
@@ -79,3 +79,9 @@
       | have an odd token       |
       | are cut short           |
       | fail after the first    |
+
+  # Guards against: one reading that fails in a way nobody thought of ends the
+  # reading for good.
+  Scenario: A reading that fails in an unknown way does not end the reading
+    Given a leader whose list raises an unknown error once
+    Then a reading soon after it lists "i-1", and the failure is counted
--- a/features/steps/foreign_list_steps.py
+++ b/features/steps/foreign_list_steps.py
@@ -6,9 +6,12 @@
 
 from behave import given, then, when
 from behave.runner import Context
+from gevent import sleep, spawn
 from msgspec.json import encode
 
-from trestle_control.backend_list import BackendListReader
+from trestle_control.backend_list import BackendListing, BackendListReader
+from trestle_core import lifecycle
+from trestle_core.lifecycle import keep_running
 from trestle_core.metrics import Metrics
 from trestle_links.codec import decode_message, encode_message
 from trestle_links.direct_messages import Backend
@@ -203,3 +206,22 @@
     found = {known.instance for known in context.state.backends}
     assert found == {first, second}, found
     assert context.calls.call_count <= calls, context.calls.call_count
+
+
+@given('a leader whose list raises an unknown error once')
+def step_unknown_error(context: Context) -> None:
+    """Run the reader itself."""
+    listing = BackendListing([backend('i-1', 'desk')])
+    leader(context, Mock(side_effect=[MemoryError('odd'), listing]), [])
+
+
+@then('a reading soon after it lists "{instance}", and the failure is counted')
+def step_next_reading(context: Context, instance: str) -> None:
+    """Run the reader as a process runs its tasks."""
+    failed: list[str] = []
+    with patch.object(lifecycle, 'RESTART_SECONDS', 0.01):
+        task = spawn(keep_running, context.reader.run, failed.append)
+        sleep(0.2)
+        task.kill()
+    assert [known.instance for known in context.state.backends] == [instance]
+    assert failed == ['BackendListReader.run'], failed
--- a/packages/trestle-control/src/trestle_control/cache_tracker.py
+++ b/packages/trestle-control/src/trestle_control/cache_tracker.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Callable
+from functools import partial
 from typing import Final, NamedTuple, Protocol
 
 from gevent import Greenlet, sleep, spawn
@@ -15,6 +16,7 @@
 from trestle_control.apply import ControlStateMachine
 from trestle_control.placement_log import PlacementLog
 from trestle_control.replica_api import ReplicaApi
+from trestle_core.lifecycle import keep_running
 from trestle_core.logs import part_logger
 from trestle_core.metrics import Metrics
 from trestle_links.direct_messages import Backend
@@ -102,7 +104,14 @@
             self.placements.forget(instance)
         for instance, backend in engines.items():
             if instance not in self.tracked:
-                self.tracked[instance] = spawn(self._track, backend)
+                self.tracked[instance] = spawn(
+                    keep_running,
+                    partial(self._track, backend),
+                    self._count_failure,
+                )
+
+    def _count_failure(self, _name: str) -> None:
+        self.metrics.count('task_failures', 'CacheTracker')
 
     def _engines(self) -> dict[str, Backend]:
         if not self.replica.is_leader:
--- a/packages/trestle-control/src/trestle_control/control_app.py
+++ b/packages/trestle-control/src/trestle_control/control_app.py
@@ -60,6 +60,7 @@
     app = Application(
         f'control {settings.host}', settings.drain_ms / _MS_PER_SECOND
     )
+    app.on_task_failure = lambda name: metrics.count('task_failures', name)
 
     # A member whose disk failed must stop serving.
     replica.on_failed.append(app.fail)
--- a/packages/trestle-core/src/trestle_core/lifecycle.py
+++ b/packages/trestle-core/src/trestle_core/lifecycle.py
@@ -7,8 +7,17 @@
 
 from collections.abc import Callable
 from signal import SIGHUP, SIGINT, SIGTERM
-
-from gevent import Greenlet, joinall, killall, signal_handler, spawn
+from typing import Final
+
+from gevent import (
+    Greenlet,
+    Timeout,
+    joinall,
+    killall,
+    signal_handler,
+    sleep,
+    spawn,
+)
 from gevent.event import Event
 
 from trestle_core.errors import TrestleError
@@ -16,9 +25,34 @@
 
 Hook = Callable[[], None]
 
+# Pause before a task that failed begins again.
+RESTART_SECONDS: Final = 0.5
+
 _log = part_logger('process')
 
 
+def keep_running(work: Hook, on_failure: Callable[[str], None]) -> None:
+    """Run a task until it returns; it begins again after an exception.
+
+    A task reads what others wrote, and one reading that fails in a way nobody
+    thought of must not end it. `on_failure` gets its name.
+    """
+    name = getattr(work, '__qualname__', repr(work))
+    while True:
+        try:
+            work()
+        except (Exception, Timeout):
+            _log.exception('Task {} failed and begins again.', name)
+            on_failure(name)
+        else:
+            return
+        sleep(RESTART_SECONDS)
+
+
+def _ignore_name(_name: str) -> None:
+    """Count no failures."""
+
+
 class Application:
     """Owns the parts of one process and cleans them up."""
 
@@ -33,6 +67,8 @@
         self.stop_asked = Event()
         # Why the application stops by itself, if it does.
         self.failure: TrestleError | None = None
+        # Called with the name of a task that failed.
+        self.on_task_failure: Callable[[str], None] = _ignore_name
 
     def add(
         self,
@@ -50,11 +86,14 @@
             self.stop_hooks.append(stop)
 
     def add_task(self, work: Hook) -> None:
-        """Run a function in a greenlet from the start until the stop."""
+        """Run a function in a greenlet from the start until the stop.
+
+        It begins again after an exception (`keep_running`).
+        """
         tasks: list[Greenlet[..., None]] = []
 
         def start() -> None:
-            tasks.append(spawn(work))
+            tasks.append(spawn(keep_running, work, self.on_task_failure))
 
         def stop() -> None:
             killall(tasks)
--- a/packages/trestle-entry/src/trestle_entry/direct/direct_app.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/direct_app.py
@@ -73,6 +73,7 @@
     app = Application(
         f'entry {settings.host}', settings.drain_ms / _MS_PER_SECOND
     )
+    app.on_task_failure = lambda name: metrics.count('task_failures', name)
     follow_control(context, control, platform.read_table)
     links = LinkPool(identity)
     app.add(start=control.start, stop=control.stop)
