links: what cannot be encoded is an error of its sender, not the end of a task

What callers saw: nothing at once; the task that sent a figure of more than 64 bits ended (OverflowError), and its peer waited for an answer until its time was over. A reader of a connection that met an unknown error ended without closing it, so that the channels of the connection waited for ever.

Cause: encode_frame and encode_message let the packer's errors through, of several types, which no caller names; Connection._read closed only after the errors it knew.

Evidence, on the code before: "_run_handler ... failed with OverflowError", the call ended after its 3 s; "Connection._read ... failed with RecursionError", the connection was not lost.

Change: one error (BadFrameError) for what cannot be encoded; a handler's answer that cannot be encoded goes out as an error; an entry's stream of loads ends and begins anew; a connection is always closed with its reader.

--- a/packages/trestle-entry/src/trestle_entry/direct/load_stream.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/load_stream.py
@@ -14,6 +14,7 @@
 from trestle_core.errors import TrestleError
 from trestle_core.logs import part_logger
 from trestle_entry.direct.direct_context import DirectContext
+from trestle_links.codec import BadFrameError
 from trestle_links.connection import Channel, LinkDownError
 from trestle_links.control_client import ControlClient
 from trestle_links.link import LinkPool
@@ -126,3 +127,8 @@
         except LinkDownError:
             # The receiving side notices the loss and opens a new stream.
             return
+        except BadFrameError as error:
+            # A new stream begins with all loads and without the odd figure.
+            _log.error('A change of the loads was lost: {}.', error)
+            channel.close()
+            return
--- a/packages/trestle-links/src/trestle_links/codec.py
+++ b/packages/trestle-links/src/trestle_links/codec.py
@@ -35,7 +35,7 @@
 
 
 class BadFrameError(TrestleError):
-    """Bytes that are not a frame of this protocol."""
+    """Bytes that are not a frame of this protocol, or no message for one."""
 
     def __init__(self, reason: str) -> None:
         """Keep the reason for the log."""
@@ -59,17 +59,29 @@
 
 
 def encode_frame(channel: int, body: Message | None) -> bytes:
-    """Encode one frame; `None` ends the channel."""
+    """Encode one frame; `None` ends the channel.
+
+    Raises `BadFrameError` for a message with a value that has no encoding.
+    """
     if body is None:
-        packed: bytes = packb((channel, END_CODE, ()))
-        return packed
-    packed = packb((channel, _codes[type(body)], body), use_bin_type=True)
-    return packed
+        return _pack((channel, END_CODE, ()))
+    return _pack((channel, _codes[type(body)], body))
 
 
 def encode_message(body: Message) -> bytes:
-    """Encode a message for storage."""
-    packed: bytes = packb((_codes[type(body)], body), use_bin_type=True)
+    """Encode a message for storage.
+
+    Raises `BadFrameError` for a message with a value that has no encoding.
+    """
+    return _pack((_codes[type(body)], body))
+
+
+def _pack(fields: Message) -> bytes:
+    try:
+        packed: bytes = packb(fields, use_bin_type=True)
+    except (OverflowError, ValueError, TypeError) as error:
+        # Such as an integer of more than 64 bits.
+        raise BadFrameError(f'cannot be encoded: {error}') from error
     return packed
 
 
--- a/packages/trestle-links/src/trestle_links/connection.py
+++ b/packages/trestle-links/src/trestle_links/connection.py
@@ -20,6 +20,7 @@
 
 from trestle_core.errorcodes import CALL_TIMEOUT, LINK_DOWN
 from trestle_core.errors import TrestleError
+from trestle_core.logs import part_logger
 from trestle_core.verdict import Verdict
 from trestle_links.codec import (
     BadFrameError,
@@ -34,6 +35,8 @@
 _READ_BYTES: Final = 256 * 1024
 _FLUSH_POLL_SECONDS: Final = 0.005
 
+_log = part_logger('link')
+
 FrameHandler = Callable[['Connection', Frame], None]
 BadFrameHook = Callable[[BadFrameError], None]
 
@@ -192,10 +195,14 @@
             self._read_frames(reader)
         except BadFrameError as error:
             self.on_bad_frame(error)
-        except OSError:
+        except OSError as error:
             # A reset by the peer is an end like any other.
+            _log.debug('The connection of {} was reset: {}.', self.peer, error)
+        except Exception:
+            _log.exception('Reading from {} failed.', self.peer)
+        finally:
+            # Without its reader, a connection would never end its channels.
             self.close()
-        self.close()
 
     def _read_frames(self, reader: FrameReader) -> None:
         while not self.lost.is_set():
--- a/packages/trestle-links/src/trestle_links/link_server.py
+++ b/packages/trestle-links/src/trestle_links/link_server.py
@@ -123,7 +123,17 @@
 def _finish(channel: Channel, reply: Message | None) -> None:
     try:
         if reply is not None:
-            channel.send(reply)
+            _send_reply(channel, reply)
         channel.close()
     except LinkDownError:
         return
+
+
+def _send_reply(channel: Channel, reply: Message) -> None:
+    try:
+        channel.send(reply)
+    except BadFrameError as error:
+        _log.error('{} not sent: {}.', type(reply).__name__, error)
+        channel.send(
+            ErrorReply(INTERNAL.code, error.message, Verdict.MAY_HAVE_RUN)
+        )
