platform: a reply without an end fails the system's own call

What callers saw: nothing in a report; found beside the odd entries of the list. A reply that came in drops kept the reader of the list for as long as it went on, as the time limit was one of each read; one that came in floods filled the memory of its process.

--- a/features/platform_calls.feature
+++ b/features/platform_calls.feature
@@ -12,6 +12,17 @@
       | a body that is cut          |
       | an endless line             |
 
+  # Guards against: a reply that never ends keeps the reader of the list, or
+  # fills the memory of its process.
+  Scenario Outline: A reply without an end fails the call in bounded time
+    Given a server whose answers do not end <how>
+    Then a call to it raises an error of the connection within 4 s
+
+    Examples:
+      | how       |
+      | in drops  |
+      | in floods |
+
   Scenario: Entries of a cache that cannot be read spoil no other one
     Given a server that lists a cache with one good entry among four bad ones
     Then the good entry is what the engine holds
--- a/features/steps/platform_calls_steps.py
+++ b/features/steps/platform_calls_steps.py
@@ -1,10 +1,12 @@
 """Steps on calls to the platform that get no proper answer."""
 
+from contextlib import suppress
 from typing import Any
 from unittest.mock import Mock
 
 from behave import given, then, when
 from behave.runner import Context
+from gevent import Timeout, sleep
 from gevent.server import StreamServer
 from gevent.socket import socket
 from msgspec.json import encode
@@ -25,6 +27,9 @@
     'an endless line': b'HTTP/1.1 200 ' + b'x' * 300_000,
 }
 
+# What is sent again and again, and the pause after each time.
+ENDLESS = {'in drops': (b'x', 0.2), 'in floods': (b'x' * 1_000_000, 0)}
+
 
 def serve(context: Context, answer: bytes) -> None:
     """Start a server that sends the same bytes to everybody."""
@@ -56,6 +61,31 @@
     raise AssertionError('the call returned')
 
 
+@given('a server whose answers do not end {how}')
+def step_endless_server(context: Context, how: str) -> None:
+    """Start a server whose reply has no end."""
+    chunk, pause_seconds = ENDLESS[how]
+
+    def handle(sock: socket, _address: object) -> None:
+        with suppress(OSError):
+            sock.sendall(b'HTTP/1.1 200 OK\r\n\r\n')
+            while True:
+                sock.sendall(chunk)
+                sleep(pause_seconds)
+
+    server = StreamServer(('127.0.0.1', 0), handle)
+    server.start()
+    context.add_cleanup(server.stop)
+    context.address = f'127.0.0.1:{server.server_port}'
+
+
+@then('a call to it raises an error of the connection within {seconds:d} s')
+def step_raises_soon(context: Context, seconds: int) -> None:
+    """Check the type of the error and its time."""
+    with Timeout(seconds):
+        step_raises(context)
+
+
 @given('a server that lists a cache with one good entry among four bad ones')
 def step_cache(context: Context) -> None:
     """Start a server with a cache list."""
