--- a/features/steps/foreign_figures_steps.py
+++ b/features/steps/foreign_figures_steps.py
@@ -1,22 +1,37 @@
 """Steps on figures and texts of others that do not fit."""
 
+from collections.abc import Callable
+from functools import partial
+from json import dumps
+from math import inf
 from time import monotonic
 from typing import Any
-from unittest.mock import Mock
+from unittest.mock import Mock, patch
 
 from behave import given, then, when
 from behave.runner import Context
 
+from trestle_control.direct_roles import RoleOrder
+from trestle_control.load_table import LoadTable
+from trestle_control.placement_log import PlacementLog
 from trestle_core.errors import TrestleError
 from trestle_core.metrics import Metrics
-from trestle_links.codec import encode_frame
+from trestle_entry.direct.event_stream import EventSplitter
+from trestle_links.codec import decode_message, encode_frame, encode_message
 from trestle_links.connection import Connection
+from trestle_links.direct_messages import Backend, Placement
 from trestle_links.link import Identity, Link
 from trestle_links.link_server import LinkServer
 from trestle_links.stream_messages import FindStream
 from trestle_links.watch_messages import StateReply
+from trestle_platform import engine_orders
+from trestle_platform.engine_caches import EngineCache
+from trestle_platform.engine_orders import send_order
+from trestle_platform.platform_calls import CallReply
+from trestle_platform.replica_http import backend_wire
 
 KEY = b'k' * 32
+ENGINE = Backend('e', 'llm', '127.0.0.1:1', 'z', False, 'decode', 8)
 
 
 @given('a peer that answers calls with a figure of 65 bits')
@@ -73,3 +88,95 @@
 def step_lost(context: Context) -> None:
     """Check that its channels end."""
     assert context.connection.lost.wait(1)
+
+
+@given('an engine that lists parts with odd ids and figures among sound ones')
+def step_odd_parts(context: Context) -> None:
+    """Make a listing and events."""
+    parts = [('ab', 2000), ('f' * 17, 2000), ('f' * 5000, 2000)]
+    odd = [('-1', 1), ('1_0', 1), ('ac', -5), ('ad', 2**64), ('ae', 10**200)]
+    held = [['', part, tokens, 'm'] for part, tokens in (*odd, *parts)]
+    events = [[1, '+', *entry] for entry in held]
+    context.replies = [
+        (b'{"epoch":1,"next":1,"held":%b}', held),
+        (b'{"epoch":1,"next":9,"events":%b}', events),
+    ]
+
+
+@when('the leader takes its listing and its events')
+def step_take_cache(context: Context) -> None:
+    """Read both and record them as the tracker does."""
+    cache = EngineCache(ENGINE)
+    cache.connection = Mock()
+    cache.connection.call.side_effect = [
+        CallReply(200, frame % dumps(items).encode())
+        for frame, items in context.replies
+    ]
+    context.placements = PlacementLog()
+    context.placements.record_listing('e', cache.listing().cached)
+    shared = [Placement(part, 2000, 'e') for part in range(300)]
+    context.placements.record_report(shared)
+    context.placements.record_changes('e', cache.changes(1).changed)
+
+
+@then('it can push the sound ones to the entries')
+def step_push_parts(context: Context) -> None:
+    """Pack what a push takes."""
+    table = LoadTable(Mock(is_leader=True))
+    table.placements = context.placements
+    packed = encode_message(table._changed_delta())  # noqa: SLF001
+    delta: Any = decode_message(packed)
+    (memory,) = delta.memories
+    assert len(memory.parts) == 3, memory
+    assert memory.parts[0xAB] == 2000, memory
+
+
+@then('a nested {reply} is unreadable')
+def step_nested_reply(_context: Context, reply: str) -> None:
+    """Read a reply that is nested too deep."""
+    nested = CallReply(200, b'{"x":' + b'[' * 100_000)
+    cache = EngineCache(ENGINE)
+    cache.connection = Mock()
+    cache.connection.call.return_value = nested
+    order = RoleOrder(ENGINE, 'decode', 'core-1', 1)
+    readers: dict[str, Callable[[], Any]] = {
+        'cache listing': cache.listing,
+        'page of events': partial(cache.changes, 1),
+        'report': partial(send_order, order),
+        'prefill reply': partial(check_prefill_reply, nested.body),
+    }
+    with patch.object(engine_orders, 'call_platform', return_value=nested):
+        try:
+            readers[reply]()
+        except ValueError:
+            return
+    raise AssertionError('it was read')
+
+
+def check_prefill_reply(body: bytes) -> None:
+    """Raise `ValueError` if a reply names no KV cache."""
+    if not backend_wire().read_handle(body):
+        raise ValueError('no handle')
+
+
+@then('a prefill reply with the handle {handle} names no KV cache')
+def step_no_handle(_context: Context, handle: str) -> None:
+    """Read the reply."""
+    body = b'{"kvHandle":%b}' % handle.encode()
+    assert not backend_wire().read_handle(body)
+
+
+@then('an answer with "{name}" of "{text}" is read')
+def step_odd_header(_context: Context, name: str, text: str) -> None:
+    """Read the head of an answer."""
+    head = backend_wire().read_head(200, [(name, text)])
+    assert head.idle_seconds == 0, head
+    assert head.rate_limit == inf, head
+
+
+@then('events with ids of 5000 digits are passed on')
+def step_long_ids(_context: Context) -> None:
+    """Split a stream of two such events."""
+    events = b''.join(b'id: %b\n\n' % (b'1' * size) for size in (5000, 5001))
+    splitter = EventSplitter()
+    assert splitter.feed(events) == events, splitter.fault
--- a/packages/trestle-entry/src/trestle_entry/direct/event_stream.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/event_stream.py
@@ -16,6 +16,7 @@
 # Far more than an event of a few tokens takes.
 _MAX_EVENT_BYTES: Final = 1_048_576
 _EVENT: Final = re.compile(rb'.*?(?:\n\n|\r\n\r\n)', re.DOTALL)
+_NUMBER: Final = re.compile('[0-9]{1,100}')
 # An empty line, a comment, or a field, whose names are in lower case.
 _LINE: Final = re.compile(rb'$|[a-z-]*:')
 
@@ -109,7 +110,7 @@
 
 def _follows(last_id: str, event_id: str) -> bool:
     """Return whether no event is missing between two, or came before."""
-    if not (last_id.isdecimal() and event_id.isdecimal()):
+    if not (_NUMBER.fullmatch(last_id) and _NUMBER.fullmatch(event_id)):
         return True
     return int(event_id) == int(last_id) + 1
 
