platform calls: a reply behind an interim answer is read to its end

The client of the system's own calls (list of back ends, reports, orders, cache listings) took a reply for whole as soon as an interim answer (1xx) before it was: a body that had not arrived yet, or was cut, came back short, with status 200. The kept connection went back for the next call with the rest of that body still to come. Nothing of it was decoded wrongly so far, as a cut page is no JSON; such a reply just could not be read.

Cause: geventhttpclient's socket response lets go of its connection at the end of the first message, the interim one. It also sends a call again by itself if the connection closed without a byte, orders too. Class: two readers of the same answers, of which only one was tested against cuts.

Ruled out, by the same table (every byte, close and reset): length, chunks, trailers, and neither. A reply without a length that is reset fails; one that is closed in its middle can't be told from a whole one, and then is no JSON.

--- a/features/platform_calls.feature
+++ b/features/platform_calls.feature
@@ -12,6 +12,33 @@
       | a body that is cut          |
       | an endless line             |
 
+  # Guards against: a head or a body that a server cut, taken for a whole answer
+  # to a call of the system itself.
+  Scenario Outline: A reply with <framing> is whole only with its last byte
+    Given a server that stops at any byte of a reply with <framing> and <ends>
+    Then a call to it returns the whole reply after its last byte and else fails
+
+    Examples:
+      | framing                | ends   |
+      | a length               | closes |
+      | a length               | resets |
+      | chunks                 | closes |
+      | chunks                 | resets |
+      | chunks and trailers    | closes |
+      | chunks and trailers    | resets |
+      | an interim answer      | closes |
+      | an interim answer      | resets |
+
+  # Guards against: the same, where only the connection tells the end.
+  Scenario: A reply that ends with its connection is whole after a close only
+    Given a server that stops at any byte of a reply without a length and resets
+    Then each call to it fails
+
+  # Guards against: bytes that belong to no call, taken for the reply to the next.
+  Scenario: A reply that came twice is not the reply to the next call
+    Given a server that sends each reply twice on a kept connection
+    Then the second call on a connection gets a reply of its own
+
   Scenario: Entries of a cache that cannot be read spoil no other one
     Given a server that lists a cache with one good entry among four bad ones
     Then the good entry is what the engine holds
--- a/features/steps/platform_calls_steps.py
+++ b/features/steps/platform_calls_steps.py
@@ -1,12 +1,15 @@
 """Steps on calls to the platform that get no proper answer."""
 
+from collections.abc import Callable
+from itertools import count
 from typing import Any
 from unittest.mock import Mock
 
 from behave import given, then, when
 from behave.runner import Context
+from gevent import sleep
 from gevent.server import StreamServer
-from gevent.socket import socket
+from gevent.socket import SO_LINGER, SOL_SOCKET, socket
 from msgspec.json import encode
 
 from trestle_control.backend_list import BackendListReader
@@ -15,7 +18,11 @@
 from trestle_platform.caller_http import read_request
 from trestle_platform.engine_caches import EngineCache
 from trestle_platform.instance_list import read_backends
-from trestle_platform.platform_calls import call_platform
+from trestle_platform.platform_calls import (
+    CallReply,
+    PlatformConnection,
+    call_platform,
+)
 
 ANSWERS = {
     'nothing': b'',
@@ -24,6 +31,25 @@
     'a body that is cut': b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}',
     'an endless line': b'HTTP/1.1 200 ' + b'x' * 300_000,
 }
+HEAD = b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n'
+BODY = b'{"instances":[],"next":null}'
+CHUNK = b'%x\r\n%s\r\n' % (len(BODY), BODY)
+LENGTH = b'Content-Length: %d\r\n\r\n' % len(BODY)
+CHUNKED = b'Transfer-Encoding: chunked\r\n'
+REPLIES = {
+    'a length': HEAD + LENGTH + BODY,
+    'chunks': HEAD + CHUNKED + b'\r\n' + CHUNK + b'0\r\n\r\n',
+    'chunks and trailers': (
+        HEAD + CHUNKED + b'Trailer: A\r\n\r\n' + CHUNK + b'0\r\nA: b\r\n\r\n'
+    ),
+    'an interim answer': (
+        b'HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n' + HEAD + LENGTH + BODY
+    ),
+}
+# `SO_LINGER` on, with no time: closing resets the connection.
+RESET = b'\x01\x00\x00\x00\x00\x00\x00\x00'
+# Time for bytes to arrive.
+FLUSH_SECONDS = 0.002
 
 
 def serve(context: Context, answer: bytes) -> None:
@@ -34,6 +60,11 @@
         sock.sendall(answer)
         sock.close()
 
+    listen(context, handle)
+
+
+def listen(context: Context, handle: Callable[[socket, object], None]) -> None:
+    """Start a server."""
     server = StreamServer(('127.0.0.1', 0), handle)
     server.start()
     context.add_cleanup(server.stop)
@@ -56,6 +87,90 @@
     raise AssertionError('the call returned')
 
 
+@given('a server that stops at any byte of a reply with {framing} and {ends}')
+def step_cut(context: Context, framing: str, ends: str) -> None:
+    """Stop within a reply."""
+    serve_cuts(context, REPLIES[framing], ends)
+
+
+@given('a server that stops at any byte of a reply without a length and resets')
+def step_cut_endless(context: Context) -> None:
+    """The same for a reply that has no end of its own."""
+    serve_cuts(context, HEAD + b'\r\n' + BODY, 'resets')
+
+
+def serve_cuts(context: Context, reply: bytes, ends: str) -> None:
+    """Send a reply up to the place that the context names, and stop."""
+    context.reply = reply
+
+    def handle(sock: socket, _address: object) -> None:
+        sock.recv(65_536)
+        sock.sendall(reply[: context.place])
+        if ends == 'resets':
+            # A reset drops what the peer has not read yet.
+            sleep(FLUSH_SECONDS)
+            sock.setsockopt(SOL_SOCKET, SO_LINGER, RESET)
+        sock.close()
+
+    listen(context, handle)
+
+
+def call_each(context: Context) -> list[CallReply | None]:
+    """Call once for each place of a cut; None for calls that failed."""
+    replies: list[CallReply | None] = []
+    for context.place in range(len(context.reply) + 1):
+        try:
+            replies.append(call_platform(context.address, 'GET', '/x'))
+        except OSError:
+            replies.append(None)
+    return replies
+
+
+@then('a call to it returns the whole reply after its last byte and else fails')
+def step_whole_only(context: Context) -> None:
+    """Check the reply of each call."""
+    *cut, whole = call_each(context)
+    taken = {place: reply for place, reply in enumerate(cut) if reply}
+    assert not taken, taken
+    assert whole == CallReply(200, BODY), whole
+
+
+@then('each call to it fails')
+def step_each_fails(context: Context) -> None:
+    """Check that no call returned."""
+    replies = call_each(context)
+    assert not any(replies), replies
+
+
+@given('a server that sends each reply twice on a kept connection')
+def step_twice(context: Context) -> None:
+    """Answer with the number of the connection."""
+    numbers = count(1)
+
+    def handle(sock: socket, _address: object) -> None:
+        reply = b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d' % next(
+            numbers
+        )
+        while sock.recv(65_536):
+            sock.sendall(reply)
+            sleep(FLUSH_SECONDS)
+            sock.sendall(reply)
+
+    listen(context, handle)
+
+
+@then('the second call on a connection gets a reply of its own')
+def step_two_calls(context: Context) -> None:
+    """Check that what came behind the first reply is not taken for it."""
+    connection = PlatformConnection(context.address)
+    replies = []
+    for _ in range(2):
+        replies.append(connection.call('GET', '/x').body)
+        sleep(2 * FLUSH_SECONDS)
+    connection.close()
+    assert replies == [b'1', b'2'], replies
+
+
 @given('a server that lists a cache with one good entry among four bad ones')
 def step_cache(context: Context) -> None:
     """Start a server with a cache list."""
