--- a/packages/trestle-entry/src/trestle_entry/direct/backend_exchange.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/backend_exchange.py
@@ -25,6 +25,7 @@
 
 from trestle_core.addresses import Address
 from trestle_entry.direct.wire_types import Headers
+from trestle_entry.request_heads import is_sound_head
 
 # A back end in another zone accepts a connection within a few milliseconds; a
 # lost SYN packet is retransmitted only after a second.
@@ -246,7 +247,14 @@
 def encode_request(
     method: str, target: str, host: str, headers: Headers, body: bytes
 ) -> bytes:
-    """Return the bytes of a request, with `Content-Length` for a body."""
+    """Return the bytes of a request, with `Content-Length` for a body.
+
+    Raises `NotSentError` for a head that a back end could read otherwise than
+    it is meant, such as one with a line end in a header. Callers' heads have
+    been read strictly, so the cause is what the platform told.
+    """
+    if not is_sound_head(method, target, host, headers):
+        raise NotSentError('the head of the request cannot be encoded')
     lines = [f'{method} {target} HTTP/1.1', f'Host: {host}']
     lines.extend(f'{name}: {text}' for name, text in headers)
     if body or method not in _BODILESS:
--- a/packages/trestle-entry/src/trestle_entry/direct/prompt_prefill.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/prompt_prefill.py
@@ -157,11 +157,10 @@
 
 def _free(context: DirectContext, handle: KvHandle) -> None:
     engine = handle.engine
-    request_bytes = encode_request(
-        'DELETE', context.backend_wire.free_path(handle.key), 'engine', [], b''
-    )
+    path = context.backend_wire.free_path(handle.key)
     limit = Timeout(_FREE_SECONDS)
     try:
+        request_bytes = encode_request('DELETE', path, 'engine', [], b'')
         with limit:
             connection = context.pool.acquire(
                 engine.address,
--- a/packages/trestle-entry/src/trestle_entry/socket_handler.py
+++ b/packages/trestle-entry/src/trestle_entry/socket_handler.py
@@ -1,27 +1,88 @@
-"""WSGI handler that exposes the caller's socket to the application."""
+"""WSGI handler that reads requests strictly and exposes the caller's socket."""
 
+from io import BytesIO
 from typing import Any, Final
 
 from gevent.pywsgi import WSGIHandler
 from gevent.socket import IPPROTO_TCP, TCP_NODELAY
 
+from trestle_entry.request_bodies import BodyReader
+from trestle_entry.request_heads import (
+    OLD_VERSION,
+    BodyFraming,
+    Fields,
+    body_framing,
+    closes_connection,
+    read_fields,
+    read_request_line,
+)
+
 SOCKET_KEY: Final = 'kingcuptrestle.socket'
 
 
 class SocketHandler(WSGIHandler):
-    """Passes the caller's socket in the WSGI environment."""
+    """Passes the caller's socket in the WSGI environment.
+
+    The head and the body are not read by the base class, which takes much that
+    is malformed for something else.
+    """
+
+    framing: BodyFraming
+    # A `BodyReader`, in the place of the base class's `Input`.
+    wsgi_input: Any
 
     def handle(self) -> None:
         """Disable Nagle's algorithm: the answer stream batches tokens itself."""
         self.socket.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
         super().handle()
 
+    def read_request(self, raw_requestline: str) -> Any:
+        """Read the head; raises `MalformedRequestError`, answered with 400."""
+        line = read_request_line(raw_requestline)
+        fields = read_fields(self.rfile)
+        self.framing = body_framing(line.version, fields)
+        self.command = line.method
+        self.path = line.target
+        self.request_version = line.version
+        self.headers = self._message(fields)
+        self.content_length = self.framing.length
+        self.close_connection = closes_connection(line.version, fields)
+        return True
+
     def get_environ(self) -> dict[str, Any]:
         """Return the WSGI environment with the caller's socket."""
         environ: dict[str, Any] = super().get_environ()
         environ[SOCKET_KEY] = self.socket
+        expected = environ.get('HTTP_EXPECT', '').lower()
+        is_waiting = expected == '100-continue'
+        if self.request_version == OLD_VERSION:
+            is_waiting = False
+        waiting = self.socket if is_waiting else None
+        self.wsgi_input = BodyReader(self.rfile, self.framing, waiting)
+        environ['wsgi.input'] = self.wsgi_input
         return environ
 
+    def finalize_headers(self) -> None:
+        """Announce that no request can follow a body without its end."""
+        super().finalize_headers()
+        if self.wsgi_input.ends_connection:
+            headers: list[Any] = self.response_headers or []
+            headers.append((b'Connection', b'close'))
+
+    def handle_one_response(self) -> None:
+        """Answer; end the connection if the body was not read to its end."""
+        super().handle_one_response()
+        if not self.wsgi_input.is_at_end:
+            self.close_connection = True
+
+    def _message(self, fields: Fields) -> Any:
+        """Return the header fields in the form that the base class uses."""
+        new_message: Any = self.MessageClass
+        message = new_message(BytesIO(), 0)
+        for name, text in fields:
+            message.set_raw(name, text)
+        return message
+
     def _sendall(self, data: bytes) -> None:
         # Events are small, so a single send nearly always suffices. gevent's
         # sendall would add half of the cost of relaying a token.
