entry: a caller's closed channel no longer ends the process

Callers saw: an entry that ends by itself (code 134, libev "I/O watcher with invalid fd found in epoll_ctl"); every request in it is closed without an answer.

Cause: the greenlet that watched a caller's socket was killed without waiting (kill(block=False)), so its I/O watcher stayed in the loop until the loop came to that callback. gevent's server closes the bare descriptor at once. The loop takes a pause from callbacks after 5 ms, which a busy or thawed entry reaches: then it asks the kernel to watch a closed descriptor, and libev aborts. Class: a resource that is given back later than what it depends on. The same delay let CallerGoneError reach a greenlet that had already left the block.

Change: the loop's own watcher instead of a greenlet; it is stopped as the block is left, and the error is raised from its callback, so within the block only. A stream's iterator is closed with its answer and not when it happens to be collected, since it holds such a watcher and the deadline's timer.

Ruled out: gevent's own socket events (they are cancelled before the close), and a watcher on a descriptor that another connection got (a stale event found the closed socket and ended a handler that was over).

--- a/packages/trestle-entry/src/trestle_entry/caller_watch.py
+++ b/packages/trestle-entry/src/trestle_entry/caller_watch.py
@@ -1,9 +1,9 @@
 """Cancels a request's work when its caller closes the connection.
 
-A watcher greenlet waits until the caller's socket is readable and peeks at
-it: an empty read means that the caller closed the connection. The watcher
-then raises `CallerGoneError` in the request's greenlet, whose clean-up closes
-the channels to the endpoints.
+The event loop watches the caller's socket until it is readable and peeks at
+it: an empty read means that the caller closed the connection. The loop then
+raises `CallerGoneError` in the request's greenlet, whose clean-up closes the
+channels to the endpoints.
 
 Claimed calls are not watched: a call that was started runs to its outcome,
 which a retry with the same key then receives.
@@ -11,16 +11,19 @@
 
 from collections.abc import Iterator
 from contextlib import contextmanager
-from typing import Any
+from typing import Any, Final
 
-from gevent import getcurrent, spawn
-from gevent.socket import MSG_DONTWAIT, MSG_PEEK, wait_read
+from gevent import get_hub, getcurrent
+from gevent.socket import MSG_PEEK
 from greenlet import greenlet
 
 from trestle_core.errorcodes import CANCELLED
 from trestle_core.errors import TrestleError
 from trestle_core.verdict import Verdict
 
+# Of libev.
+_READABLE: Final = 1
+
 
 class CallerGoneError(TrestleError):
     """The caller closed its connection before the answer was complete."""
@@ -36,18 +39,24 @@
     if sock is None:
         yield
         return
-    watcher = spawn(_watch, sock, getcurrent())
+    watcher = get_hub().loop.io(sock.fileno(), _READABLE)
+    watcher.start(_check, watcher, sock, getcurrent())
     try:
         yield
     finally:
-        watcher.kill(block=False)
+        # Not later: the socket may be closed next, and the loop aborts the
+        # process if it is to wait for a closed one.
+        watcher.stop()
+        watcher.close()
 
 
-def _watch(sock: Any, request_greenlet: greenlet) -> None:
+def _check(watcher: Any, sock: Any, request_greenlet: greenlet) -> None:
+    """Handle a readable socket, as a callback of the loop."""
+    # Bytes of a next request would be reported again and again.
+    watcher.stop()
     try:
-        wait_read(sock.fileno())
-        gone = not sock.recv(1, MSG_PEEK | MSG_DONTWAIT)
+        gone = not sock.recv(1, MSG_PEEK)
     except OSError:
         gone = True
     if gone:
-        request_greenlet.kill(CallerGoneError(), block=False)  # type: ignore[attr-defined]
+        request_greenlet.throw(CallerGoneError())
--- a/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
@@ -7,7 +7,7 @@
 answer never looks complete.
 """
 
-from collections.abc import Iterator
+from collections.abc import Generator, Iterator
 from typing import Final
 
 from trestle_core.errorcodes import (
@@ -82,6 +82,7 @@
         self.head = opened.head
         self.events = self._events()
         self.first_events = b''
+        self.relayed: Generator[bytes, None, None] | None = None
 
     def begin(self) -> AnswerHead:
         """Wait for the first events; return the head of the answer with them.
@@ -98,6 +99,22 @@
 
     def __iter__(self) -> Iterator[bytes]:
         """Yield complete events as they arrive."""
+        self.relayed = self._relay()
+        return self.relayed
+
+    def close(self) -> None:
+        """Close the engine's connection unless its answer was complete."""
+        if self.relayed:
+            # If the caller could not be written to, it has not ended yet.
+            self.relayed.close()
+        self._release()
+        trace = self.run.trace
+        trace.fields.update(self.timing.fields(self.run.events.count))
+        is_complete = self.outcome == _SERVED
+        verdict = Verdict.RAN if is_complete else self.run.verdict
+        self.run.context.log.write(trace, self.outcome, verdict.value)
+
+    def _relay(self) -> Generator[bytes, None, None]:
         run = self.run
         try:
             with within_deadline(run), cancel_when_gone(run.request.socket):
@@ -110,15 +127,6 @@
                 raise _aborted('the deadline passed') from error
             raise
 
-    def close(self) -> None:
-        """Close the engine's connection unless its answer was complete."""
-        self._release()
-        trace = self.run.trace
-        trace.fields.update(self.timing.fields(self.run.events.count))
-        is_complete = self.outcome == _SERVED
-        verdict = Verdict.RAN if is_complete else self.run.verdict
-        self.run.context.log.write(trace, self.outcome, verdict.value)
-
     def _release(self) -> None:
         if self.opened:
             self.opened.connection.close()
