entry: a channel that looks readable for nothing is still watched

The watch of a caller's channel peeks from a callback of the loop, which cannot wait; where nothing was there to read, gevent's receive waited all the same, raised BlockingSwitchOutError in the loop, and a caller that left then went unnoticed (GONE). Class: a blocking call where none may block.

The peek now has no time to wait, as that of the pool, and the watch goes on. Test: failed before with that error, passes now (caller_channels, 2 passed).

--- a/features/caller_channels.feature
+++ b/features/caller_channels.feature
@@ -4,3 +4,10 @@
   # loop still watched a channel that a busy entry had closed.
   Scenario: Channels that are closed while the entry is behind end no process
     Then a process that closes channels of callers while it is behind goes on
+
+  # Guards against: a caller that leaves unnoticed, because its channel once looked
+  # readable when it was not and the loop cannot wait for it.
+  Scenario: A channel that is reported readable for nothing is still watched
+    Given a request whose channel is reported readable for nothing
+    When its caller closes the channel
+    Then the request is cancelled
--- a/packages/trestle-entry/src/trestle_entry/caller_watch.py
+++ b/packages/trestle-entry/src/trestle_entry/caller_watch.py
@@ -52,11 +52,24 @@
 
 def _check(watcher: Any, sock: Any, request_greenlet: greenlet) -> None:
     """Handle a readable socket, as a callback of the loop."""
-    # Bytes of a next request would be reported again and again.
-    watcher.stop()
     try:
-        gone = not sock.recv(1, MSG_PEEK)
+        gone = not _peek(sock)
+    except BlockingIOError:
+        # Nothing is there after all.
+        return
     except OSError:
         gone = True
+    # Bytes of a next request would be reported again and again.
+    watcher.stop()
     if gone:
         request_greenlet.throw(CallerGoneError())
+
+
+def _peek(sock: Any) -> bytes:
+    """Look at the next byte without a wait, which the loop cannot do."""
+    timeout = sock.gettimeout()
+    sock.settimeout(0)
+    try:
+        return bytes(sock.recv(1, MSG_PEEK))
+    finally:
+        sock.settimeout(timeout)
