platform: odd figures of a caller do not end its entry's reports

What callers saw: one request with a prompt part of more than 64 bits, a token count like 1e300 or one below 0 ended its entry's reports of load (it could not be packed, or the leader refused the stream as "a load is not a possible figure"), for as long as the request was at work; and, once told, the leader's pushes to all.

--- a/features/foreign_figures.feature
+++ b/features/foreign_figures.feature
@@ -64,3 +64,37 @@
   # stream ends with an error of ours.
   Scenario: Event ids of thousands of digits do not end a stream
     Then events with ids of 5000 digits are passed on
+
+  # Guards against: a caller's odd figures end its entry's reports of load and
+  # the leader's pushes to all entries.
+  Scenario Outline: Odd figures of a caller can be told to the leader
+    Given a caller's request of "<tokens>" tokens with parts "<parts>"
+    When an entry has 20 of them at an engine
+    Then the leader takes its report and can push it
+
+    Examples:
+      | tokens      | parts                      |
+      | 10,10       | ab:5,ffffffffffffffffff:5,c:5 |
+      | 10,10       | ab:99999999999999999999,c:5 |
+      | 1e300,1e300 | ab:5,c:5                   |
+      | -5,-7       | ab:5,c:5                   |
+      | nan,inf     | ab:5,c:5                   |
+      | ²,٣         | ab:5,c:5                   |
+
+  # Guards against: int reads more than the digits of a part's id and tokens.
+  Scenario Outline: Malformed parts of a prompt are refused
+    Then a request with parts "<parts>" is a bad request
+
+    Examples:
+      | parts  |
+      | 1_0:5  |
+      | -1:5   |
+      | 0x1:5  |
+      | ab:-5  |
+      | ab:1_0 |
+      | ab     |
+      | ٣:5    |
+
+  # Guards against: a time to wait that no clock can hold fails the request.
+  Scenario: A time to wait beyond all bounds is a day
+    Then a request with 1e300 ms to wait waits a day
--- a/features/steps/foreign_figures_steps.py
+++ b/features/steps/foreign_figures_steps.py
@@ -12,11 +12,14 @@
 from behave.runner import Context
 
 from trestle_control.direct_roles import RoleOrder
-from trestle_control.load_table import LoadTable
+from trestle_control.load_table import Follower, LoadTable
 from trestle_control.placement_log import PlacementLog
 from trestle_core.errors import TrestleError
 from trestle_core.metrics import Metrics
+from trestle_entry.direct.engine_loads import EngineLoads
 from trestle_entry.direct.event_stream import EventSplitter
+from trestle_entry.direct.prompt_queue import PromptQueue
+from trestle_entry.direct.wire_types import CallerRequest
 from trestle_links.codec import decode_message, encode_frame, encode_message
 from trestle_links.connection import Connection
 from trestle_links.direct_messages import Backend, Placement
@@ -25,6 +28,7 @@
 from trestle_links.stream_messages import FindStream
 from trestle_links.watch_messages import StateReply
 from trestle_platform import engine_orders
+from trestle_platform.caller_http import read_request
 from trestle_platform.engine_caches import EngineCache
 from trestle_platform.engine_orders import send_order
 from trestle_platform.platform_calls import CallReply
@@ -180,3 +184,60 @@
     events = b''.join(b'id: %b\n\n' % (b'1' * size) for size in (5000, 5001))
     splitter = EventSplitter()
     assert splitter.feed(events) == events, splitter.fault
+
+
+def request_of(tokens: str, parts: str, wait_ms: str = '') -> CallerRequest:
+    """Return a request as its entry reads it."""
+    headers = [
+        ('Kingcuptrestle-Request-Id', 'r1'),
+        ('Kingcuptrestle-Token-Counts', tokens),
+        ('Kingcuptrestle-Prefix-Hash', parts),
+        ('Kingcuptrestle-Deadline-Ms', wait_ms),
+    ]
+    return read_request('GET', '/', headers, b'', None)
+
+
+@given('a caller\'s request of "{tokens}" tokens with parts "{parts}"')
+def step_odd_request(context: Context, tokens: str, parts: str) -> None:
+    """Read its demand."""
+    context.demand = request_of(tokens, parts).demand
+
+
+@when('an entry has {requests:d} of them at an engine')
+def step_odd_loads(context: Context, requests: int) -> None:
+    """Make its report of all of them."""
+    loads = EngineLoads('entry-1')
+    demand = context.demand
+    for _ in range(requests):
+        kv_tokens = demand.prompt_tokens + demand.max_tokens
+        loads.own.add_running('e', 1, kv_tokens)
+        loads.own.queues.setdefault('e', PromptQueue()).add(kv_tokens)
+        loads.note_cached('e', demand, 100_000)
+    context.packed = encode_message(loads.take_change(1))
+
+
+@then('the leader takes its report and can push it')
+def step_push_odd(context: Context) -> None:
+    """Record the report and pack the push."""
+    table = LoadTable(Mock(is_leader=True))
+    change: Any = decode_message(context.packed)
+    table.record(Follower('entry-1', Mock()), change)
+    encode_message(table._changed_delta())  # noqa: SLF001
+
+
+@then('a request with parts "{parts}" is a bad request')
+def step_bad_parts(_context: Context, parts: str) -> None:
+    """Check the error."""
+    try:
+        request_of('1,1', parts)
+    except TrestleError as error:
+        assert error.code.code == 'bad-request', error.code
+        return
+    raise AssertionError('it was read')
+
+
+@then('a request with {wait_ms} ms to wait waits a day')
+def step_waits_a_day(_context: Context, wait_ms: str) -> None:
+    """Check the deadline."""
+    request = request_of('1,1', '', wait_ms)
+    assert request.waits_until - request.arrived_at == 86_400, request
--- a/packages/trestle-entry/src/trestle_entry/direct/own_loads.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/own_loads.py
@@ -7,7 +7,7 @@
 from gevent.event import Event
 
 from trestle_entry.direct.prompt_queue import PromptQueue
-from trestle_links.load_messages import BackendLoad
+from trestle_links.load_messages import MAX_LOAD_FIGURE, BackendLoad
 
 
 class OwnLoads:
@@ -24,15 +24,15 @@
         self.changed = Event()
 
     def load_of(self, instance: str) -> BackendLoad:
-        """Return the work at a back end."""
+        """Return the work at a back end, as far as that can be told."""
         running = self.running.get(instance, 0)
         queue = self.queues.get(instance)
         return BackendLoad(
             instance,
             running,
             len(queue.prompts) if queue else 0,
-            queue.tokens if queue else 0,
-            self.kv_tokens.get(instance, 0),
+            min(queue.tokens if queue else 0, MAX_LOAD_FIGURE),
+            min(self.kv_tokens.get(instance, 0), MAX_LOAD_FIGURE),
         )
 
     def take_unreported(self) -> list[BackendLoad]:
