platform: an odd settings file leaves the settings as they were

What callers saw: nothing at once. A settings file that was nested deep or named no ports ended the task that watches it, so that no later change was taken over; one that was odd while a process started ended the process.

Cause: the watch names OSError and ValueError; the reader also raised RecursionError and IndexError, and took ports of 70000, seeds without a port and numbers without bounds.

--- a/packages/trestle-core/src/trestle_core/lifecycle.py
+++ b/packages/trestle-core/src/trestle_core/lifecycle.py
@@ -104,7 +104,7 @@
         """Start every part, wait for SIGTERM or SIGINT, drain and stop."""
         signal_handler(SIGTERM, self.stop_asked.set)
         signal_handler(SIGINT, self.stop_asked.set)
-        signal_handler(SIGHUP, self.reload)
+        signal_handler(SIGHUP, self.reload_on_signal)
         for hook in self.start_hooks:
             hook()
         _log.info('{} started.', self.name)
@@ -125,6 +125,13 @@
         for hook in self.reload_hooks:
             hook()
 
+    def reload_on_signal(self) -> None:
+        """Take over changed settings, or keep the old ones if that fails."""
+        try:
+            self.reload()
+        except (Exception, Timeout):
+            _log.exception('{} keeps its settings.', self.name)
+
     def _drain(self) -> None:
         _log.info('{} drains.', self.name)
         tasks = [spawn(hook) for hook in self.drain_hooks]
