entry: a stop refuses new connections instead of leaving them unanswered

Callers saw: a connection that is made after the drain's notice (3 s after SIGTERM), takes a request, and is reset up to 2 s later, at the end of the process, without an answer (60 of 60 callers that tried to connect again).

Cause: the drain stopped accepting, but kept the listening socket open, so the kernel went on completing connections that nobody would ever serve. Class: an offer that is kept up after the service behind it has ended.

Change: at that moment what waits in the backlog is accepted and served, and the listener is closed: a new connection is refused at once, and its caller can go to another entry.

--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -1,6 +1,7 @@
 """Steps on callers' connections at a planned stop, on a real socket."""
 
 from collections.abc import Iterator
+from socket import create_connection as create_blocking_connection
 from time import monotonic
 from typing import Any
 from unittest.mock import patch
@@ -9,7 +10,7 @@
 from behave.runner import Context
 from gevent import sleep
 from gevent.event import Event
-from gevent.socket import create_connection
+from gevent.socket import create_connection, socket
 
 from trestle_core.metrics import Metrics
 from trestle_core.settings import DirectSettings
@@ -108,6 +109,34 @@
     context.server.close_idle()
 
 
+@when('a connection with a request is made just before the stop ends listening')
+def step_not_accepted(context: Context) -> None:
+    """Connect without letting the server accept."""
+    context.address = ('127.0.0.1', context.server.bound().port)
+    connected = create_blocking_connection(context.address, LIMIT_SECONDS)
+    context.caller = socket(fileno=connected.detach())
+    context.add_cleanup(context.caller.close)
+    context.caller.settimeout(LIMIT_SECONDS)
+    context.caller.sendall(REQUEST)
+    end_listening(context.server)
+
+
+def end_listening(server: CallerServer) -> None:
+    """End what is idle and the listening, as the drain does."""
+    server.close_idle()
+    server.stop_listening()
+
+
+@then('another connection is refused')
+def step_refused(context: Context) -> None:
+    """Try to connect."""
+    try:
+        create_connection(context.address, LIMIT_SECONDS).close()
+    except ConnectionRefusedError:
+        return
+    raise AssertionError('a connection was made')
+
+
 @then('the stream was whole')
 def step_whole(context: Context) -> None:
     """Check the end of the body."""
--- a/packages/trestle-entry/src/trestle_entry/direct/caller_server.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/caller_server.py
@@ -181,6 +181,15 @@
         for handler in list(self.idle):
             loop.run_callback(_end_idle, handler)
 
+    def stop_listening(self) -> None:
+        """Refuse connections from now on, and serve those made before.
+
+        One that is made but never accepted would wait for the end of the
+        process.
+        """
+        self._do_read()  # type: ignore[attr-defined]
+        self.close()
+
     def answer(
         self, environ: dict[str, Any], start_response: Any
     ) -> Iterable[bytes]:
--- a/packages/trestle-entry/src/trestle_entry/direct/direct_app.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/direct_app.py
@@ -188,7 +188,7 @@
         server.is_closing = True
         sleep(settings.drain_notice_ms / _MS_PER_SECOND)
         server.close_idle()
-        server.stop_accepting()
+        server.stop_listening()
         handlers = server.pool
         while handlers and len(handlers) and monotonic() < deadline:
             sleep(_POLL_SECONDS)
