control: a role order bears the term of its poll, confirmed before its bytes

Cause: leadership was checked once, at the start of a poll. Before each order only a read barrier was completed, which a follower completes as well, through the new leader, and the number was read after that. The class: a number that is read after its check instead of being bound to it. Ruled out: the log itself, whose entries of a former leader are refused by their term.

Change: `ReplicaApi` no longer offers the member's term; `lead` gives the term in which it leads together with how long already. A poll takes it once, and each order of it bears it. `confirm_leads` asks a quorum whether this host leads in that very term.

--- a/features/steps/direct_roles_steps.py
+++ b/features/steps/direct_roles_steps.py
@@ -9,8 +9,13 @@
 from trestle_control import direct_roles
 from trestle_control.apply import ControlStateMachine
 from trestle_control.control_errors import NoQuorumError
-from trestle_control.direct_roles import DirectRoleManager, RoleOrder
+from trestle_control.direct_roles import (
+    ConfirmOrder,
+    DirectRoleManager,
+    RoleOrder,
+)
 from trestle_control.load_table import LoadTable
+from trestle_control.replica_api import Lead
 from trestle_core.metrics import Metrics
 from trestle_links.direct_messages import Backend
 
@@ -21,16 +26,19 @@
     def __init__(self, *, is_leader: bool) -> None:
         """Lead since long, or follow."""
         self.is_leader = is_leader
-        self.leading_seconds = 100.0 if is_leader else 0.0
         self.leader_address = None
-        self.term = 4
+        self.lead = Lead(4, 100.0) if is_leader else Lead(0, 0)
         self.has_quorum = True
 
-    def read_barrier(self, _timeout_seconds: float) -> int:
+    def confirm_leads(self, term: int, _timeout_seconds: float) -> None:
         """Confirm that this host leads."""
-        if not self.has_quorum:
+        if not self.has_quorum or self.lead.term != term:
             raise NoQuorumError
-        return 1
+
+    def lose_lead(self) -> None:
+        """Follow the leader of the next term."""
+        self.is_leader = False
+        self.lead = Lead(0, 0)
 
 
 def make_roles(context: Context, engines: int, *, is_leader: bool) -> None:
@@ -38,8 +46,12 @@
     context.orders = []
     context.now = 1000.0
 
-    def send(order: RoleOrder) -> bool:
+    context.after_order = list
+
+    def send(order: RoleOrder, confirm: ConfirmOrder) -> bool:
+        confirm()
         context.orders.append(order)
+        context.after_order()
         return True
 
     machine = ControlStateMachine()
@@ -74,6 +86,12 @@
     make_roles(context, engines, is_leader=False)
 
 
+@given('it freezes during its first order while another host takes the lead')
+def step_frozen(context: Context) -> None:
+    """Go on as a follower after one order."""
+    context.after_order = context.replica.lose_lead
+
+
 @given('it has no quorum')
 def step_no_quorum(context: Context) -> None:
     """Take the quorum away."""
--- a/packages/trestle-control/src/trestle_control/direct_roles.py
+++ b/packages/trestle-control/src/trestle_control/direct_roles.py
@@ -1,9 +1,10 @@
 """Assigns roles to engines by fenced orders, from the leader only.
 
 The fencing number is the leader's term: a term has at most one leader, and
-terms only grow. A new leader waits until the lease of its predecessor has
-expired, and it completes a read barrier just before it sends each order, so
-a leader that was paused or partitioned sends no orders.
+terms only grow. The orders of one poll all bear the term in which it began. A
+new leader waits until the lease of its predecessor has expired, and a quorum
+confirms that term just before an order is sent, so a leader that was paused
+or partitioned sends no orders.
 
 An unanswered order may still be carried out later. No further order
 is sent to the engine until the list shows the role or the wait expires. The
@@ -12,12 +13,14 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterable
+from functools import partial
 from time import monotonic
 from typing import Final, NamedTuple
 
 from gevent import sleep
 
 from trestle_control.apply import ControlStateMachine
+from trestle_control.leader_terms import confirm_term
 from trestle_control.load_table import LoadTable
 from trestle_control.replica_api import ReplicaApi
 from trestle_control.split_policy import PoolLoad, WantedSplit, wanted_split
@@ -35,7 +38,6 @@
 # Longest time after which an unanswered order may still be carried out,
 # including the change itself and the lag of the list.
 _PENDING_ORDER_SECONDS: Final = 18.0
-_BARRIER_TIMEOUT_SECONDS: Final = 0.5
 
 _log = part_logger('roles')
 
@@ -49,9 +51,11 @@
     fence: int
 
 
+# Raises `TrestleError` if an order may not be sent any more.
+ConfirmOrder = Callable[[], None]
 # Returns whether the engine accepted; raises `OSError` or `ValueError`
-# when it did not answer.
-SendOrder = Callable[[RoleOrder], bool]
+# when it did not answer. Confirms the order right before its first byte.
+SendOrder = Callable[[RoleOrder, ConfirmOrder], bool]
 
 
 class EnginePool(NamedTuple):
@@ -123,12 +127,18 @@
 
     def poll(self) -> None:
         """Order the changes that the pools need, if this host leads."""
-        if self.replica.leading_seconds <= self._previous_lease_seconds():
+        lead = self.replica.lead
+        if lead.seconds <= self._previous_lease_seconds(lead.term):
             return
         pools = self._pools()
         self._forget_pools_except(pools)
         for pool, engines in pools.items():
-            self._balance_pool(pool, engines)
+            try:
+                self._balance_pool(pool, engines, lead.term)
+            except TrestleError as error:
+                # Without the lead no further order may leave.
+                _log.warning('Cannot order roles for {}: {}.', pool, error)
+                return
 
     def _forget_pools_except(self, pools: Iterable[EnginePool]) -> None:
         """Drop what is known of pools whose engines have all left."""
@@ -137,9 +147,9 @@
             self.requested_changes.pop(pool, None)
             self.usual_orders.pop(pool, None)
 
-    def _previous_lease_seconds(self) -> float:
+    def _previous_lease_seconds(self, term: int) -> float:
         # The first leader has no predecessor.
-        return 0.0 if self.replica.term <= 1 else self.lease_seconds
+        return 0.0 if term <= 1 else self.lease_seconds
 
     def _pools(self) -> dict[EnginePool, list[Backend]]:
         pools: dict[EnginePool, list[Backend]] = {}
@@ -149,7 +159,9 @@
                 pools.setdefault(pool, []).append(backend)
         return pools
 
-    def _balance_pool(self, pool: EnginePool, engines: list[Backend]) -> None:
+    def _balance_pool(
+        self, pool: EnginePool, engines: list[Backend], term: int
+    ) -> None:
         now = monotonic()
         roles = {
             engine.instance: self._expected_role(engine, now)
@@ -167,7 +179,8 @@
         # The load must ask again before a further change.
         self.requested_changes.pop(pool)
         role = PREFILL if missing > 0 else DECODE
-        self._change_roles(engines, roles, role, count)
+        for engine in self._engines_to_change(engines, roles, role)[:count]:
+            self._order_role(engine, role, term)
 
     def _pool_load(
         self, pool: EnginePool, engines: list[Backend], roles: dict[str, str]
@@ -225,13 +238,10 @@
             return engine.role
         return pending.role
 
-    def _change_roles(
-        self,
-        engines: list[Backend],
-        roles: dict[str, str],
-        role: str,
-        count: int,
-    ) -> None:
+    def _engines_to_change(
+        self, engines: list[Backend], roles: dict[str, str], role: str
+    ) -> list[Backend]:
+        """Return the engines that could take a role, the best ones first."""
         running = self.loads.running_requests()
         candidates = [
             engine
@@ -246,20 +256,15 @@
                 -_count_in_zone(candidates, engine.zone),
             )
         )
-        for engine in candidates[:count]:
-            self._order_role(engine, role)
+        return candidates
 
-    def _order_role(self, engine: Backend, role: str) -> None:
+    def _order_role(self, engine: Backend, role: str, term: int) -> None:
+        """Order a role; raises `TrestleError` without the lead in a term."""
+        order = RoleOrder(engine, role, self.host, term)
         try:
-            self.replica.read_barrier(_BARRIER_TIMEOUT_SECONDS)
-        except TrestleError as error:
-            _log.warning(
-                'Cannot order a role for {}: {}.', engine.instance, error
+            accepted = self.send_order(
+                order, partial(confirm_term, self.replica, term)
             )
-            return
-        order = RoleOrder(engine, role, self.host, self.replica.term)
-        try:
-            accepted = self.send_order(order)
         except (OSError, ValueError) as error:
             _log.warning(
                 'The role order to {} was not answered: {}.',
--- a/packages/trestle-control/src/trestle_control/read_barrier.py
+++ b/packages/trestle-control/src/trestle_control/read_barrier.py
@@ -69,6 +69,20 @@
     return index
 
 
+def confirm_leads(
+    state: ReplicaState, term: int, timeout_seconds: float
+) -> None:
+    """Return once a quorum confirms that this member leads in a term.
+
+    Unlike `read_barrier`, it is never confirmed by another leader. Raises
+    `NoQuorumError`.
+    """
+    if state.leads(term):
+        confirm_read_index(state, timeout_seconds)
+    if not state.leads(term):
+        raise NoQuorumError
+
+
 def read_index_handler(
     state: ReplicaState, request: ReadIndexAsk, _: Channel
 ) -> ReadIndexReply:
--- a/packages/trestle-control/src/trestle_control/replica.py
+++ b/packages/trestle-control/src/trestle_control/replica.py
@@ -16,12 +16,14 @@
 from trestle_control.control_errors import StorageFailedError
 from trestle_control.membership import voters_of
 from trestle_control.read_barrier import (
+    confirm_leads,
     freshness_age_seconds,
     read_barrier,
     read_index_handler,
     run_freshness,
     wait_applied,
 )
+from trestle_control.replica_api import Lead
 from trestle_control.replica_apply import propose, run_applier
 from trestle_control.replica_bootstrap import (
     announce_handler,
@@ -130,16 +132,11 @@
         return len(voters) >= self.state.settings.wanted_voters
 
     @property
-    def term(self) -> int:
-        """The current term, already synced."""
-        return self.state.term
-
-    @property
-    def leading_seconds(self) -> float:
-        """Seconds since this member became leader, or 0 if it is not."""
+    def lead(self) -> Lead:
+        """What this member leads; its term is 0 if it does not."""
         if not self.is_leader:
-            return 0
-        return monotonic() - self.state.leading_since
+            return Lead(0, 0)
+        return Lead(self.state.term, monotonic() - self.state.leading_since)
 
     @property
     def applied_index(self) -> int:
@@ -219,6 +216,13 @@
         """
         return read_barrier(self.state, timeout_seconds)
 
+    def confirm_leads(self, term: int, timeout_seconds: float) -> None:
+        """Return once a quorum confirms that this member leads in a term.
+
+        Raises `NoQuorumError`.
+        """
+        confirm_leads(self.state, term, timeout_seconds)
+
     def freshness_age_seconds(self) -> float:
         """Return the seconds since the local state was known to be current."""
         return freshness_age_seconds(self.state)
--- a/packages/trestle-control/src/trestle_control/replica_api.py
+++ b/packages/trestle-control/src/trestle_control/replica_api.py
@@ -1,13 +1,20 @@
 """Interface of the replicated log for the servers of a control host."""
 
 from collections.abc import Callable
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from trestle_links.codec import Message
 
 AppliedHook = Callable[[int, Message, Message], None]
 
 
+class Lead(NamedTuple):
+    """The term in which a member acts as leader, and for how long already."""
+
+    term: int
+    seconds: float
+
+
 class ReplicaApi(Protocol):
     """The methods of `Replica` that commands, queries and streams use."""
 
@@ -31,12 +38,8 @@
         """Peer address of the leader, or None if it is not known."""
 
     @property
-    def term(self) -> int:
-        """The current term, already synced."""
-
-    @property
-    def leading_seconds(self) -> float:
-        """Seconds since this member became leader, or 0 if it is not."""
+    def lead(self) -> Lead:
+        """What this member leads; its term is 0 if it does not."""
 
     @property
     def is_leader(self) -> bool:
@@ -48,5 +51,8 @@
     def read_barrier(self, timeout_seconds: float) -> int:
         """Wait until local reads are linearizable; return the read index."""
 
+    def confirm_leads(self, term: int, timeout_seconds: float) -> None:
+        """Return once a quorum confirms that this member leads in a term."""
+
     def freshness_age_seconds(self) -> float:
         """Return the seconds since the local state was known to be current."""
