--- a/testbed/platform_replica.py
+++ b/testbed/platform_replica.py
@@ -59,6 +59,10 @@
         self.freed: list[str] = []
         self.orders: list[bytes] = []
         self.cut_streams = 0
+        # Headers that all of its answers have.
+        self.said: dict[str, str] = {}
+        # With a text it turns requests away, which is the time to come back.
+        self.retry_after = ''
         # Answers to write once more before the next one of a connection.
         self.repeated: dict[socket, bytes] = {}
         self.cache = StandInCache(instance)
@@ -87,29 +91,41 @@
             handle = received.target.rpartition('/')[2]
             self.handles.discard(handle)
             self.freed.append(handle)
-            return _send(sock, 200, {}, b'{}')
-        if received.target == '/report':
-            return _send(sock, 200, {}, encode({'seq': len(self.orders)}))
-        if received.target == '/kv-list':
-            return _send(sock, 200, {}, self.cache.listing())
-        if received.target.startswith('/kv-events'):
-            return _send(sock, 200, {}, self.cache.page(received.target))
+            return _send(sock, 200, self.said, b'{}')
+        page = self._own_page(received)
+        if page is not None:
+            return _send(sock, 200, self.said, page)
         if received.target == '/order':
             self.orders.append(received.body)
-            return _send(sock, 202, {}, b'{}')
+            return _send(sock, 202, self.said, b'{}')
         target = received.named('Target-Instance')
         if target and target != self.instance:
             return self._decline(sock, received, 421)
+        if self.retry_after:
+            return self._decline(sock, received, 503)
         if received.named('Serving-Stage') == 'prefill':
             return self._read_prompt(sock, received)
         return self._run(sock, received)
 
+    def _own_page(self, received: Received) -> bytes | None:
+        """Return what it says of itself, None for another request."""
+        if received.target == '/report':
+            return encode({'seq': len(self.orders)})
+        if received.target == '/kv-list':
+            return self.cache.listing()
+        if received.target.startswith('/kv-events'):
+            return self.cache.page(received.target)
+        return None
+
     def _decline(self, sock: socket, received: Received, status: int) -> bool:
         self.declined.append(received)
         headers = {
+            **self.said,
             f'{_PREFIX}Not-Executed': '1',
             f'{_PREFIX}Request-Id': received.named('Request-Id'),
         }
+        if self.retry_after:
+            headers['Retry-After'] = self.retry_after
         if received.fault == 'decline-twice':
             self.repeated[sock] = _whole(status, headers, b'')
         return _send(sock, status, headers, b'')
@@ -122,7 +138,8 @@
         prefix = received.named('Prefix-Hash')
         sleep(self.cache.missing_tokens(prefix) * _SECONDS_PER_TOKEN)
         self.cache.note_read(prefix)
-        headers = {f'{_PREFIX}Request-Id': received.named('Request-Id')}
+        request_id = received.named('Request-Id')
+        headers = {**self.said, f'{_PREFIX}Request-Id': request_id}
         return _send(sock, 200, headers, encode({'kvHandle': handle}))
 
     def _run(self, sock: socket, received: Received) -> bool:
@@ -140,7 +157,7 @@
         request_id = received.named('Request-Id')
         if received.fault == 'other-id':
             request_id = 'somebody-else'
-        headers = {f'{_PREFIX}Request-Id': request_id}
+        headers = {**self.said, f'{_PREFIX}Request-Id': request_id}
         return headers if received.fault == 'no-seal' else {**headers, **seal}
 
     def _whole(self, sock: socket, received: Received) -> bool:
