entry, control: a back end that says it leaves gets no more requests

Callers saw: requests at a back end that had said in its answers that it was leaving (DRAIN), for as long as the list showed it as ready.

Cause: the header was not read by any process; only the list told that a back end leaves, and it lags. Class: a fact that arrives with the data is dropped, as only one source was foreseen for it.

Change: any answer that is the back end's own tells it (refused, failed, without a seal, repeated, a stream's head, a prefill's), not one of another request nor a 421. The exclusion is hard: no fall back, and it is checked again after the connection is made, right before the bytes; a request withheld there counts no send, resend or failure. What was said holds for that process: until the list shows a later start or another address, or has not shown it for 5 s; not when the list drops it for a moment, shows it as ready again, or an answer lacks the header. All entries are told through the stream of loads, and a new leader by the entries. The leader reads it in replies to its own calls as well; engines that leave get no role orders and their caches are not followed.

The headers of the users' platform are read in one place; any text but an empty one and 0 counts, one of several headers is enough. The list's `born` is read, where it is shown.

--- a/features/leaving_back_ends.feature
+++ b/features/leaving_back_ends.feature
@@ -38,3 +38,118 @@
     When "i-desk1" begins to say that it leaves and a call of "/look/plain" hears it
     And "i-desk2" begins to say that it leaves and a call of "/look/plain" hears it
     Then 10 calls of "/look/plain" at "front-1" get 503 at once, with a time to come back
+
+  # Guards against: a header that is not read, or nonsense that ends or blinds
+  # an entry.
+  Scenario Outline: Which headers say that a back end leaves
+    Then the headers "<headers>" of an answer <tell> that its back end leaves
+
+    Examples:
+      | headers                                | tell        |
+      | Server-Leaving: 1                      | tell        |
+      | server-leaving: 1                      | tell        |
+      | Server-Leaving:  1                     | tell        |
+      | Server-Leaving: 0, Server-Leaving: 1   | tell        |
+      | Server-Leaving: 1, Server-Leaving: 0   | tell        |
+      | Server-Leaving: true                   | tell        |
+      | Server-Leaving: 99999999999999999999   | tell        |
+      | Server-Leaving: nan                    | tell        |
+      | Server-Leaving: 0                      | do not tell |
+      | Server-Leaving:                        | do not tell |
+      | Leaving: 1                             | do not tell |
+      | X-Other: Server-Leaving                | do not tell |
+
+  # Guards against: news that is heard in some kinds of answers only, or taken
+  # from somebody else's.
+  Scenario Outline: Any answer of a back end tells that it leaves
+    Given an entry that knows 2 back ends
+    When back end 1 answers "<answer>" and says that it leaves
+    Then the entry <knows> that back end 1 leaves
+
+    Examples:
+      | answer                         | knows         |
+      | 200 with a seal                | knows         |
+      | 200 of a stream                | knows         |
+      | 200 without a seal             | knows         |
+      | 500                            | knows         |
+      | 503 not run                    | knows         |
+      | 429 not run                    | knows         |
+      | 200 to another request         | does not know |
+      | 421 of another back end        | does not know |
+      | its earlier answer once more   | knows         |
+
+  # Guards against: a plan from before the news, and its back end noted as
+  # failed or its resend as spent.
+  Scenario: A request that was planned before the news is not sent
+    Given an entry that knows 2 back ends
+    When a request connects to back end 1 and hears meanwhile that it leaves
+    Then nothing was sent to back end 1 and the request may still go to back end 2
+    And back end 1 is not noted as failed and no resend is counted
+
+  # Guards against: a prompt read, or a stream begun, at an engine that left
+  # while the request waited.
+  Scenario: An engine that leaves while the prompt is read gets no stream
+    Given a model request whose prompt was read, and no resend is allowed
+    When one engine that writes leaves while the prompt is read
+    Then the stream went to the other engine that writes
+
+  # Guards against: a fall back to a back end that leaves when the others fail.
+  Scenario: Back ends that leave are no last resort
+    Given an entry that knows 2 back ends
+    When back end 1 says that it leaves and back end 2 cannot be reached
+    Then only back end 2 is a candidate
+
+  # Guards against: news forgotten while its process runs, and a new process
+  # kept out by what an older one said.
+  Scenario Outline: What a back end said holds as long as its process
+    Given an entry that knows 2 back ends
+    When back end 1, started at 1000, says that it leaves
+    And <seconds> s later <what>
+    Then the entry <knows> that back end 1 leaves
+
+    Examples:
+      | seconds | what                                               | knows         |
+      | 10      | it answers without the header                      | knows         |
+      | 10      | the list shows it as ready after it had left       | knows         |
+      | 10      | the list drops it for 2 s                          | knows         |
+      | 10      | the list drops it for 6 s                          | does not know |
+      | 10      | the list shows it started at 2000                  | does not know |
+      | 10      | the list shows it started at 500                   | knows         |
+      | 10      | the list does not show when it started             | knows         |
+      | 1       | the list shows it started at 2000                  | knows         |
+      | 10      | the list shows it elsewhere with no time of start  | does not know |
+
+  # Guards against: a crowd of names that come and go.
+  Scenario: Only so many back ends are remembered
+    Given an entry that knows 2 back ends
+    When 20000 back ends that are not listed are told to leave
+    Then at most 5000 are remembered, and none 10 s after the next list
+
+  # Guards against: each entry that has to ask a leaving back end itself.
+  Scenario: Entries, old and new, and a new leader hear that a back end leaves
+    Given 3 entries that share 2 back ends
+    When back end 1 tells entry 1 that it leaves
+    Then all 3 entries know that back end 1 leaves
+    When entry 2 starts anew
+    Then all 3 entries know that back end 1 leaves
+    When another host leads
+    And entry 3 starts anew
+    Then all 3 entries know that back end 1 leaves
+
+  # Guards against: orders for engines that leave.
+  Scenario: A leader orders no role of engines that leave
+    Given a leader with 9 engines of which 3 read
+    When all engines that write tell it that they leave
+    And it looks at them for 30 seconds
+    Then it has ordered no engine that leaves
+
+  # Guards against: an order or a call to an engine whose reply was not read.
+  Scenario Outline: The leader hears it in any reply of an engine
+    Given an engine that replies to "<call>" that it leaves
+    Then the leader knows that it leaves after "<call>"
+
+    Examples:
+      | call     |
+      | a report |
+      | an order |
+      | its list |
--- a/features/steps/crashing_parts_steps.py
+++ b/features/steps/crashing_parts_steps.py
@@ -84,10 +84,10 @@
     context.group.seconds += seconds
 
 
-@when('entry 1 starts anew')
-def step_restart(context: Context) -> None:
+@when('entry {number:d} starts anew')
+def step_restart(context: Context, number: int) -> None:
     context.group.exchange()
-    context.group.restart_entry(0)
+    context.group.restart_entry(number - 1)
     context.group.exchange()
 
 
--- a/features/steps/direct_run_steps.py
+++ b/features/steps/direct_run_steps.py
@@ -70,18 +70,22 @@
 
 
 def open_with_handle(
-    context: Context, opens: Callable[..., OpenAnswer]
+    context: Context,
+    opens: Callable[..., OpenAnswer],
+    reads: Callable[..., KvHandle | None] | None = None,
 ) -> None:
-    """Open the stream of a request whose prompt was read; keep the error."""
+    """Open the stream of a request whose prompt was read; keep the error.
+
+    `reads` stands for the prefill.
+    """
     context.freed = []
+    reads = reads or (lambda *_: context.handle)
 
     def free(_context: DirectContext, handle: KvHandle) -> None:
         context.freed.append(handle)
 
     with (
-        patch.object(
-            model_dispatch, 'prefill_prompt', lambda *_: context.handle
-        ),
+        patch.object(model_dispatch, 'prefill_prompt', reads),
         patch.object(model_dispatch, 'open_answer', opens),
         patch.object(model_dispatch, 'free_handle', free),
     ):
--- a/features/steps/platform_calls_steps.py
+++ b/features/steps/platform_calls_steps.py
@@ -26,12 +26,13 @@
 }
 
 
-def serve(context: Context, answer: bytes) -> None:
-    """Start a server that sends the same bytes to everybody."""
+def serve(context: Context, *answers: bytes) -> None:
+    """Start a server that sends answers in turn, the last one on and on."""
+    left = list(answers)
 
     def handle(sock: socket, _address: object) -> None:
         sock.recv(65_536)
-        sock.sendall(answer)
+        sock.sendall(left.pop(0) if len(left) > 1 else left[0])
         sock.close()
 
     server = StreamServer(('127.0.0.1', 0), handle)
@@ -75,7 +76,7 @@
 def step_good(context: Context) -> None:
     """Check the listing."""
     backend = Backend('e', 'llm', context.address, 'z', False, 'decode', 64)
-    cache = EngineCache(backend)
+    cache = EngineCache(backend, Mock())
     listing = cache.listing()
     cache.close()
     assert listing.cached == {0xAB: 100}, listing
--- a/packages/trestle-control/src/trestle_control/cache_tracker.py
+++ b/packages/trestle-control/src/trestle_control/cache_tracker.py
@@ -7,7 +7,7 @@
 and there are many entries.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from typing import Final, NamedTuple, Protocol
 
 from gevent import Greenlet, sleep, spawn
@@ -78,8 +78,13 @@
         replica: ReplicaApi,
         placements: PlacementLog,
         metrics: Metrics,
+        leaving: Container[str] = (),
     ) -> None:
-        """Start without engines; `open_feed` does not connect yet."""
+        """Start without engines; `open_feed` does not connect yet.
+
+        The instances in `leaving` are not tracked.
+        """
+        self.leaving = leaving
         self.open_feed = open_feed
         self.state_machine = state_machine
         self.replica = replica
@@ -110,7 +115,7 @@
         return {
             backend.instance: backend
             for backend in self.state_machine.state.backends
-            if backend.role
+            if backend.role and backend.instance not in self.leaving
         }
 
     def _track(self, backend: Backend) -> None:
--- a/packages/trestle-control/src/trestle_control/direct_roles.py
+++ b/packages/trestle-control/src/trestle_control/direct_roles.py
@@ -123,6 +123,7 @@
 
     def poll(self) -> None:
         """Order the changes that the pools need, if this host leads."""
+        self.loads.leaving.follow(self.state_machine.state.backends)
         if self.replica.leading_seconds <= self._previous_lease_seconds():
             return
         pools = self._pools()
@@ -144,7 +145,10 @@
     def _pools(self) -> dict[EnginePool, list[Backend]]:
         pools: dict[EnginePool, list[Backend]] = {}
         for backend in self.state_machine.state.backends:
-            if backend.role and not backend.leaving:
+            is_leaving = (
+                backend.leaving or backend.instance in self.loads.leaving
+            )
+            if backend.role and not is_leaving:
                 pool = EnginePool(backend.service, backend.software)
                 pools.setdefault(pool, []).append(backend)
         return pools
--- a/packages/trestle-entry/src/trestle_entry/direct/backend_calls.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/backend_calls.py
@@ -13,6 +13,7 @@
     BackendAnswer,
     BackendConnection,
     BrokenAnswerError,
+    WithheldError,
     encode_request,
 )
 from trestle_entry.direct.direct_context import DirectContext
@@ -62,8 +63,10 @@
 ) -> OpenAnswer:
     """Send a request and read the head of its answer.
 
-    Raises `NotSentError` or `BrokenAnswerError`.
+    Raises `NotSentError`, as `WithheldError` if the back end wants no requests,
+    or `BrokenAnswerError`.
     """
+    _check_wanted(context, backend)
     seconds = request.deadline - monotonic()
     connection = context.pool.acquire(
         backend.address,
@@ -128,9 +131,11 @@
         wire.send_headers(request, options),
         request.body,
     )
+    # Connecting takes time, in which the news may have come.
+    _check_wanted(context, backend)
     sent_at = monotonic()
     connection.send(request_bytes)
-    answer, head = _read_own_head(context, request, connection)
+    answer, head = _read_own_head(context, request, connection, backend)
     connection.answered_ids.append(request.request_id)
     context.loads.rate_limits.note_named(
         backend.instance, head.rate_limit, sent_at
@@ -143,6 +148,7 @@
     context: DirectContext,
     request: CallerRequest,
     connection: BackendConnection,
+    backend: Backend,
 ) -> tuple[BackendAnswer, AnswerHead]:
     """Read the head of the request's answer; pass over earlier ones.
 
@@ -155,12 +161,14 @@
         head = context.backend_wire.read_head(
             answer.status, answer.header_list()
         )
-        if head.request_id == request.request_id:
-            return answer, head
-        if not head.request_id and not connection.answered_ids:
-            return answer, head
-        if head.request_id not in connection.answered_ids:
+        is_own = head.request_id == request.request_id
+        is_first = not head.request_id and not connection.answered_ids
+        is_repeated = head.request_id in connection.answered_ids
+        if not (is_own or is_first or is_repeated):
             raise BrokenAnswerError('the answer belongs to another request')
+        context.note_said(backend, head)
+        if is_own or is_first:
+            return answer, head
         context.metrics.count('repeated_answers')
         _log.info(
             '{} wrote its answer to {} once more.',
@@ -170,6 +178,17 @@
         answer = connection.pass_over(answer)
 
 
+def _check_wanted(context: DirectContext, backend: Backend) -> None:
+    """Raise `WithheldError` if a back end wants no requests.
+
+    The request was planned, and its prompt may have been prefilled, before.
+    """
+    reason = context.fleet.refusal(backend.instance)
+    if reason:
+        context.metrics.count('sends_withheld', reason)
+        raise WithheldError(f'the back end is {reason}')
+
+
 def _check_head(head: AnswerHead, options: SendOptions) -> None:
     if head.is_declined:
         return
--- a/packages/trestle-entry/src/trestle_entry/direct/backend_exchange.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/backend_exchange.py
@@ -58,6 +58,10 @@
         return isinstance(self.__cause__, ConnectionRefusedError)
 
 
+class WithheldError(NotSentError):
+    """The back end wants no request, so nothing was sent."""
+
+
 class BrokenAnswerError(OSError):
     """The answer is incomplete; the back end may have run the request."""
 
--- a/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
@@ -13,9 +13,15 @@
 from trestle_entry.direct.fleet_view import FleetView
 from trestle_entry.direct.request_log import RequestLog
 from trestle_entry.direct.retry_limits import RetryLimits
-from trestle_entry.direct.wire_types import BackendWire, CallerWire
+from trestle_entry.direct.wire_types import (
+    MISDIRECTED,
+    AnswerHead,
+    BackendWire,
+    CallerWire,
+)
 from trestle_links.connection import LinkDownError
-from trestle_links.load_messages import FailureNotice
+from trestle_links.direct_messages import Backend
+from trestle_links.load_messages import FailureNotice, LeaveNotice
 from trestle_links.stream_messages import StreamOrigin
 
 _MS_PER_SECOND: Final = 1000
@@ -106,6 +112,33 @@
             if notice.is_refused:
                 self.crash_guard.note_down(notice.instance)
 
+    def note_said(self, backend: Backend, head: AnswerHead) -> None:
+        """Record what a back end says of itself in the head of an answer.
+
+        A request that went astray is answered by another back end.
+        """
+        if head.status == MISDIRECTED or not head.is_leaving:
+            return
+        instance, boot = backend.instance, backend.boot
+        if self.fleet.leaving.note(instance, boot, 'it says so'):
+            self.metrics.count('backends_leaving', 'heard')
+            self.loads.reports.note_leaving(LeaveNotice(instance, boot))
+
+    def note_told_leaving(self, notices: list[LeaveNotice]) -> None:
+        """Record the back ends that have told others that they leave."""
+        fleet = self.fleet
+        for instance, boot in notices:
+            listed = fleet.backends.get(instance)
+            if listed and listed.boot.follows(boot):
+                continue
+            if fleet.leaving.note(instance, boot, 'the leader tells'):
+                self.metrics.count('backends_leaving', 'told')
+
+    def report_leaving(self) -> None:
+        """Tell of all that leave again, to a leader that may be new."""
+        for notice in self.fleet.leaving.notices():
+            self.loads.reports.note_leaving(notice)
+
     def take_resend(self, service: str) -> bool:
         """Count a resend if the retry limits of a service allow it."""
         allowed = self.limits_for(service).take(self.loads.entry_count)
--- a/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
@@ -166,6 +166,7 @@
             self.rate_limits.take_limits(),
             self.rate_limits.take_sends(number),
             self.streams.take_unreported(),
+            self.reports.take_leaving(),
         )
         self.shared.note_sent(number, change.loads)
         return change
--- a/packages/trestle-entry/src/trestle_entry/direct/entry_reports.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/entry_reports.py
@@ -7,7 +7,7 @@
 
 from trestle_links.crash_messages import CrashNotice, ServedTrait, age_ms
 from trestle_links.direct_messages import Placement
-from trestle_links.load_messages import FailureNotice
+from trestle_links.load_messages import FailureNotice, LeaveNotice
 
 _MAX_PLACEMENTS: Final = 300
 _MAX_FAILURES: Final = 50
@@ -42,6 +42,7 @@
         self.crashes: list[NotedCrash] = []
         self.served: list[NotedService] = []
         self.failures: list[FailureNotice] = []
+        self.leaving: dict[str, LeaveNotice] = {}
 
     def note_placement(self, placement: Placement) -> None:
         """Record a prompt part that an engine has cached or prefills."""
@@ -63,6 +64,17 @@
         self.failures.append(notice)
         self.changed.set()
 
+    def note_leaving(self, notice: LeaveNotice) -> None:
+        """Record a back end that leaves."""
+        self.leaving[notice.instance] = notice
+        self.changed.set()
+
+    def take_leaving(self) -> list[LeaveNotice]:
+        """Return the back ends that leave since the last call."""
+        taken = list(self.leaving.values())
+        self.leaving.clear()
+        return taken
+
     def take_placements(self) -> list[Placement]:
         """Return the latest placements since the last call."""
         taken = self.placements[-_MAX_PLACEMENTS:]
--- a/packages/trestle-entry/src/trestle_entry/direct/fleet_view.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/fleet_view.py
@@ -5,7 +5,7 @@
 some of its requests. Health is therefore derived from the outcomes of calls: a
 back end that this entry or others could not reach is excluded with exponential
 back-off, and one that fails this entry's calls often is used only if no other
-is left.
+is left. One that has said that it leaves is never used.
 """
 
 from time import monotonic
@@ -13,6 +13,7 @@
 
 from trestle_core.logs import part_logger
 from trestle_links.direct_messages import Backend
+from trestle_links.leaving_backends import LeavingBackends
 from trestle_links.load_messages import FailureNotice
 
 _MIN_BACKOFF_SECONDS: Final = 0.5
@@ -71,10 +72,12 @@
         self.reports: dict[str, dict[str, tuple[str, float]]] = {}
         # Engines whose role is being changed, as reported by the leader.
         self.changing_role: set[str] = set()
+        self.leaving = LeavingBackends()
 
     def replace_list(self, backends: list[Backend]) -> None:
         """Replace the list of back ends."""
         self.backends = {backend.instance: backend for backend in backends}
+        self.leaving.follow(backends)
         self.by_service = {}
         for backend in backends:
             if not backend.leaving:
@@ -93,20 +96,39 @@
         """Return the candidates of a service, for each role the healthy ones.
 
         A role without healthy back ends falls back to the available ones, and
-        then to all that are listed. Unless `software` is None, only back ends of
-        that software version count; an empty one is unknown and fits none.
+        then to all that are listed, but never to one that wants no requests.
+        Unless `software` is None, only back ends of that software version count;
+        an empty one is unknown and fits none.
         """
         by_role: dict[str, list[Backend]] = {}
         for backend in self.by_service.get(service, []):
             if software is not None and not _runs(backend, software):
                 continue
-            if backend.instance not in excluded:
-                by_role.setdefault(backend.role, []).append(backend)
+            if backend.instance in excluded or self.refusal(backend.instance):
+                continue
+            by_role.setdefault(backend.role, []).append(backend)
         chosen: list[Backend] = []
         for listed in by_role.values():
             chosen.extend(self._best_of(listed))
         return chosen
 
+    def refusal(self, instance: str) -> str:
+        """Return why a back end wants no requests, empty if it takes them."""
+        backend = self.backends.get(instance)
+        if instance in self.leaving or (backend and backend.leaving):
+            return 'leaving'
+        return ''
+
+    def refusing(self, service: str) -> int:
+        """Return how many back ends of a service want no requests.
+
+        Those that the list shows as leaving do not count.
+        """
+        if not self.leaving.leaves:
+            return 0
+        listed = self.by_service.get(service, [])
+        return sum(bool(self.refusal(backend.instance)) for backend in listed)
+
     def _best_of(self, listed: list[Backend]) -> list[Backend]:
         now = monotonic()
         available = [
--- a/packages/trestle-entry/src/trestle_entry/direct/load_stream.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/load_stream.py
@@ -81,6 +81,7 @@
     opening = FollowLoads(loads.host, loads.open_stream())
     channel = links.link_to(leader).open(opening)
     context.crash_guard.report_all()
+    context.report_leaving()
     reporter = spawn(_report_changes, context, channel)
     try:
         _apply_pushes(context, channel, monitor)
@@ -110,6 +111,7 @@
     delta = context.loads.apply_push(push, is_first=is_first)
     context.crash_guard.take(delta.crashes, delta.served)
     context.note_reported(delta.failures)
+    context.note_told_leaving(delta.leaving)
     context.fleet.changing_role = set(delta.changing)
 
 
--- a/packages/trestle-entry/src/trestle_entry/direct/plain_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/plain_dispatch.py
@@ -96,10 +96,10 @@
 def _choose_backend(run: RequestRun) -> Backend:
     context = run.context
     service = run.service.name
-    candidates = context.fleet.usable(service, run.unusable())
+    candidates = run.candidates(run.unusable())
     if not candidates and run.avoided:
         full = frozenset(context.loads.rate_limits.full())
-        candidates = context.fleet.usable(service, full)
+        candidates = run.candidates(full)
     if not candidates:
         raise make_no_backend_failure(run, f'no back end for {service}')
     if run.remaining_ms <= 0:
--- a/packages/trestle-entry/src/trestle_entry/direct/request_run.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/request_run.py
@@ -15,7 +15,7 @@
 )
 from trestle_core.errors import TrestleError
 from trestle_core.verdict import Verdict
-from trestle_entry.direct.backend_exchange import NotSentError
+from trestle_entry.direct.backend_exchange import NotSentError, WithheldError
 from trestle_entry.direct.crash_guard import content_trait
 from trestle_entry.direct.crash_probe import probe_after_break
 from trestle_entry.direct.direct_context import DirectContext, RouteMatch
@@ -25,6 +25,7 @@
 )
 from trestle_entry.direct.request_log import RequestTrace
 from trestle_entry.direct.wire_types import CallerRequest
+from trestle_links.direct_messages import Backend
 
 # Sends of one request, including those that back ends declined.
 MAX_SENDS: Final = 4
@@ -105,6 +106,17 @@
         full = self.context.loads.rate_limits.full() - {self.held_at}
         return frozenset(self.avoided | full)
 
+    def candidates(
+        self, excluded: frozenset[str], software: str | None = None
+    ) -> list[Backend]:
+        """Return the back ends that may get the request."""
+        fleet = self.context.fleet
+        refusing = fleet.refusing(self.service.name)
+        if refusing:
+            self.trace.fields['refusing'] = refusing
+            self.context.metrics.count('plans_beside_refusing')
+        return fleet.usable(self.service.name, excluded, software)
+
     def hold_place(self, instance: str) -> None:
         """Count the request at a back end with a rate limit in advance.
 
@@ -135,10 +147,14 @@
         context.crash_guard.note_served(self.part_traits, self.content_trait)
 
     def note_not_sent(self, instance: str, error: NotSentError) -> None:
-        """Record a back end that could not be reached.
+        """Record a back end that could not be reached, or wants no requests.
 
         Raises `TrestleError` when too many could not.
         """
+        if isinstance(error, WithheldError):
+            self.trace.add('withheld', f'{instance}: {error}')
+            self.avoided.add(instance)
+            return
         self.trace.add('unreachable', f'{instance}: {error}')
         self.avoided.add(instance)
         self.context.note_unreachable(
--- a/packages/trestle-entry/src/trestle_entry/direct/request_sends.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/request_sends.py
@@ -46,6 +46,7 @@
     waits = [
         context.loads.rate_limits.wait_seconds(backend.instance)
         for backend in context.fleet.by_service.get(run.service.name, [])
+        if backend.instance not in context.fleet.leaving
     ]
     waits = [seconds for seconds in waits if seconds > 0]
     if not waits:
--- a/packages/trestle-entry/src/trestle_entry/direct/run_planning.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/run_planning.py
@@ -59,9 +59,7 @@
 
     A stream that has begun goes on only at the software version that began it.
     """
-    return run.context.fleet.usable(
-        run.service.name, run.unusable(), run.software
-    )
+    return run.candidates(run.unusable(), run.software)
 
 
 def placement_request(run: ModelRun) -> PlacementRequest:
--- a/packages/trestle-entry/src/trestle_entry/direct/wire_types.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/wire_types.py
@@ -83,7 +83,8 @@
     will, `is_sealed` that the answer has the back end's digest. `idle_seconds`
     is the time for which it keeps an idle connection, 0 if not announced.
     `rate_limit` is the requests a second that it takes from all entries
-    together, infinite if it names no limit.
+    together, infinite if it names no limit. `is_leaving` tells that it is about
+    to stop.
     """
 
     status: int
@@ -95,6 +96,7 @@
     idle_seconds: float
     forwarded_headers: Headers
     rate_limit: float = inf
+    is_leaving: bool = False
 
 
 class CallerWire(NamedTuple):
--- a/packages/trestle-links/src/trestle_links/direct_messages.py
+++ b/packages/trestle-links/src/trestle_links/direct_messages.py
@@ -16,12 +16,33 @@
 DECODE: Final = 'decode'
 
 
+class Boot(NamedTuple):
+    """One start of a back end: Unix ms, 0 if unknown, and its address."""
+
+    born: int
+    address: str
+
+    def follows(self, other: 'Boot') -> bool:
+        """Return whether this is a later start than another one.
+
+        Where the times are unknown, another address tells of another start.
+        """
+        if self.born and other.born:
+            return self.born > other.born
+        return self.address != other.address
+
+    def later(self, other: 'Boot') -> 'Boot':
+        """Return the later one of two starts."""
+        return other if other.born > self.born else self
+
+
 class Backend(NamedTuple):
     """One back end as the platform lists it.
 
     `role` is `PREFILL` or `DECODE` for an engine, and empty for a service
     and for an engine that the list shows without one. `software` is the version
     of its software, empty if an earlier version of this system wrote the list.
+    `born` is the Unix ms of its start, 0 if the list does not show it.
     """
 
     instance: str
@@ -32,6 +53,12 @@
     role: str
     slots: int
     software: str = ''
+    born: int = 0
+
+    @property
+    def boot(self) -> Boot:
+        """The start of the back end that is listed."""
+        return Boot(self.born, self.address)
 
 
 @message(140)
--- a/packages/trestle-links/src/trestle_links/load_messages.py
+++ b/packages/trestle-links/src/trestle_links/load_messages.py
@@ -10,7 +10,7 @@
 
 from trestle_links.codec import message
 from trestle_links.crash_messages import CrashNotice, ServedTrait
-from trestle_links.direct_messages import EngineMemory, Placement
+from trestle_links.direct_messages import Boot, EngineMemory, Placement
 from trestle_links.stream_messages import BegunStreams
 
 # Larger figures are not loads; a message with them is malformed.
@@ -57,6 +57,13 @@
     rate: float | None
 
 
+class LeaveNotice(NamedTuple):
+    """A back end has said that it leaves; `boot` is the start that said so."""
+
+    instance: str
+    boot: Boot
+
+
 class SendCount(NamedTuple):
     """Requests to a limited back end; negative if they were not sent."""
 
@@ -111,6 +118,7 @@
     limits: list[NamedLimit]
     sends: list[SendCount]
     streams: list[BegunStreams] = []
+    leaving: list[LeaveNotice] = []
 
 
 @message(151)
@@ -135,6 +143,7 @@
     failures: list[FailureNotice]
     limits: list[NamedLimit]
     sends: list[SendCount]
+    leaving: list[LeaveNotice] = []
 
 
 @message(150)
--- a/testbed/entry_group.py
+++ b/testbed/entry_group.py
@@ -62,7 +62,9 @@
             ]
             for entry, stream in zip(self.entries, self.streams, strict=True):
                 entry.crash_guard.report_all()
+                entry.report_leaving()
                 for delta in stream.first:
+                    entry.note_told_leaving(delta.leaving)
                     entry.crash_guard.take(delta.crashes, delta.served)
 
     def exchange(self) -> None:
