--- a/features/steps/foreign_figures_steps.py
+++ b/features/steps/foreign_figures_steps.py
@@ -110,7 +110,7 @@
 @when('the leader takes its listing and its events')
 def step_take_cache(context: Context) -> None:
     """Read both and record them as the tracker does."""
-    cache = EngineCache(ENGINE)
+    cache = EngineCache(ENGINE, Mock())
     cache.connection = Mock()
     cache.connection.call.side_effect = [
         CallReply(200, frame % dumps(items).encode())
@@ -139,14 +139,14 @@
 def step_nested_reply(_context: Context, reply: str) -> None:
     """Read a reply that is nested too deep."""
     nested = CallReply(200, b'{"x":' + b'[' * 100_000)
-    cache = EngineCache(ENGINE)
+    cache = EngineCache(ENGINE, Mock())
     cache.connection = Mock()
     cache.connection.call.return_value = nested
     order = RoleOrder(ENGINE, 'decode', 'core-1', 1)
     readers: dict[str, Callable[[], Any]] = {
         'cache listing': cache.listing,
         'page of events': partial(cache.changes, 1),
-        'report': partial(send_order, order),
+        'report': partial(send_order, order, Mock(), Mock()),
         'prefill reply': partial(check_prefill_reply, nested.body),
     }
     with patch.object(engine_orders, 'call_platform', return_value=nested):
--- a/features/steps/role_orders_steps.py
+++ b/features/steps/role_orders_steps.py
@@ -80,7 +80,7 @@
         raise NoQuorumError
 
     try:
-        send_order(context.order, refuse)
+        send_order(context.order, refuse, print)
     except NoQuorumError:
         return
     raise AssertionError('the order was sent')
@@ -97,7 +97,7 @@
 def step_confirmed(context: Context) -> None:
     """Send it while leading."""
     context.arrived.clear()
-    assert send_order(context.order, lambda: None)
+    assert send_order(context.order, lambda: None, print)
 
 
 @then("the order arrived once, with its number and the report's sequence")
