control: engines of a service that no manifest names get no orders

What callers saw: nothing. An entry of the list whose service nobody names is kept (a service may be listed before its manifest), but with a stage its address got role orders and calls for its cache: "It names no replica to use".

Evidence: the scenario on the code before fails, orders go to both services.

Requests already go to services of the route table only.

--- a/features/foreign_list.feature
+++ b/features/foreign_list.feature
@@ -85,3 +85,10 @@
   Scenario: A reading that fails in an unknown way does not end the reading
     Given a leader whose list raises an unknown error once
     Then a reading soon after it lists "i-1", and the failure is counted
+
+  # Guards against: an entry of another writer, of a service that no manifest
+  # names, gets orders and calls of the system.
+  Scenario: Engines of a service that no manifest names get no calls
+    Given a leader whose list has engines of "llm" and of "nobody"
+    When a manifest names "llm"
+    Then only engines of "llm" are ordered and followed
--- a/features/steps/foreign_list_steps.py
+++ b/features/steps/foreign_list_steps.py
@@ -6,16 +6,24 @@
 
 from behave import given, then, when
 from behave.runner import Context
-from gevent import sleep, spawn
+from gevent import killall, sleep, spawn
 from msgspec.json import encode
 
+from trestle_control import direct_roles
+from trestle_control.apply import ControlStateMachine
 from trestle_control.backend_list import BackendListing, BackendListReader
+from trestle_control.cache_tracker import CacheTracker
+from trestle_control.direct_roles import DirectRoleManager
+from trestle_control.load_table import LoadTable
+from trestle_control.named_services import NamedServices
 from trestle_core import lifecycle
 from trestle_core.lifecycle import keep_running
 from trestle_core.metrics import Metrics
 from trestle_links.codec import decode_message, encode_message
 from trestle_links.direct_messages import Backend
+from trestle_links.packed_document import pack_document
 from trestle_platform.instance_list import read_backends
+from trestle_platform.manifest import read_table
 from trestle_platform.platform_calls import CallReply
 
 CALL = 'trestle_platform.instance_list.call_platform'
@@ -225,3 +233,53 @@
         task.kill()
     assert [known.instance for known in context.state.backends] == [instance]
     assert failed == ['BackendListReader.run'], failed
+
+
+@given('a leader whose list has engines of "{first}" and of "{second}"')
+def step_engines(context: Context, first: str, second: str) -> None:
+    """Make the parts of a leader that call engines."""
+    machine = ControlStateMachine()
+    machine.state.backends = [
+        backend(f'i-{service}-{number}', service)._replace(role='decode')
+        for service in (first, second)
+        for number in range(4)
+    ]
+    replica: Any = Mock(is_leader=True, leading_seconds=100, term=1)
+    loads = LoadTable(replica)
+    context.send_order = Mock(return_value=True)
+    context.roles = DirectRoleManager(
+        context.send_order, 'core-1', 3, machine, replica, loads, Metrics()
+    )
+    context.caches = CacheTracker(
+        Mock(), machine, replica, loads.placements, Metrics()
+    )
+    context.services = NamedServices(machine, read_table)
+    context.roles.is_named = context.services.has
+    context.caches.is_named = context.services.has
+    context.state = machine.state
+
+
+@when('a manifest names "{service}"')
+def step_manifest(context: Context, service: str) -> None:
+    """Put a manifest in force."""
+    assert not context.services.has(service)
+    document = {'version': 1, 'routes': [], 'services': [{'name': service}]}
+    context.state.document_version = 1
+    context.state.document = pack_document(encode(document))
+
+
+@then('only engines of "{service}" are ordered and followed')
+def step_called(context: Context, service: str) -> None:
+    """Poll for longer than a pool must need a change."""
+    with patch.object(direct_roles, 'monotonic') as clock:
+        for clock.return_value in range(1000, 1060):
+            context.roles.poll()
+    context.caches.poll()
+    followed = set(context.caches.tracked)
+    killall(list(context.caches.tracked.values()))
+    ordered = {
+        call.args[0].backend.service
+        for call in context.send_order.call_args_list
+    }
+    assert ordered == {service}, ordered
+    assert followed == {f'i-{service}-{number}' for number in range(4)}
--- a/packages/trestle-control/src/trestle_control/cache_tracker.py
+++ b/packages/trestle-control/src/trestle_control/cache_tracker.py
@@ -14,6 +14,7 @@
 from gevent import Greenlet, sleep, spawn
 
 from trestle_control.apply import ControlStateMachine
+from trestle_control.named_services import every_service
 from trestle_control.placement_log import PlacementLog
 from trestle_control.replica_api import ReplicaApi
 from trestle_core.lifecycle import keep_running
@@ -87,6 +88,8 @@
         self.replica = replica
         self.placements = placements
         self.metrics = metrics
+        # Whether a service may have engines.
+        self.is_named: Callable[[str], bool] = every_service
         self.tracked: dict[str, Greenlet[..., None]] = {}
 
     def run(self) -> None:
@@ -119,7 +122,7 @@
         return {
             backend.instance: backend
             for backend in self.state_machine.state.backends
-            if backend.role
+            if backend.role and self.is_named(backend.service)
         }
 
     def _track(self, backend: Backend) -> None:
--- a/packages/trestle-control/src/trestle_control/direct_roles.py
+++ b/packages/trestle-control/src/trestle_control/direct_roles.py
@@ -19,6 +19,7 @@
 
 from trestle_control.apply import ControlStateMachine
 from trestle_control.load_table import LoadTable
+from trestle_control.named_services import every_service
 from trestle_control.replica_api import ReplicaApi
 from trestle_control.split_policy import PoolLoad, WantedSplit, wanted_split
 from trestle_core.errors import TrestleError
@@ -106,6 +107,8 @@
         self.replica = replica
         self.loads = loads
         self.metrics = metrics
+        # Whether a service may have pools of engines.
+        self.is_named: Callable[[str], bool] = every_service
         self.pending: dict[str, PendingRole] = {}
         # By pool: its size and the missing prefill engines, and since when.
         self.requested_changes: dict[
@@ -144,11 +147,14 @@
     def _pools(self) -> dict[EnginePool, list[Backend]]:
         pools: dict[EnginePool, list[Backend]] = {}
         for backend in self.state_machine.state.backends:
-            if backend.role and not backend.leaving:
+            if backend.role and self._may_order(backend):
                 pool = EnginePool(backend.service, backend.software)
                 pools.setdefault(pool, []).append(backend)
         return pools
 
+    def _may_order(self, engine: Backend) -> bool:
+        return not engine.leaving and self.is_named(engine.service)
+
     def _balance_pool(self, pool: EnginePool, engines: list[Backend]) -> None:
         now = monotonic()
         roles = {
