entry: a back end at an impossible address was not sent anything

What callers saw: nothing measured; a list stored by an earlier version may have addresses that are checked now. One without a port failed its requests with an error of ours that says "may have run".

Evidence, on the code before: 2 of the 6 examples fail (ValueError, FileNotFoundError); the others fail as connections did and do: ports beyond 65535 are refused by the resolver, 1_0 was read as port 10.

Change: ports are read from ASCII digits up to 65535; what cannot be resolved is a connection that was not made, in the pool and in the crash probe.

--- a/features/foreign_figures.feature
+++ b/features/foreign_figures.feature
@@ -98,3 +98,17 @@
   # Guards against: a time to wait that no clock can hold fails the request.
   Scenario: A time to wait beyond all bounds is a day
     Then a request with 1e300 ms to wait waits a day
+
+  # Guards against: an address that a list of before was stored with fails its
+  # requests with an error of ours, as if they may have run.
+  Scenario Outline: A back end at an impossible address was not sent anything
+    Then a connection to "<address>" is not made, and nothing was sent
+
+    Examples:
+      | address           |
+      | 127.0.0.1:70000   |
+      | 127.0.0.1:-1      |
+      | 127.0.0.1:1_0     |
+      | 127.0.0.1:٨٠      |
+      | 127.0.0.1         |
+      | @/nowhere         |
--- a/features/steps/foreign_figures_steps.py
+++ b/features/steps/foreign_figures_steps.py
@@ -16,6 +16,8 @@
 from trestle_control.placement_log import PlacementLog
 from trestle_core.errors import TrestleError
 from trestle_core.metrics import Metrics
+from trestle_entry.direct.backend_exchange import NotSentError
+from trestle_entry.direct.connection_pool import ConnectionPool
 from trestle_entry.direct.engine_loads import EngineLoads
 from trestle_entry.direct.event_stream import EventSplitter
 from trestle_entry.direct.prompt_queue import PromptQueue
@@ -241,3 +243,14 @@
     """Check the deadline."""
     request = request_of('1,1', '', wait_ms)
     assert request.waits_until - request.arrived_at == 86_400, request
+
+
+@then('a connection to "{address}" is not made, and nothing was sent')
+def step_no_connection(_context: Context, address: str) -> None:
+    """Ask the pool of connections for one."""
+    pool = ConnectionPool(Metrics())
+    try:
+        pool.acquire(address, 'i', 1, at_most_once=True)
+    except NotSentError:
+        return
+    raise AssertionError('there is a connection')
--- a/packages/trestle-core/src/trestle_core/addresses.py
+++ b/packages/trestle-core/src/trestle_core/addresses.py
@@ -4,9 +4,14 @@
 and its peers read that file at each connect.
 """
 
+import re
 from os import replace
 from pathlib import Path
-from typing import NamedTuple
+from typing import Final, NamedTuple
+
+_MAX_PORT: Final = 65_535
+# In ASCII digits only; int reads others, too.
+_PORT: Final = re.compile('[0-9]{1,5}')
 
 
 class Address(NamedTuple):
@@ -29,6 +34,8 @@
     if text.startswith('@'):
         text = Path(text[1:]).read_text(encoding='ascii')
     ip, _, port = text.strip().rpartition(':')
+    if not _PORT.fullmatch(port) or int(port) > _MAX_PORT:
+        raise ValueError(f'{text!r} has no possible port')
     return Address(ip, int(port))
 
 
--- a/packages/trestle-entry/src/trestle_entry/direct/connection_pool.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/connection_pool.py
@@ -12,7 +12,10 @@
 
 from trestle_core.addresses import resolve_address
 from trestle_core.metrics import Metrics
-from trestle_entry.direct.backend_exchange import BackendConnection
+from trestle_entry.direct.backend_exchange import (
+    BackendConnection,
+    NotSentError,
+)
 
 # Longest idle time if the back end does not announce one.
 DEFAULT_IDLE_SECONDS: Final = 2.0
@@ -55,9 +58,7 @@
                 return connection
             connection.close()
         self.metrics.count('backend_connects')
-        return BackendConnection.open(
-            resolve_address(address), instance, timeout_seconds
-        )
+        return connect(address, instance, timeout_seconds)
 
     def release(
         self, connection: BackendConnection, idle_seconds: float
@@ -90,6 +91,18 @@
                 connection.close()
 
 
+def connect(
+    address: str, instance: str, timeout_seconds: float
+) -> BackendConnection:
+    """Connect to a listed address; raises `NotSentError`."""
+    try:
+        target = resolve_address(address)
+    except (OSError, ValueError) as error:
+        # A list that an earlier version stored may have such a one.
+        raise NotSentError(str(error)) from error
+    return BackendConnection.open(target, instance, timeout_seconds)
+
+
 def is_usable(connection: BackendConnection, *, at_most_once: bool) -> bool:
     """Return whether a kept connection may carry one more request."""
     share = _AT_MOST_ONCE_IDLE_SHARE if at_most_once else _IDLE_SHARE
--- a/packages/trestle-entry/src/trestle_entry/direct/crash_probe.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/crash_probe.py
@@ -9,13 +9,12 @@
 
 from gevent import sleep, spawn
 
-from trestle_core.addresses import resolve_address
 from trestle_core.logs import part_logger
 from trestle_entry.direct.backend_exchange import (
     CONNECT_SECONDS,
-    BackendConnection,
     NotSentError,
 )
+from trestle_entry.direct.connection_pool import connect
 from trestle_entry.direct.direct_context import DirectContext
 from trestle_links.direct_messages import Backend
 
@@ -52,7 +51,5 @@
 def _connect(context: DirectContext, backend: Backend) -> None:
     """Connect and keep the connection; raises `NotSentError`."""
     context.metrics.count('crash_probes')
-    connection = BackendConnection.open(
-        resolve_address(backend.address), backend.instance, CONNECT_SECONDS
-    )
+    connection = connect(backend.address, backend.instance, CONNECT_SECONDS)
     context.pool.release(connection, 0)
