back ends: a success that is closed right behind its head has been cut

Cause: such an answer ends with its connection, so a parser takes any close behind the head for the end. Nothing tells a back end that stopped there from one with nothing to say, and the latter says so by a length of 0. A success of which no byte came before the close is now broken off: a request that may be repeated goes to another back end, others get 502. Failures keep their empty bodies, as a refusal must not turn into doubt. What remains: a close at the end of an event, or within a plain body, of such an answer can't be told from its end; a reset, and an end inside an event, can, and were broken off before.

Looked for with a table through a whole entry (caller server, retries, relay): lookups and streams, length, length with close, chunks, trailers, an interim answer before, neither; a close at every byte and resets; new and kept connections; one back end, and a sound second one.

--- /dev/null
+++ b/features/cut_answers.feature
@@ -0,0 +1,52 @@
+Feature: An answer that a back end cut never looks whole to a caller
+
+  # Guards against: a head or a body that a back end cut, passed on as a success
+  # with an empty or a short body.
+  Scenario Outline: A back end stops within <framing> of <kind>, at any byte
+    Given an entry and a back end that stops
+    When it stops at each byte of <kind> with <framing>
+    Then callers get the whole answer after its last byte, else a failure or a visible break
+
+    Examples:
+      | kind     | framing              |
+      | a lookup | a length             |
+      | a lookup | a length that closes |
+      | a lookup | chunks               |
+      | a lookup | chunks and trailers  |
+      | a lookup | an interim answer    |
+      | a stream | a length             |
+      | a stream | a length that closes |
+      | a stream | chunks               |
+      | a stream | chunks and trailers  |
+      | a stream | an interim answer    |
+
+  # Guards against: the same on a connection that had carried whole answers.
+  Scenario Outline: A back end stops within <kind> on a kept connection
+    Given an entry and a back end that stops
+    And each request follows a sound one on its connection
+    When it stops at each byte of <kind> with chunks
+    Then callers get the whole answer after its last byte, else a failure or a visible break
+
+    Examples:
+      | kind     |
+      | a lookup |
+      | a stream |
+
+  # Guards against: a head that was cut, taken for the answer of a repeated call.
+  Scenario: A lookup that a back end cut is answered by another one
+    Given an entry, a back end that stops and a sound one
+    When it stops at each byte of a lookup with a length
+    Then each caller gets the whole answer
+
+  # Guards against: a back end that stops behind its head, taken for one with
+  # nothing to say, where only the connection tells the end.
+  Scenario Outline: <kind> without a length or chunks stops
+    Given an entry and a back end that stops
+    When it stops at each byte of <kind> with neither
+    Then no caller gets an empty success
+    And after a reset no caller gets a success that looks whole
+
+    Examples:
+      | kind     |
+      | a lookup |
+      | a stream |
--- /dev/null
+++ b/features/steps/cut_answers_steps.py
@@ -0,0 +1,105 @@
+"""Steps on answers that back ends cut, through a whole entry."""
+
+from behave import given, then, when
+from behave.runner import Context
+
+from testbed.cut_answers import (
+    LOOKUP,
+    STOPPING,
+    STREAM,
+    Cut,
+    CutEntry,
+    body_of,
+)
+
+# Resets need time to arrive: they are played at fewer places than closes.
+RESET_STEP = 5
+PATHS = {'a lookup': LOOKUP, 'a stream': STREAM}
+
+
+@given('an entry and a back end that stops')
+def step_entry(context: Context) -> None:
+    """Start an entry; its back ends start with the calls."""
+    context.entry = CutEntry()
+    context.add_cleanup(context.entry.stop)
+    context.names = [STOPPING]
+    context.is_kept = False
+    context.version = '1.1'
+
+
+@given('an entry, a back end that stops and a sound one')
+def step_two(context: Context) -> None:
+    """The same with a second back end."""
+    step_entry(context)
+    context.names.append('sound')
+
+
+@given('each request follows a sound one on its connection')
+def step_kept(context: Context) -> None:
+    """Let a whole answer come first."""
+    context.is_kept = True
+
+
+@given('callers that speak HTTP/1.0')
+def step_old(context: Context) -> None:
+    """Let callers know no chunks."""
+    context.version = '1.0'
+
+
+@when('it stops at each byte of {kind} with {framing}')
+def step_stops(context: Context, kind: str, framing: str) -> None:
+    """Close and reset at each place; keep what callers got, by the cut."""
+    entry = context.entry
+    path = PATHS[kind]
+    entry.list_backends(path, *context.names)
+    context.path = path
+    context.whole_bytes = len(entry.whole_answer(path, framing))
+    context.answers = {}
+    for resets, step in ((False, 1), (True, RESET_STEP)):
+        for place in range(0, context.whole_bytes + 1, step):
+            if context.is_kept:
+                entry.cut = Cut(framing, -1)
+                assert entry.call(path).whole
+            entry.cut = Cut(framing, place, resets)
+            context.answers[entry.cut] = entry.call(path, context.version)
+
+
+@then(
+    'callers get the whole answer after its last byte, else a failure or a '
+    'visible break'
+)
+def step_judge(context: Context) -> None:
+    """Check each answer."""
+    for cut, answer in context.answers.items():
+        is_success = answer.whole and answer.status == 200
+        assert is_success == (cut.place == context.whole_bytes), (cut, answer)
+        if is_success:
+            assert answer.body == body_of(context.path), (cut, answer)
+        assert body_of(context.path).startswith(answer.body) or (
+            answer.status != 200
+        ), (cut, answer)
+
+
+@then('each caller gets the whole answer')
+def step_all_whole(context: Context) -> None:
+    """Check that the sound back end answered for the one that stopped."""
+    for cut, answer in context.answers.items():
+        assert answer.status == 200, (cut, answer)
+        assert answer.whole, (cut, answer)
+        assert answer.body == body_of(context.path), (cut, answer)
+
+
+@then('no caller gets an empty success')
+def step_no_empty(context: Context) -> None:
+    """Check that a body has at least begun."""
+    for cut, answer in context.answers.items():
+        is_success = answer.whole and answer.status == 200
+        assert answer.body or not is_success, (cut, answer)
+
+
+@then('after a reset no caller gets a success that looks whole')
+def step_no_reset(context: Context) -> None:
+    """Check the cuts by a reset."""
+    for cut, answer in context.answers.items():
+        is_success = answer.whole and answer.status == 200
+        assert not (cut.resets and is_success), (cut, answer)
--- a/packages/trestle-entry/src/trestle_entry/direct/backend_exchange.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/backend_exchange.py
@@ -39,6 +39,7 @@
 _BODILESS: Final = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 _READ_BYTES: Final = 65_536
 _FIRST_FINAL_STATUS: Final = 200
+_FIRST_FAILED_STATUS: Final = 300
 # An answer comes once more soon after its request, if at all.
 _MAX_ANSWERED_IDS: Final = 32
 # Far more than back ends send; each request may take so much memory.
@@ -72,6 +73,7 @@
         self.has_trailing_bytes = False
         # What was received until the head was complete.
         self.received = b''
+        self.has_body = False
 
     @property
     def has_final_head(self) -> bool:
@@ -126,6 +128,10 @@
         if len(self._body_buffer) > _MAX_BODY_BYTES:
             raise BrokenAnswerError('the body of the answer does not end')
 
+    def _on_body(self, buf: bytearray) -> None:
+        self.has_body = True
+        super()._on_body(buf)
+
     def _on_headers_complete(self) -> int | bool | None:
         skips_body = super()._on_headers_complete()
         self.status = self.get_code()
@@ -187,8 +193,14 @@
         """Receive and parse once; raises `BrokenAnswerError`."""
         received = self._receive_or_end()
         answer.feed_bytes(received)
-        if not received and not answer.is_whole:
+        if received:
+            return
+        if not answer.is_whole:
             raise BrokenAnswerError(_CLOSED)
+        # A success that ends with its connection, where nothing of it came,
+        # looks the same as one whose back end stopped behind the head.
+        if answer.status < _FIRST_FAILED_STATUS and not answer.has_body:
+            raise BrokenAnswerError('the connection was closed behind the head')
 
     def pass_over(self, answer: BackendAnswer) -> BackendAnswer:
         """Read an answer to its end; return the one that follows it.
--- /dev/null
+++ b/testbed/cut_answers.py
@@ -0,0 +1,229 @@
+"""An entry in this process, and back ends that stop within their answers.
+
+Callers and back ends talk over loopback, so that the whole way of an answer is
+passed: its parser, the retries, the relay of streams and the callers' server.
+"""
+
+import re
+from typing import Any, Final, NamedTuple
+
+from gevent import sleep
+from gevent.server import StreamServer
+from gevent.socket import SO_LINGER, SOL_SOCKET, create_connection, socket
+from msgspec.json import encode
+
+from testbed.platform_fleet import document
+from testbed.platform_replica import read_headers
+from trestle_core.metrics import Metrics
+from trestle_core.settings import DirectSettings
+from trestle_entry.direct.caller_server import CallerServer
+from trestle_entry.direct.direct_context import DirectContext
+from trestle_links.direct_messages import Backend
+from trestle_platform.caller_http import caller_wire
+from trestle_platform.manifest import read_table
+from trestle_platform.replica_http import backend_wire
+
+EVENTS: Final = b''.join(b'id: %d\ndata: token\n\n' % n for n in range(1, 4))
+RESULT: Final = b'{"lots":[1,2]}'
+# Paths of routes: one that may be repeated, and one of streams.
+LOOKUP: Final = '/look/1'
+STREAM: Final = '/check/1'
+# Back ends that stop within answers; the other ones are sound.
+STOPPING: Final = 'stopping'
+_READ_BYTES: Final = 65_536
+# `SO_LINGER` on, with no time: closing resets the connection.
+_RESET: Final = b'\x01\x00\x00\x00\x00\x00\x00\x00'
+# Time for bytes to arrive, as a reset drops what was not read yet.
+_FLUSH_SECONDS: Final = 0.002
+_CHUNK_BYTES: Final = 11
+
+
+class Cut(NamedTuple):
+    """How a back end stops: after so many bytes, by a close or a reset."""
+
+    framing: str
+    place: int
+    resets: bool = False
+
+
+class CallerAnswer(NamedTuple):
+    """What a caller got; `whole` is what its framing says."""
+
+    status: int
+    body: bytes
+    whole: bool
+
+
+class CutEntry:
+    """The entry, its back ends, and the cut that is played now."""
+
+    def __init__(self) -> None:
+        """Start the entry without back ends."""
+        settings = DirectSettings(
+            host='e1',
+            zone='z1',
+            key_file='',
+            control=['127.0.0.1:1'],
+            http_listen='127.0.0.1:0',
+            retry_share=1,
+            retry_extra=1_000_000,
+        )
+        self.context = DirectContext(
+            settings, caller_wire(), backend_wire(), Metrics()
+        )
+        self.context.table = read_table(encode(document(1)))
+        self.server = CallerServer(self.context)
+        self.server.start()
+        self.backends: list[StreamServer] = []
+        self.cut = Cut('a length', 0)
+        # Heads of requests that back ends got, from the latest caller.
+        self.received: list[str] = []
+        self.calls = 0
+
+    def list_backends(self, path: str, *names: str) -> None:
+        """Start back ends for the route of a path, the first one preferred."""
+        service, role = ('llm', 'decode') if path == STREAM else ('desk', '')
+        listed = []
+        for name in names:
+            server = StreamServer(('127.0.0.1', 0), self._backend(name))
+            server.start()
+            self.backends.append(server)
+            address = f'127.0.0.1:{server.server_port}'
+            # Another zone costs more.
+            zone = 'z1' if name == STOPPING else 'z2'
+            listed.append(
+                Backend(name, service, address, zone, False, role, 64, 'v1')
+            )
+        self.context.fleet.replace_list(listed)
+
+    def call(self, path: str, version: str = '1.1') -> CallerAnswer:
+        """Make a caller's call on a connection of its own."""
+        self.calls += 1
+        self.received.clear()
+        self._forget_failures()
+        lines = [
+            f'POST {path} HTTP/{version}',
+            'Host: firm.example',
+            f'Kingcuptrestle-Request-Id: r{self.calls:06}',
+            'Kingcuptrestle-Token-Counts: 100,3',
+            'Content-Length: 2',
+            'Connection: close',
+        ]
+        sock = create_connection(self.server.bound(), timeout=5)
+        try:
+            sock.sendall(('\r\n'.join(lines) + '\r\n\r\n{}').encode())
+            return _read_answer(sock)
+        finally:
+            sock.close()
+
+    def whole_answer(self, path: str, framing: str) -> bytes:
+        """Return the bytes of a sound answer."""
+        return frame(framing, body_of(path), f'r{self.calls:06}')
+
+    def stop(self) -> None:
+        """Stop all servers."""
+        self.server.stop()
+        for backend in self.backends:
+            backend.stop()
+
+    def _backend(self, name: str) -> Any:
+        def serve(sock: socket, _address: object) -> None:
+            while received := sock.recv(_READ_BYTES):
+                head = received.decode('latin-1')
+                self.received.append(name)
+                if not self._answer(sock, name, head):
+                    return
+
+        return serve
+
+    def _answer(self, sock: socket, name: str, head: str) -> bool:
+        """Answer a request; return whether the connection goes on."""
+        path = head.split(' ')[1]
+        request_id = read_headers(head.split('\r\n'))[
+            'kingcuptrestle-request-id'
+        ]
+        if name != STOPPING or self.cut.place < 0:
+            sock.sendall(frame('a length', body_of(path), request_id))
+            return True
+        whole = frame(self.cut.framing, body_of(path), request_id)
+        sock.sendall(whole[: self.cut.place])
+        if self.cut.resets:
+            sleep(_FLUSH_SECONDS)
+            sock.setsockopt(SOL_SOCKET, SO_LINGER, _RESET)
+        sock.close()
+        return False
+
+    def _forget_failures(self) -> None:
+        """Let no back end be avoided for the calls before."""
+        self.context.fleet.health_by_instance.clear()
+        self.context.crash_guard.interruptions.clear()
+
+
+def body_of(path: str) -> bytes:
+    """Return the body of the whole answer at a path."""
+    return EVENTS if path == STREAM else RESULT
+
+
+def frame(framing: str, body: bytes, request_id: str) -> bytes:
+    """Return an answer of a back end."""
+    head = (
+        'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n'
+        f'Kingcuptrestle-Request-Id: {request_id}\r\n'
+        'Kingcuptrestle-Server-Seal: standin.seal\r\n'
+    ).encode()
+    length = b'Content-Length: %d\r\n' % len(body)
+    pieces = [
+        body[start : start + _CHUNK_BYTES]
+        for start in range(0, len(body), _CHUNK_BYTES)
+    ]
+    chunks = b''.join(b'%x\r\n%s\r\n' % (len(one), one) for one in pieces)
+    chunked = head + b'Transfer-Encoding: chunked\r\n\r\n' + chunks
+    framed = {
+        'a length': head + length + b'\r\n' + body,
+        'a length that closes': (
+            head + b'Connection: close\r\n' + length + b'\r\n' + body
+        ),
+        'chunks': chunked + b'0\r\n\r\n',
+        'chunks and trailers': chunked + b'0\r\nA: b\r\n\r\n',
+        'an interim answer': (
+            b'HTTP/1.1 103 Early\r\nA: b\r\n\r\n'
+            + head
+            + length
+            + b'\r\n'
+            + body
+        ),
+        'neither': head + b'\r\n' + body,
+    }
+    return framed[framing]
+
+
+def _read_answer(sock: Any) -> CallerAnswer:
+    received = b''
+    is_closed = True
+    try:
+        while more := sock.recv(_READ_BYTES):
+            received += more
+    except ConnectionResetError:
+        is_closed = False
+    head, _, body = received.partition(b'\r\n\r\n')
+    if not head:
+        return CallerAnswer(0, b'', whole=False)
+    status = int(head.split(b' ')[1])
+    length = re.search(rb'(?i)content-length: (\d+)', head)
+    if b'chunked' in head.lower():
+        return CallerAnswer(status, *_unchunk(body))
+    if length:
+        return CallerAnswer(status, body, len(body) == int(length[1]))
+    return CallerAnswer(status, body, is_closed)
+
+
+def _unchunk(body: bytes) -> tuple[bytes, bool]:
+    content = b''
+    while body:
+        size, _, rest = body.partition(b'\r\n')
+        length = int(size, 16)
+        if not length:
+            return content, rest == b'\r\n'
+        content += rest[:length]
+        body = rest[length + 2 :]
+    return content, False
