control: a replaced voter stops counting once enough others are current

Cause: the successor becomes a sixth voter within a second, but the voter that is gone went out only when one leader had led for 5 s. Until then a quorum is four of six, of which one never comes back: two lost disks leave three. Each change of the leader began the 5 s anew. Class: a delay that was meant for hosts that restart stands in for a proof, and nobody compared it with catchUpS.

Change: the delay is needed only while the others don't suffice. If as many voters as wanted (2f+1) have answered within an election time-out and store the last member set, a voter that was silent for two election time-outs (1 s) goes. Nothing is lost by a mistake: those left bear f losses by themselves, and a voter that was only frozen or cut joins again. Else the 5 s hold as before, and the voter that has been silent for longest goes, not the first one listed. A host that is back with another identity stays listed; it was unlisted with its old identity, so it could never vote again.

The change of the set itself is as before: one member at a time, through the log, on top of a committed set and an entry of the leader's term. A set of 2f+2 that loses its silent member keeps overlapping quorums (f+2 of 2f+2 against f+1 of 2f+1). Ruled out: a swap in one step ({A,B,M} and {C,D,S} are disjoint); removing first (four voters bear one loss); a shorter delay alone (it would take out a frozen voter in place of the one that is gone).

Not covered: a voter that is gone while another one is dark for seconds and the leader changes as well; then the 5 s are the leader's own. What a leader knows of silent voters ends with it.

--- /dev/null
+++ b/features/member_policy.feature
@@ -0,0 +1,53 @@
+Feature: Voters that are gone are removed, and no others
+
+  # Guards against: a replaced voter that still counts when disks are lost, so
+  # that no quorum is left for good.
+  Scenario: A voter whose successor votes is removed as soon as enough others are current
+    Given 6 voters of which 5 are wanted, led for 1.2 s
+    When voter 1 has been silent for 1.2 s
+    Then voter 1 is removed with its host
+
+  # Guards against: members that come and go with every short silence.
+  Scenario: A voter that was silent for less than a second stays
+    Given 6 voters of which 5 are wanted, led for 60 s
+    When voter 1 has been silent for 0.9 s
+    Then no member is changed
+
+  # Guards against: the same as the first, after the leader changed.
+  Scenario: A leader that is new waits until the others have answered it
+    Given 6 voters of which 5 are wanted, led for 0.4 s
+    When voter 1 has been silent for 60 s
+    Then no member is changed
+
+  # Guards against: a voter that is dark for a short time and removed in place of
+  # the one that is gone.
+  Scenario Outline: Of two silent voters <which>
+    Given 6 voters of which 5 are wanted, led for 60 s
+    When voter 1 has been silent for <first> s
+    And voter 2 has been silent for <second> s
+    Then <outcome>
+
+    Examples:
+      | which                            | first | second | outcome                        |
+      | none is removed at once          | 3     | 4      | no member is changed           |
+      | the one that is silent for longer | 6     | 7      | voter 2 is removed with its host |
+
+  # Guards against: a removal that counts on a voter which still lacks entries.
+  Scenario: A successor that has not the log yet does not stand in
+    Given 6 voters of which 5 are wanted, led for 60 s
+    When voter 1 has been silent for 4 s
+    And voter 6 lacks the last member set
+    Then no member is changed
+
+  # Guards against: fewer voters than wanted.
+  Scenario: A voter that is wanted stays, however long it is silent
+    Given 5 voters of which 5 are wanted, led for 600 s
+    When voter 1 has been silent for 500 s
+    Then no member is changed
+
+  # Guards against: a host that came back with an empty disk and may never vote.
+  Scenario: A host that is back with a new identity stays listed
+    Given 6 voters of which 5 are wanted, led for 60 s
+    When voter 1 has been silent for 6 s
+    And the host of voter 1 announces another identity
+    Then voter 1 is removed, but not its host
--- a/packages/trestle-control/src/trestle_control/member_policy.py
+++ b/packages/trestle-control/src/trestle_control/member_policy.py
@@ -1,12 +1,14 @@
 """The next membership change, as decided by the leader.
 
 Joining members become learners, and learners that have caught up become
-voters. A voter that is permanently gone is removed once there are more
-voters than wanted. A member is removed only after another one has taken its
-place, so the number of disks that may be lost at once never falls below the
-wanted number.
+voters. A silent voter is removed once there are more voters than wanted, so
+only after another one has taken its place: while both are voters, a quorum
+has one voter more and one of them may never come back, so that fewer disks
+may be lost at once than wanted. As long as enough other voters are current,
+nothing is lost with a silent one that was not gone for good: it joins again.
 """
 
+from functools import partial
 from time import monotonic
 from typing import Final
 
@@ -21,13 +23,16 @@
     next_member_set,
     with_host,
     without_host,
+    without_member,
 )
 from trestle_control.replica_state import JoiningMember, ReplicaState
 
 _MAX_LEARNER_LAG_ENTRIES: Final = 16
 _JOINING_TIMEOUTS: Final = 3
-# Election timeouts of silence after which a surplus voter is removed; long
-# enough for a host to restart.
+# Election timeouts of silence after which a surplus voter is removed: while the
+# current voters are as many as wanted, and else, long enough for a host to
+# restart.
+_SILENT_TIMEOUTS: Final = 2
 _GONE_TIMEOUTS: Final = 10
 
 
@@ -60,17 +65,47 @@
     wanted = state.settings.wanted_voters
     if not wanted or len(voters) <= wanted:
         return None
-    gone_seconds = state.election_seconds * _GONE_TIMEOUTS
-    if monotonic() - state.leading_since < gone_seconds:
+    current = [voter for voter in voters if _is_current(state, voter)]
+    is_enough = len(current) >= wanted
+    timeouts = _SILENT_TIMEOUTS if is_enough else _GONE_TIMEOUTS
+    silent = max(voters, key=partial(_silent_seconds, state))
+    if _silent_seconds(state, silent) <= state.election_seconds * timeouts:
         return None
-    for voter in voters:
-        if voter.incarnation == state.incarnation:
-            continue
-        peer = state.peers.get(voter.incarnation)
-        if peer is None or peer.silent_seconds() > gone_seconds:
-            remaining = without_host(state.members, voter.host)
-            return remaining if keeps_quorum(state, remaining) else None
-    return None
+    remaining = _without_voter(state, silent)
+    return remaining if keeps_quorum(state, remaining) else None
+
+
+def _silent_seconds(state: ReplicaState, voter: Member) -> float:
+    """Return how long this leader has not heard of a voter."""
+    if voter.incarnation == state.incarnation:
+        return 0
+    leading_seconds = monotonic() - state.leading_since
+    peer = state.peers.get(voter.incarnation)
+    if peer is None:
+        return leading_seconds
+    return min(peer.silent_seconds(), leading_seconds)
+
+
+def _is_current(state: ReplicaState, voter: Member) -> bool:
+    """Return whether a voter responds and has the log up to the last set."""
+    if voter.incarnation == state.incarnation:
+        return True
+    peer = state.peers.get(voter.incarnation)
+    if peer is None or peer.match_index < state.members_index:
+        return False
+    return _is_responsive(state, voter.incarnation)
+
+
+def _without_voter(state: ReplicaState, voter: Member) -> MemberSet:
+    """Remove a voter; its host stays listed if it has another identity."""
+    identities = {
+        member.incarnation
+        for member in state.members.members
+        if member.host == voter.host
+    }
+    if len(identities) > 1 or voter.host in _recent_joining_members(state):
+        return without_member(state.members, voter.incarnation)
+    return without_host(state.members, voter.host)
 
 
 def keeps_quorum(state: ReplicaState, changed: MemberSet) -> bool:
