control: one disk lost during the first start no longer prevents the group

Cause: the seeds formed the group only if each had the setting `bootstrap` at that moment. The setting tells that a process began with the first start, and is gone after any restart, while what counts is whether a folder was ever lost.

Ruled out: one folder of the first start as enough. The two others may have formed a group without it, committed, and lost their disks.

Change: the vote file, in which the identity is made, records that the folder is from the first start. All seeds must reply that they hold no entry of a group, as before, and a majority of them that they are such folders; the first of these by address forms the group. With a lost folder a further round with the same identities is waited for, as messages of the lost process may be under way.

--- a/packages/trestle-control/src/trestle_control/replica_bootstrap.py
+++ b/packages/trestle-control/src/trestle_control/replica_bootstrap.py
@@ -8,10 +8,14 @@
 the first is never formed.
 
 Settings that list seeds instead of members contain the addresses of the
-seeds, but not the number of members. The seeds bootstrap the group under the
-same rule: each must have an empty folder and the setting `bootstrap`. Any other
-process with the shared key joins that group later. A process without
-`bootstrap` never forms a group.
+seeds, but not the number of members. The seeds bootstrap the group when all of
+them reply that they hold no entry of a group, and a majority of them that their
+folders are from the first start and were never lost. The group that an
+earlier process may have begun has the same seeds as its voters, so without an
+entry on a majority of them it has committed nothing. Its folder that was lost
+holds its only entry and can't come back, so it never will. One lost folder is
+borne; after the loss of a majority nobody can tell whether there was a group.
+Any other process with the shared key joins the group later.
 """
 
 from time import monotonic
@@ -63,6 +67,7 @@
 def run_seed_announcements(state: ReplicaState) -> None:
     """Announce this identity to the seeds and the members they report."""
     pool = LinkPool(state.local_identity)
+    before: list[MemberIdentity] = []
     while state.running:
         if _is_detached(state):
             addresses = state.seeds | {
@@ -76,7 +81,7 @@
             replies = _announce_to_seeds(state, links)
             for reply in replies.values():
                 state.seeds.update(reply.members)
-            _bootstrap_from_seeds(state, replies)
+            before = bootstrap_from_seeds(state, replies, before)
         sleep(state.heartbeat_seconds * 2)
     pool.close()
 
@@ -113,7 +118,7 @@
     return AnnounceReply(
         state.member_identity,
         state.members.group,
-        state.settings.bootstrap,
+        state.settings.bootstrap or state.vote_file.record.is_original,
         [member.address for member in state.members.members],
     )
 
@@ -138,21 +143,42 @@
     return replies
 
 
-def _bootstrap_from_seeds(
-    state: ReplicaState, replies_by_address: dict[str, AnnounceReply]
-) -> None:
+def bootstrap_from_seeds(
+    state: ReplicaState,
+    replies_by_address: dict[str, AnnounceReply],
+    before: list[MemberIdentity],
+) -> list[MemberIdentity]:
+    """Form the group if this host is to; return the seeds without a group.
+
+    `before` are those of the last round.
+    """
     seeds = sorted(state.settings.seeds)
-    if local_address(state) != seeds[0]:
-        return
     if any(reply.group for reply in replies_by_address.values()):
-        return
-    seed_replies = [replies_by_address.get(seed) for seed in seeds]
-    if not all(reply and reply.forms for reply in seed_replies):
-        return
+        return []
+    replies = [
+        replies_by_address[seed] for seed in seeds if seed in replies_by_address
+    ]
+    if len(replies) < len(seeds):
+        return []
+    identities = [reply.identity for reply in replies]
+    originals = [
+        seed for seed, reply in zip(seeds, replies, strict=True) if reply.forms
+    ]
+    if len(originals) < len(seeds) // 2 + 1:
+        return identities
+    # What a lost process has sent may still be on its way to the others.
+    is_settled = len(originals) == len(seeds) or identities == before
+    if originals[0] == local_address(state) and is_settled:
+        _form_group(state, seeds, identities)
+    return identities
+
+
+def _form_group(
+    state: ReplicaState, seeds: list[str], identities: list[MemberIdentity]
+) -> None:
     members = [
-        Member(*reply.identity, seed, voter=True)
-        for seed, reply in zip(seeds, seed_replies, strict=True)
-        if reply
+        Member(*identity, seed, voter=True)
+        for seed, identity in zip(seeds, identities, strict=True)
     ]
     hosts = [ListedHost(member.host, member.address) for member in members]
     _append_initial_set(state, MemberSet(uuid4().hex, members, sorted(hosts)))
--- a/packages/trestle-control/src/trestle_control/replica_recovery.py
+++ b/packages/trestle-control/src/trestle_control/replica_recovery.py
@@ -36,7 +36,9 @@
     # A killed process may have left a rename that the kernel shows but that
     # is not yet synced.
     sync_folder(folder)
-    vote_file = VoteFile.open(folder, settings.host)
+    vote_file = VoteFile.open(
+        folder, settings.host, is_original=settings.bootstrap
+    )
     log = SegmentLog(folder, settings.segment_bytes)
     state = ReplicaState(settings, local_identity, log, vote_file, machine)
     _restore(state)
--- a/packages/trestle-control/src/trestle_control/vote_file.py
+++ b/packages/trestle-control/src/trestle_control/vote_file.py
@@ -28,12 +28,15 @@
     """The durable identity, term and vote of a member.
 
     `voted_for` is the incarnation that received the vote in `term`, or empty.
+    `is_original` is true of a data folder that was made at the first start of
+    the whole system, so it was never lost.
     """
 
     host: str
     incarnation: str
     term: int
     voted_for: str
+    is_original: bool = False
 
 
 class VoteFile:
@@ -46,7 +49,9 @@
         self.lock = RLock()
 
     @classmethod
-    def open(cls, folder: Path, host: str) -> Self:
+    def open(
+        cls, folder: Path, host: str, *, is_original: bool = False
+    ) -> Self:
         """Read the file, or create one with a new incarnation.
 
         Raises `DamagedLogError` and `OSError`.
@@ -55,7 +60,7 @@
         if path.exists():
             record = convert(unpackb(read_checked_file(path)), VoteRecord)
             return cls(path, record)
-        record = VoteRecord(host, uuid4().hex, 0, '')
+        record = VoteRecord(host, uuid4().hex, 0, '', is_original)
         write_checked_file(path, packb(record))
         return cls(path, record)
 
