entry, control: a back end that names a time to come back rests until then

Cause: the time in a back end's 503 was not read. Class: as with leaving, a fact that arrives with an answer is dropped. Ruled out: the fall back to excluded back ends and plans from before the news (three sound ones, seconds later).

Change: a 503 that names seconds keeps its back end out for so long, for the entry that got it: no candidate, no fall back, checked again right before the bytes, also for a prefill. The longest time counts and nothing ends it earlier but a later start of the back end; at most 600 s are believed. Text that is no plain number of seconds (dates too), and other statuses, name none. Without another back end a request is refused at once, with the time until the first one is free, spread over at most 4 s, which leaves rate limits as they were (their slowest falls by one in 4 s). No memory is freed at a resting engine, and the leader keeps away from one that turned its own calls away.

What the leader knows of back ends by their own word is now one object.

--- a/features/leaving_back_ends.feature
+++ b/features/leaving_back_ends.feature
@@ -49,8 +49,8 @@
       | Server-Leaving: 1                      | tell        |
       | server-leaving: 1                      | tell        |
       | Server-Leaving:  1                     | tell        |
-      | Server-Leaving: 0, Server-Leaving: 1   | tell        |
-      | Server-Leaving: 1, Server-Leaving: 0   | tell        |
+      | Server-Leaving: 0 + Server-Leaving: 1  | tell        |
+      | Server-Leaving: 1 + Server-Leaving: 0  | tell        |
       | Server-Leaving: true                   | tell        |
       | Server-Leaving: 99999999999999999999   | tell        |
       | Server-Leaving: nan                    | tell        |
@@ -80,12 +80,17 @@
 
   # Guards against: a plan from before the news, and its back end noted as
   # failed or its resend as spent.
-  Scenario: A request that was planned before the news is not sent
+  Scenario Outline: A request that was planned before the news is not sent
     Given an entry that knows 2 back ends
-    When a request connects to back end 1 and hears meanwhile that it leaves
+    When a request connects to back end 1, which is heard to be <state> meanwhile
     Then nothing was sent to back end 1 and the request may still go to back end 2
     And back end 1 is not noted as failed and no resend is counted
 
+    Examples:
+      | state   |
+      | leaving |
+      | resting |
+
   # Guards against: a prompt read, or a stream begun, at an engine that left
   # while the request waited.
   Scenario: An engine that leaves while the prompt is read gets no stream
@@ -153,3 +158,61 @@
       | a report |
       | an order |
       | its list |
+
+  # Guards against: a time that is not read, or nonsense that ends or blinds an
+  # entry.
+  Scenario Outline: Which headers say for how long a back end wants no requests
+    Then a <status> with the headers "<headers>" asks for <seconds> s of rest
+
+    Examples:
+      | status | headers                                    | seconds |
+      | 503    | Retry-After: 5                             | 5       |
+      | 503    | retry-after: 0.25                          | 0.25    |
+      | 503    | Retry-After: 2 + Retry-After: 7            | 7       |
+      | 503    | Retry-After: soon + Retry-After: 7         | 7       |
+      | 503    | Retry-After: 0                             | 0       |
+      | 503    | Retry-After: -1                            | 0       |
+      | 503    | Retry-After: nan                           | 0       |
+      | 503    | Retry-After: inf                           | 0       |
+      | 503    | Retry-After: 1_0                           | 0       |
+      | 503    | Retry-After: ٣                             | 0       |
+      | 503    | Retry-After: soon                          | 0       |
+      | 503    | Retry-After: Wed, 21 Oct 2026 07:28:00 GMT | 0       |
+      | 503    | Retry-After:                               | 0       |
+      | 503    | X-Other: 5                                 | 0       |
+      | 200    | Retry-After: 5                             | 0       |
+      | 429    | Retry-After: 5                             | 0       |
+
+  # Guards against: requests inside the time in which a back end wants none, by
+  # a fall back, a shorter time named later, or an answer without one.
+  Scenario Outline: A back end rests as long as it said, and for this entry
+    Given an entry that knows 2 back ends
+    When back end 1 turns a request away for <seconds> s
+    And <later> s later <what>
+    Then back end 1 is <state>
+
+    Examples:
+      | seconds | later | what                                       | state     |
+      | 5       | 4     | back end 2 cannot be reached               | kept away |
+      | 5       | 6     | back end 2 cannot be reached               | used      |
+      | 5       | 2     | it turns a request away for 1 s            | kept away |
+      | 5       | 4     | it answers without the header              | kept away |
+      | 5       | 4     | the list shows it elsewhere with no time of start | used      |
+      | 5       | 1     | the list shows it elsewhere with no time of start | kept away |
+      | 5       | 1     | the list drops it for 2 s                  | kept away |
+      | 1e300   | 500   | back end 2 cannot be reached               | kept away |
+      | 1e300   | 601   | back end 2 cannot be reached               | used      |
+
+  # Guards against: callers held, or told to come back too soon, when every back
+  # end rests.
+  Scenario: Callers are told when the first back end takes requests again
+    Given an entry that knows 2 back ends
+    When back end 1 turns a request away for 5 s
+    And back end 2 turns a request away for 3 s
+    Then requests are refused as not run, with 3 to 6 s to come back
+
+  # Guards against: calls of our own that a resting engine did not want.
+  Scenario: The leader and the entries leave an engine that rests alone
+    Given an engine that replies to "its list" with 503 and 4 s to come back
+    Then the leader calls it no more for 4 s
+    And no entry that it turned away frees memory there
--- a/features/steps/engine_memory_steps.py
+++ b/features/steps/engine_memory_steps.py
@@ -246,6 +246,7 @@
         context.replica,
         table.placements,
         Metrics(),
+        table.notices,
     )
 
 
--- a/features/steps/leaving_backends_steps.py
+++ b/features/steps/leaving_backends_steps.py
@@ -1,21 +1,32 @@
 """Steps on what back ends say of themselves, without a platform."""
 
+from contextlib import suppress
+from time import monotonic
 from typing import Any
 from unittest.mock import Mock, patch
 
 from behave import given, then, when
 from behave.runner import Context
+from gevent import GreenletExit, sleep
 
 from features.steps.direct_run_steps import open_with_handle
 from features.steps.platform_calls_steps import serve
 from features.steps.rate_limits_steps import make_run
+from testbed.direct_runs import make_match
 from testbed.said_answers import SaidAnswers, counters, said_answer
+from trestle_control import cache_tracker
+from trestle_control.cache_tracker import CacheTracker
 from trestle_control.direct_roles import RoleOrder
 from trestle_control.load_table import LoadTable
+from trestle_control.placement_log import PlacementLog
+from trestle_core.metrics import Metrics
 from trestle_entry.direct.backend_calls import CompleteAnswer, OpenAnswer
+from trestle_entry.direct.plain_dispatch import serve_plain
+from trestle_entry.direct.prompt_prefill import KvHandle, free_handle
+from trestle_entry.direct.replies import RefusedError
 from trestle_entry.direct.request_sends import send_once
 from trestle_entry.direct.wire_types import AnswerHead
-from trestle_links import leaving_backends
+from trestle_links import leaving_backends, resting_backends
 from trestle_links.direct_messages import Backend, Boot
 from trestle_links.load_messages import LeaveNotice
 from trestle_platform.engine_caches import EngineCache
@@ -41,7 +52,7 @@
 
 def parse_headers(text: str) -> list[tuple[str, str]]:
     """Return headers that are written in one line."""
-    pairs = [header.partition(':') for header in text.split(', ')]
+    pairs = [header.partition(':') for header in text.split(' + ')]
     return [(name, value) for name, _, value in pairs]
 
 
@@ -50,9 +61,10 @@
     context.said = SaidAnswers(backends)
     context.entry = context.said.context
     context.now = START
-    clock = patch.object(leaving_backends, 'monotonic', lambda: context.now)
-    clock.start()
-    context.add_cleanup(clock.stop)
+    for module in (leaving_backends, resting_backends):
+        clock = patch.object(module, 'monotonic', lambda: context.now)
+        clock.start()
+        context.add_cleanup(clock.stop)
 
 
 @when('back end 1 answers "{answer}" and says that it leaves')
@@ -77,21 +89,32 @@
     assert LEFT in {backend.instance for backend in usable}
 
 
+def say(context: Context, status: int, headers: str, number: int = 1) -> None:
+    """Let a back end answer another request with some headers."""
+    head = read_head(status, parse_headers(headers))
+    context.entry.note_said(context.said.backends[number - 1], head)
+
+
 def say_leaving(context: Context) -> None:
     """Let back end 1 answer another request and say that it leaves."""
-    head = read_head(200, parse_headers(LEAVING))
-    context.entry.note_said(context.said.backends[0], head)
+    say(context, 200, LEAVING)
 
 
-@when('a request connects to back end 1 and hears meanwhile that it leaves')
-def step_connects(context: Context) -> None:
+@when(
+    'a request connects to back end 1, which is heard to be {state} meanwhile'
+)
+def step_connects(context: Context, state: str) -> None:
     context.group = Mock(entries=[context.entry])
     context.run = make_run(context.group)
-    sent = send_once(
-        context.run,
-        LEFT,
-        lambda: context.said.send(1, b'', lambda: say_leaving(context)),
-    )
+    context.state = state
+
+    def hear() -> None:
+        if state == 'leaving':
+            say_leaving(context)
+        else:
+            say(context, 503, 'Retry-After: 5')
+
+    sent = send_once(context.run, LEFT, lambda: context.said.send(1, b'', hear))
     assert sent is None
 
 
@@ -100,7 +123,7 @@
 )
 def step_nothing_sent(context: Context) -> None:
     assert context.said.sent_bytes() == b''
-    assert counters(context.entry)['sends_withheld', 'leaving'] == 1
+    assert counters(context.entry)['sends_withheld', context.state] == 1
     left = context.run.candidates(context.run.unusable())
     assert [backend.instance for backend in left] == ['backend-2'], left
 
@@ -248,13 +271,15 @@
     roles = context.roles
     for backend in roles.state_machine.state.backends:
         if backend.role == 'decode':
-            roles.loads.note_said(backend)
+            roles.loads.notices.note_said(backend, True, 0)
 
 
 @then('it has ordered no engine that leaves')
 def step_orders_none(context: Context) -> None:
     ordered = {order.backend.instance for order in context.orders}
-    assert not ordered & set(context.roles.loads.leaving.leaves), ordered
+    assert not ordered & set(context.roles.loads.notices.leaving.leaves), (
+        ordered
+    )
 
 
 @given('an engine that replies to "{call}" that it leaves')
@@ -278,11 +303,113 @@
     table = LoadTable(replica)
     engine = Backend('e', 'llm', context.address, 'z', False, 'decode', 64)
     if call == 'its list':
-        EngineCache(engine, table.note_said).listing()
+        EngineCache(engine, table.notices.note_said).listing()
     else:
         accepted = send_order(
-            RoleOrder(engine, 'prefill', 'c', 1), table.note_said
+            RoleOrder(engine, 'prefill', 'c', 1), table.notices.note_said
         )
         assert accepted == (call == 'an order')
-    assert 'e' in table.leaving
-    assert [notice.instance for notice in table.new_leaving] == ['e']
+    assert 'e' in table.notices.leaving
+    assert [notice.instance for notice in table.notices.news] == ['e']
+
+
+@then(
+    'a {status:d} with the headers "{headers}" asks for {seconds:g} s of rest'
+)
+def step_rest(
+    _context: Context, status: int, headers: str, seconds: float
+) -> None:
+    said = read_head(status, parse_headers(headers)).rest_seconds
+    assert said == seconds, said
+
+
+@when('back end {number:d} turns a request away for {seconds:g} s')
+def step_turns_away(context: Context, number: int, seconds: float) -> None:
+    say(context, 503, f'Retry-After: {int(seconds)}', number)
+
+
+@when('{later:d} s later it turns a request away for {seconds:d} s')
+def step_turns_away_later(context: Context, later: int, seconds: int) -> None:
+    context.now += later
+    say(context, 503, f'Retry-After: {seconds}')
+    context.now += seconds
+
+
+@when('{later:d} s later back end 2 cannot be reached')
+def step_unreachable_later(context: Context, later: int) -> None:
+    context.now += later
+    context.entry.fleet.note_unreachable('backend-2', 'no route to it')
+
+
+@then('back end 1 is {state}')
+def step_state(context: Context, state: str) -> None:
+    usable = context.entry.fleet.usable('llm', frozenset({'backend-2'}))
+    assert bool(usable) == (state == 'used'), usable
+
+
+@then(
+    'requests are refused as not run, with {least:d} to {most:d} s to come back'
+)
+def step_told_time(context: Context, least: int, most: int) -> None:
+    context.group = Mock(entries=[context.entry])
+    run = make_run(context.group)
+    request = run.request._replace(deadline=monotonic() + most)
+    try:
+        serve_plain(context.entry, request, make_match(), run.trace)
+    except RefusedError as error:
+        assert least <= error.retry_after <= most, error.retry_after
+        return
+    raise AssertionError('the request was served')
+
+
+@given(
+    'an engine that replies to "its list" with 503 and {seconds:d} s to come back'
+)
+def step_replies_rest(context: Context, seconds: int) -> None:
+    context.seconds = seconds
+    reply = f'HTTP/1.1 503 X\r\nRetry-After: {seconds}\r\nContent-Length: 0'
+    serve(context, f'{reply}\r\n\r\n'.encode())
+    context.engine = Backend(
+        'e', 'llm', context.address, 'z', False, 'decode', 64
+    )
+
+
+@then('the leader calls it no more for {seconds:d} s')
+def step_leader_rests(context: Context, seconds: int) -> None:
+    pauses: list[float] = []
+
+    def pause(pause_seconds: float) -> None:
+        pauses.append(pause_seconds)
+        raise GreenletExit
+
+    replica: Any = Mock(is_leader=True)
+    machine: Any = Mock()
+    notices = LoadTable(replica).notices
+    tracker = CacheTracker(
+        lambda backend: EngineCache(backend, notices.note_said),
+        machine,
+        replica,
+        PlacementLog(),
+        Metrics(),
+        notices,
+    )
+    with (
+        patch.object(cache_tracker, 'sleep', pause),
+        suppress(GreenletExit),
+    ):
+        tracker._track(context.engine)  # noqa: SLF001
+    assert len(pauses) == 1, pauses
+    assert seconds - 1 < pauses[0] <= seconds, pauses
+
+
+@then('no entry that it turned away frees memory there')
+def step_not_freed(context: Context) -> None:
+    said = SaidAnswers(1)
+    head = read_head(503, parse_headers(f'Retry-After: {context.seconds}'))
+    said.context.note_said(context.engine, head)
+    free_handle(said.context, KvHandle(context.engine, 'h1'))
+    sleep(0)
+    assert counters(said.context) == {
+        ('rests_heard', ''): 1,
+        ('handles_not_freed', 'resting'): 1,
+    }
--- a/packages/trestle-control/src/trestle_control/cache_tracker.py
+++ b/packages/trestle-control/src/trestle_control/cache_tracker.py
@@ -7,12 +7,13 @@
 and there are many entries.
 """
 
-from collections.abc import Callable, Container
+from collections.abc import Callable
 from typing import Final, NamedTuple, Protocol
 
 from gevent import Greenlet, sleep, spawn
 
 from trestle_control.apply import ControlStateMachine
+from trestle_control.backend_notices import BackendNotices
 from trestle_control.placement_log import PlacementLog
 from trestle_control.replica_api import ReplicaApi
 from trestle_core.logs import part_logger
@@ -78,18 +79,15 @@
         replica: ReplicaApi,
         placements: PlacementLog,
         metrics: Metrics,
-        leaving: Container[str] = (),
+        notices: BackendNotices,
     ) -> None:
-        """Start without engines; `open_feed` does not connect yet.
-
-        The instances in `leaving` are not tracked.
-        """
-        self.leaving = leaving
+        """Start without engines; `open_feed` does not connect yet."""
         self.open_feed = open_feed
         self.state_machine = state_machine
         self.replica = replica
         self.placements = placements
         self.metrics = metrics
+        self.notices = notices
         self.tracked: dict[str, Greenlet[..., None]] = {}
 
     def run(self) -> None:
@@ -115,7 +113,7 @@
         return {
             backend.instance: backend
             for backend in self.state_machine.state.backends
-            if backend.role and backend.instance not in self.leaving
+            if backend.role and backend.instance not in self.notices.leaving
         }
 
     def _track(self, backend: Backend) -> None:
@@ -132,13 +130,16 @@
             finally:
                 feed.close()
             self.metrics.count('cache_feeds_lost')
+            pause_seconds = max(
+                retry_seconds, self.notices.resting.seconds(backend.instance)
+            )
             _log.info(
                 'Listing the cache of {} again in {:.1f} s: {}.',
                 backend.instance,
-                retry_seconds,
+                pause_seconds,
                 reason,
             )
-            sleep(retry_seconds)
+            sleep(pause_seconds)
             retry_seconds = min(retry_seconds * 2, _MAX_RETRY_SECONDS)
 
     def _apply_changes(
--- a/packages/trestle-control/src/trestle_control/direct_roles.py
+++ b/packages/trestle-control/src/trestle_control/direct_roles.py
@@ -123,7 +123,7 @@
 
     def poll(self) -> None:
         """Order the changes that the pools need, if this host leads."""
-        self.loads.leaving.follow(self.state_machine.state.backends)
+        self.loads.notices.follow(self.state_machine.state.backends)
         if self.replica.leading_seconds <= self._previous_lease_seconds():
             return
         pools = self._pools()
@@ -146,7 +146,8 @@
         pools: dict[EnginePool, list[Backend]] = {}
         for backend in self.state_machine.state.backends:
             is_leaving = (
-                backend.leaving or backend.instance in self.loads.leaving
+                backend.leaving
+                or backend.instance in self.loads.notices.leaving
             )
             if backend.role and not is_leaving:
                 pool = EnginePool(backend.service, backend.software)
@@ -242,6 +243,7 @@
             for engine in engines
             if roles[engine.instance] != role
             and engine.instance not in self.pending
+            and not self.loads.notices.resting.seconds(engine.instance)
         ]
         # Least-loaded engines first, then the zone with the most candidates.
         candidates.sort(
--- a/packages/trestle-control/src/trestle_control/load_table.py
+++ b/packages/trestle-control/src/trestle_control/load_table.py
@@ -10,13 +10,13 @@
 loads at once. An entry that is silent for seconds is dropped with its loads.
 """
 
-from collections.abc import Callable
 from time import monotonic
 from typing import Final
 
 from gevent import sleep
 from gevent.event import Event
 
+from trestle_control.backend_notices import BackendNotices
 from trestle_control.control_errors import NotLeaderError
 from trestle_control.limit_table import LimitTable
 from trestle_control.load_totals import LoadTotals
@@ -29,9 +29,7 @@
 from trestle_links.connection import Channel
 from trestle_links.crash_evidence import CrashEvidence
 from trestle_links.crash_messages import CrashNotice, ServedTrait
-from trestle_links.direct_messages import Backend
 from trestle_links.engine_slowness import SlownessTable
-from trestle_links.leaving_backends import LeavingBackends
 from trestle_links.linear_fit import CallSums, LinearFit, prefill_fit
 from trestle_links.link_server import Handlers
 from trestle_links.load_messages import (
@@ -40,7 +38,6 @@
     FitSums,
     FittedSpeed,
     FollowLoads,
-    LeaveNotice,
     LoadChange,
     LoadDelta,
     LoadPush,
@@ -72,9 +69,6 @@
 
 _log = part_logger('loads')
 
-# Records a back end that has said to this host that it leaves.
-NoteSaid = Callable[[Backend], None]
-
 
 class Follower:
     """The stream to one entry; `applied` is its last change in the sums."""
@@ -111,13 +105,12 @@
         self.limits = LimitTable()
         self.streams = StreamOrigins()
         self.new_failures: list[FailureNotice] = []
-        self.leaving = LeavingBackends()
-        self.new_leaving: list[LeaveNotice] = []
         self.fits: dict[str, LinearFit] = {}
         self.told_speeds: dict[str, FittedSpeed] = {}
         # Time of the last role order by engine.
         self.changing_since: dict[str, float] = {}
         self.changed = Event()
+        self.notices = BackendNotices(self.changed)
 
     def handlers(self) -> Handlers:
         """Return the link handlers."""
@@ -196,24 +189,12 @@
         self._record_crashes(change)
         self.limits.record(change.limits, change.sends)
         self.new_failures.extend(change.failures)
-        self.note_leaving(change.leaving, f'{host} tells')
+        self.notices.note_leaving(change.leaving, f'{host} tells')
         for begun in change.streams:
             self.streams.note_begun(_checked(begun), monotonic())
         for fit_sums in change.fits:
             self._pool(fit_sums)
 
-    def note_leaving(self, notices: list[LeaveNotice], source: str) -> None:
-        """Record back ends that leave; all entries are told the news."""
-        for notice in notices:
-            if self.leaving.note(notice.instance, notice.boot, source):
-                self.new_leaving.append(notice)
-                self.changed.set()
-
-    def note_said(self, backend: Backend) -> None:
-        """Record a back end that has said to this host that it leaves."""
-        notice = LeaveNotice(backend.instance, backend.boot)
-        self.note_leaving([notice], 'it says so')
-
     def running_requests(self) -> dict[str, int]:
         """Return the running requests by back end, over all entries."""
         return self.totals.running()
@@ -258,8 +239,6 @@
         self.new_served = []
         failures = self.new_failures[:_MAX_FAILURES]
         self.new_failures = []
-        leaving = self.new_leaving
-        self.new_leaving = []
         changed_slowness = {
             instance: round(self.transfer_slowness.slowness_of(instance), 2)
             for instance in self.changed_slowness
@@ -278,7 +257,7 @@
             failures=failures,
             limits=self.limits.take_changed(),
             sends=self.limits.take_sends(),
-            leaving=leaving,
+            leaving=self.notices.take_news(),
         )
 
     def _complete_delta(self) -> LoadDelta:
@@ -296,7 +275,7 @@
             failures=[],
             limits=self.limits.all_limits(),
             sends=[],
-            leaving=self.leaving.notices(),
+            leaving=self.notices.leaving.notices(),
         )
 
     def _changed_speeds(self) -> list[FittedSpeed]:
--- a/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
@@ -20,7 +20,7 @@
     CallerWire,
 )
 from trestle_links.connection import LinkDownError
-from trestle_links.direct_messages import Backend
+from trestle_links.direct_messages import Backend, Boot
 from trestle_links.load_messages import FailureNotice, LeaveNotice
 from trestle_links.stream_messages import StreamOrigin
 
@@ -117,9 +117,16 @@
 
         A request that went astray is answered by another back end.
         """
-        if head.status == MISDIRECTED or not head.is_leaving:
+        if head.status == MISDIRECTED:
             return
         instance, boot = backend.instance, backend.boot
+        if head.rest_seconds:
+            self.metrics.count('rests_heard')
+            self.fleet.resting.note(instance, boot, head.rest_seconds)
+        if head.is_leaving:
+            self._note_leaving(instance, boot)
+
+    def _note_leaving(self, instance: str, boot: Boot) -> None:
         if self.fleet.leaving.note(instance, boot, 'it says so'):
             self.metrics.count('backends_leaving', 'heard')
             self.loads.reports.note_leaving(LeaveNotice(instance, boot))
--- a/packages/trestle-entry/src/trestle_entry/direct/fleet_view.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/fleet_view.py
@@ -5,7 +5,8 @@
 some of its requests. Health is therefore derived from the outcomes of calls: a
 back end that this entry or others could not reach is excluded with exponential
 back-off, and one that fails this entry's calls often is used only if no other
-is left. One that has said that it leaves is never used.
+is left. One that has said that it leaves, or wants no requests for a time, is
+never used.
 """
 
 from time import monotonic
@@ -15,6 +16,7 @@
 from trestle_links.direct_messages import Backend
 from trestle_links.leaving_backends import LeavingBackends
 from trestle_links.load_messages import FailureNotice
+from trestle_links.resting_backends import RestingBackends
 
 _MIN_BACKOFF_SECONDS: Final = 0.5
 _MAX_BACKOFF_SECONDS: Final = 4.0
@@ -73,11 +75,13 @@
         # Engines whose role is being changed, as reported by the leader.
         self.changing_role: set[str] = set()
         self.leaving = LeavingBackends()
+        self.resting = RestingBackends()
 
     def replace_list(self, backends: list[Backend]) -> None:
         """Replace the list of back ends."""
         self.backends = {backend.instance: backend for backend in backends}
         self.leaving.follow(backends)
+        self.resting.follow(backends)
         self.by_service = {}
         for backend in backends:
             if not backend.leaving:
@@ -117,14 +121,14 @@
         backend = self.backends.get(instance)
         if instance in self.leaving or (backend and backend.leaving):
             return 'leaving'
-        return ''
+        return 'resting' if self.resting.seconds(instance) else ''
 
     def refusing(self, service: str) -> int:
         """Return how many back ends of a service want no requests.
 
         Those that the list shows as leaving do not count.
         """
-        if not self.leaving.leaves:
+        if not (self.leaving.leaves or self.resting.rests):
             return 0
         listed = self.by_service.get(service, [])
         return sum(bool(self.refusal(backend.instance)) for backend in listed)
--- a/packages/trestle-entry/src/trestle_entry/direct/prompt_prefill.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/prompt_prefill.py
@@ -155,8 +155,19 @@
     run.context.note_unreachable(engine.instance, reason, is_refused=False)
 
 
+def _note_said(
+    context: DirectContext, engine: Backend, answer: BackendAnswer
+) -> None:
+    headers = answer.header_list()
+    head = context.backend_wire.read_head(answer.status, headers)
+    context.note_said(engine, head)
+
+
 def _free(context: DirectContext, handle: KvHandle) -> None:
     engine = handle.engine
+    if context.fleet.resting.seconds(engine.instance):
+        context.metrics.count('handles_not_freed', 'resting')
+        return
     request_bytes = encode_request(
         'DELETE', context.backend_wire.free_path(handle.key), 'engine', [], b''
     )
@@ -174,6 +185,7 @@
                 connection.send(request_bytes)
                 connection.read_head(answer)
                 connection.read_body(answer)
+                _note_said(context, engine, answer)
             except BaseException:
                 connection.close()
                 raise
--- a/packages/trestle-entry/src/trestle_entry/direct/request_sends.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/request_sends.py
@@ -33,6 +33,8 @@
 )
 
 _MIN_TIMEOUT_SECONDS: Final = 0.001
+# Longest time over which refused callers are spread.
+_MAX_SPREAD_SECONDS: Final = 4.0
 
 Sent = TypeVar('Sent')
 
@@ -40,23 +42,28 @@
 def make_no_backend_failure(run: RequestRun, text: str) -> TrestleError:
     """Return the failure without a back end, with a true time to retry.
 
-    Back ends that have a rate limit take requests again at a known time.
+    Back ends that rest or have a rate limit take requests again at a known time.
     """
     context = run.context
+    fleet = context.fleet
     waits = [
-        context.loads.rate_limits.wait_seconds(backend.instance)
-        for backend in context.fleet.by_service.get(run.service.name, [])
-        if backend.instance not in context.fleet.leaving
+        max(
+            fleet.resting.seconds(backend.instance),
+            context.loads.rate_limits.wait_seconds(backend.instance),
+        )
+        for backend in fleet.by_service.get(run.service.name, [])
+        if backend.instance not in fleet.leaving
     ]
     waits = [seconds for seconds in waits if seconds > 0]
     if not waits:
         return make_failure(run, NO_ENDPOINT, text)
     # Refused callers do not return together.
-    seconds = min(waits) * (1 + context.random.random())
+    spread = min(min(waits), _MAX_SPREAD_SECONDS)
+    seconds = min(waits) + spread * context.random.random()
     return make_failure(
         run,
         OVERLOADED,
-        f'{text}: {len(waits)} have reached their rate limits',
+        f'{text}: {len(waits)} take none at present',
         max(DEFAULT_RETRY_AFTER_SECONDS, seconds),
     )
 
--- a/packages/trestle-entry/src/trestle_entry/direct/wire_types.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/wire_types.py
@@ -84,7 +84,8 @@
     is the time for which it keeps an idle connection, 0 if not announced.
     `rate_limit` is the requests a second that it takes from all entries
     together, infinite if it names no limit. `is_leaving` tells that it is about
-    to stop.
+    to stop, `rest_seconds` for how long it wants nothing from this entry, 0 if
+    it does not say so.
     """
 
     status: int
@@ -97,6 +98,7 @@
     forwarded_headers: Headers
     rate_limit: float = inf
     is_leaving: bool = False
+    rest_seconds: float = 0.0
 
 
 class CallerWire(NamedTuple):
--- a/packages/trestle-links/src/trestle_links/leaving_backends.py
+++ b/packages/trestle-links/src/trestle_links/leaving_backends.py
@@ -16,7 +16,7 @@
 # A back end that is not listed for this long has ended.
 _ENDED_SECONDS: Final = 5.0
 # Longest time by which the list and its readers lag behind a start.
-_LIST_LAG_SECONDS: Final = 3.0
+LIST_LAG_SECONDS: Final = 3.0
 # More back ends than a deployment has.
 _MAX_LEAVES: Final = 5000
 
@@ -88,7 +88,7 @@
         return None
     if listed is None:
         return leave._replace(missing_since=missing_since)
-    if listed.follows(leave.boot) and now - leave.said_at > _LIST_LAG_SECONDS:
+    if listed.follows(leave.boot) and now - leave.said_at > LIST_LAG_SECONDS:
         return None
     # What has just been said was said by the process that the list shows now.
     return leave._replace(boot=leave.boot.later(listed), missing_since=None)
--- a/testbed/entry_group.py
+++ b/testbed/entry_group.py
@@ -17,13 +17,16 @@
     request_run,
 )
 from trestle_entry.direct.direct_context import DirectContext
+from trestle_links import leaving_backends, resting_backends
 
 _START_SECONDS: Final = 1000.0
 _TIMED_MODULES: Final[tuple[ModuleType, ...]] = (
     crash_guard,
     entry_reports,
+    leaving_backends,
     load_table,
     rate_limits,
+    resting_backends,
 )
 
 
