--- a/features/steps/foreign_list_steps.py
+++ b/features/steps/foreign_list_steps.py
@@ -16,6 +16,7 @@
 from trestle_control.direct_roles import DirectRoleManager
 from trestle_control.load_table import LoadTable
 from trestle_control.named_services import NamedServices
+from trestle_control.replica_api import Lead
 from trestle_core import lifecycle
 from trestle_core.lifecycle import keep_running
 from trestle_core.metrics import Metrics
@@ -244,14 +245,19 @@
         for service in (first, second)
         for number in range(4)
     ]
-    replica: Any = Mock(is_leader=True, leading_seconds=100, term=1)
+    replica: Any = Mock(is_leader=True, lead=Lead(1, 100))
     loads = LoadTable(replica)
     context.send_order = Mock(return_value=True)
     context.roles = DirectRoleManager(
         context.send_order, 'core-1', 3, machine, replica, loads, Metrics()
     )
     context.caches = CacheTracker(
-        Mock(), machine, replica, loads.placements, Metrics()
+        Mock(),
+        machine,
+        replica,
+        loads.placements,
+        Metrics(),
+        loads.notices,
     )
     context.services = NamedServices(machine, read_table)
     context.roles.is_named = context.services.has
--- a/packages/trestle-control/src/trestle_control/direct_roles.py
+++ b/packages/trestle-control/src/trestle_control/direct_roles.py
@@ -130,7 +130,7 @@
 
     def poll(self) -> None:
         """Order the changes that the pools need, if this host leads."""
-        self.loads.leaving.follow(self.state_machine.state.backends)
+        self.loads.notices.follow(self.state_machine.state.backends)
         lead = self.replica.lead
         if lead.seconds <= self._previous_lease_seconds(lead.term):
             return
@@ -164,7 +164,9 @@
         return pools
 
     def _may_order(self, engine: Backend) -> bool:
-        is_leaving = engine.leaving or engine.instance in self.loads.leaving
+        is_leaving = (
+            engine.leaving or engine.instance in self.loads.notices.leaving
+        )
         return not is_leaving and self.is_named(engine.service)
 
     def _balance_pool(
@@ -256,6 +258,7 @@
             for engine in engines
             if roles[engine.instance] != role
             and engine.instance not in self.pending
+            and not self.loads.notices.resting.seconds(engine.instance)
         ]
         # Least-loaded engines first, then the zone with the most candidates.
         candidates.sort(
