callers: a cut answer that only its connection ends is reset

Callers of HTTP/1.0 know no chunks: their streams end with the connection. Those who keep connections were told so, and waited for the end of a whole stream without any.

Cause: the abort relied on the missing last chunk. Class: the lack of a sign taken for a sign. Callers of HTTP/1.1 get the same bytes as before.

--- a/features/cut_answers.feature
+++ b/features/cut_answers.feature
@@ -50,3 +50,19 @@
       | kind     |
       | a lookup |
       | a stream |
+
+  # Guards against: a stream that broke off and looks whole to callers who know
+  # no chunks, since its end is the end of the connection.
+  Scenario: A stream that breaks off is reset for callers of HTTP/1.0
+    Given an entry and a back end that stops
+    And callers that speak HTTP/1.0
+    When it stops at each byte of a stream with chunks
+    Then callers get the whole answer after its last byte, else a failure or a visible break
+
+  # Guards against: a stream whose end callers of HTTP/1.0 wait for in vain, as
+  # they were told that the connection is kept.
+  Scenario: The end of a stream reaches callers of HTTP/1.0 who keep connections
+    Given an entry and a back end that stops
+    And callers that speak HTTP/1.0 and keep connections
+    When it stops at each byte of a stream with chunks
+    Then callers get the whole answer after its last byte, else a failure or a visible break
--- a/features/steps/cut_answers_steps.py
+++ b/features/steps/cut_answers_steps.py
@@ -46,6 +46,13 @@
     context.version = '1.0'
 
 
+@given('callers that speak HTTP/1.0 and keep connections')
+def step_old_kept(context: Context) -> None:
+    """Let callers know no chunks and ask for a kept connection."""
+    context.version = '1.0'
+    context.entry.connection = 'keep-alive'
+
+
 @when('it stops at each byte of {kind} with {framing}')
 def step_stops(context: Context, kind: str, framing: str) -> None:
     """Close and reset at each place; keep what callers got, by the cut."""
--- a/packages/trestle-entry/src/trestle_entry/direct/caller_server.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/caller_server.py
@@ -127,6 +127,7 @@
     def handle_error(self, kind: Any, error: Any, trace: Any) -> None:
         """Close the connection of an answer that cannot be completed."""
         if isinstance(error, CallerGoneError | AbortedAnswerError):
+            self.reset_if_unframed()
             self.close_connection = True
             return
         super().handle_error(kind, error, trace)
--- a/testbed/cut_answers.py
+++ b/testbed/cut_answers.py
@@ -79,6 +79,8 @@
         # Heads of requests that back ends got, from the latest caller.
         self.received: list[str] = []
         self.calls = 0
+        # What callers want of their connections.
+        self.connection = 'close'
 
     def list_backends(self, path: str, *names: str) -> None:
         """Start back ends for the route of a path, the first one preferred."""
@@ -107,7 +109,7 @@
             f'Kingcuptrestle-Request-Id: r{self.calls:06}',
             'Kingcuptrestle-Token-Counts: 100,3',
             'Content-Length: 2',
-            'Connection: close',
+            f'Connection: {self.connection}',
         ]
         sock = create_connection(self.server.bound(), timeout=5)
         try:
@@ -201,9 +203,11 @@
     received = b''
     is_closed = True
     try:
-        while more := sock.recv(_READ_BYTES):
+        while not _ends_by_length(received) and (
+            more := sock.recv(_READ_BYTES)
+        ):
             received += more
-    except ConnectionResetError:
+    except (ConnectionResetError, TimeoutError):
         is_closed = False
     head, _, body = received.partition(b'\r\n\r\n')
     if not head:
@@ -217,6 +221,12 @@
     return CallerAnswer(status, body, is_closed)
 
 
+def _ends_by_length(received: bytes) -> bool:
+    head, _, body = received.partition(b'\r\n\r\n')
+    length = re.search(rb'(?i)content-length: (\d+)', head)
+    return length is not None and len(body) >= int(length[1])
+
+
 def _unchunk(body: bytes) -> tuple[bytes, bool]:
     content = b''
     while body:
