--- a/packages/trestle-entry/src/trestle_entry/socket_handler.py
+++ b/packages/trestle-entry/src/trestle_entry/socket_handler.py
@@ -1,10 +1,16 @@
-"""WSGI handler that reads requests strictly and exposes the caller's socket."""
+"""WSGI handler that reads requests strictly and exposes the caller's socket.
+
+An answer without a length or chunks, as callers of HTTP/1.0 get streams, ends
+with its connection. One that breaks off is then reset: a close would make it
+look whole.
+"""
 
 from io import BytesIO
+from struct import pack
 from typing import Any, Final
 
 from gevent.pywsgi import WSGIHandler
-from gevent.socket import IPPROTO_TCP, TCP_NODELAY
+from gevent.socket import IPPROTO_TCP, SO_LINGER, SOL_SOCKET, TCP_NODELAY
 
 from trestle_entry.request_bodies import BodyReader
 from trestle_entry.request_heads import (
@@ -18,6 +24,10 @@
 )
 
 SOCKET_KEY: Final = 'kingcuptrestle.socket'
+# Lingering is on, for no time: closing resets the connection.
+_RESET: Final = pack('ii', 1, 0)
+_FRAMES: Final = frozenset((b'content-length', b'transfer-encoding'))
+_BODILESS_STATUSES: Final = frozenset((204, 304))
 
 
 class SocketHandler(WSGIHandler):
@@ -49,6 +59,34 @@
         self.close_connection = closes_connection(line.version, fields)
         return True
 
+    def finalize_headers(self) -> None:
+        """Announce that no request can follow on the connection."""
+        super().finalize_headers()
+        if self.ends_with_connection():
+            self.close_connection = True
+        elif not self.wsgi_input.ends_connection:
+            return
+        headers: list[Any] = self.response_headers or []
+        kept = [one for one in headers if one[0].lower() != b'connection']
+        kept.append((b'Connection', b'close'))
+        self.response_headers = kept
+
+    def handle_error(self, kind: Any, error: Any, trace: Any) -> None:
+        """Let an answer that was cut not look whole."""
+        self.reset_if_unframed()
+        super().handle_error(kind, error, trace)
+
+    def reset_if_unframed(self) -> None:
+        """Reset, when it closes, a connection that is its answer's only end."""
+        if self.headers_sent and self.ends_with_connection():
+            self.socket.setsockopt(SOL_SOCKET, SO_LINGER, _RESET)
+
+    def ends_with_connection(self) -> bool:
+        """Return whether the answer has neither a length nor chunks."""
+        headers: list[Any] = self.response_headers or []
+        names = {name.lower() for name, _ in headers}
+        return not names & _FRAMES and self.code not in _BODILESS_STATUSES
+
     def get_environ(self) -> dict[str, Any]:
         """Return the WSGI environment with the caller's socket."""
         environ: dict[str, Any] = super().get_environ()
@@ -62,13 +100,6 @@
         environ['wsgi.input'] = self.wsgi_input
         return environ
 
-    def finalize_headers(self) -> None:
-        """Announce that no request can follow a body without its end."""
-        super().finalize_headers()
-        if self.wsgi_input.ends_connection:
-            headers: list[Any] = self.response_headers or []
-            headers.append((b'Connection', b'close'))
-
     def handle_one_response(self) -> None:
         """Answer; end the connection if the body was not read to its end."""
         super().handle_one_response()
