entry: a promise without proof is not passed on where nothing may run twice

Cause: `error_answer` looks at the verdict, but a replica's own answer doesn't come by there. A replica that did not run a request says so in its head, or answers 421 as another instance; nothing else proves it.

Change: for routes whose requests may run once only, a back end's 408, 421, 429 or 503 that states nothing becomes `outcome-unknown` (502) without its seal (`promises.check_promise`, for plain requests and streams). Where a request may run twice, all is passed on unchanged as before. `error_answer` now treats 408, 421 and 429 like 503.

--- a/features/direct_rules.feature
+++ b/features/direct_rules.feature
@@ -81,6 +81,34 @@
       | model | 5       | 2     | 1     |
       | plain | 5       | 2     | 1     |
 
+  # Guards against a failure after the work that callers take for "not run".
+  Scenario Outline: A promise without proof is replaced where nothing may run twice
+    Given a <kind> request that may run only once
+    When every back end answers <status>
+    Then the caller gets <answer>, and the seal only with the own status
+
+    Examples:
+      | kind  | status | answer |
+      | plain | 503    | 502    |
+      | plain | 429    | 502    |
+      | plain | 408    | 502    |
+      | model | 503    | 502    |
+      | model | 429    | 502    |
+      | plain | 500    | 500    |
+      | plain | 404    | 404    |
+      | model | 500    | 500    |
+
+  # Guards against a replaced answer where a repetition does no harm.
+  Scenario Outline: A promise without proof is passed on where a request may run twice
+    Given a <kind> request that may run twice, and 0 resends are left
+    When every back end answers 503
+    Then the caller gets 503, and the seal only with the own status
+
+    Examples:
+      | kind  |
+      | plain |
+      | model |
+
   Scenario: A back end is told whose memory to copy
     Then a read that copies names the holder's address
     And a read that copies nothing names none
--- a/features/steps/direct_run_steps.py
+++ b/features/steps/direct_run_steps.py
@@ -25,14 +25,18 @@
 from trestle_entry.direct.placement import Plan
 from trestle_entry.direct.prefill_work import PrefillWork
 from trestle_entry.direct.prompt_prefill import KvHandle
+from trestle_entry.direct.replies import error_answer
 from trestle_entry.direct.request_run import make_failure
 from trestle_entry.direct.wire_types import (
     AnswerHead,
     SendOptions,
 )
 from trestle_links.direct_messages import PREFILL
+from trestle_platform.caller_http import caller_wire
 from trestle_platform.replica_http import send_headers
 
+SEALED = [('Kingcuptrestle-Server-Seal', 'own')]
+
 
 @given('a model request whose prompt was read, and no resend is allowed')
 def step_read(context: Context) -> None:
@@ -154,11 +158,18 @@
     context.run = make_run(resends, attempts=2)
 
 
-@when('every back end answers 500')
-def step_all_fail(context: Context) -> None:
+@given('a {kind} request that may run only once')
+def step_kind_once(context: Context, kind: str) -> None:
+    """Make the request."""
+    context.kind = kind
+    context.run = make_run()
+
+
+@when('every back end answers {status:d}')
+def step_all_fail(context: Context, status: int) -> None:
     """Serve the request by back ends that fail."""
     context.sent = []
-    head = AnswerHead(500, 'r1', True, False, False, False, 0, [])
+    head = AnswerHead(status, 'r1', True, False, False, False, 0, SEALED)
     run = context.run
     matched = RouteMatch(run.route, run.service)
 
@@ -179,7 +190,19 @@
         patch.object(module, 'open_answer', open_failed),
         patch.object(module, 'read_answer', read_failed),
     ):
-        context.reply = serve(run.context, run.request, matched, run.trace)
+        try:
+            context.reply = serve(run.context, run.request, matched, run.trace)
+        except TrestleError as error:
+            context.reply = error_answer(caller_wire(), 'r1', error)
+
+
+@then('the caller gets {status:d}, and the seal only with the own status')
+def step_sealed(context: Context, status: int) -> None:
+    """Check the answer of a request that was sent once."""
+    assert context.reply.status == status, context.reply
+    is_sealed = SEALED[0] in context.reply.headers
+    assert is_sealed == (context.reply.body == [b'failed']), context.reply
+    assert len(context.sent) == 1, context.sent
 
 
 @then('the caller gets {status:d} after {sends:d} sends')
--- a/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
@@ -29,6 +29,7 @@
 from trestle_entry.direct.event_stream import StreamTiming
 from trestle_entry.direct.model_dispatch import open_stream, reopen_stream
 from trestle_entry.direct.model_run import ModelRun
+from trestle_entry.direct.promises import check_promise
 from trestle_entry.direct.replies import AbortedAnswerError, DirectReply
 from trestle_entry.direct.request_log import RequestTrace
 from trestle_entry.direct.request_sends import note_broken, within_deadline
@@ -56,7 +57,7 @@
         run.hold_place('')
         raise
     if isinstance(opened, CompleteAnswer):
-        return complete_reply(opened)
+        return complete_reply(check_promise(run.route, opened))
     return DirectReply(
         opened.head.status,
         opened.head.forwarded_headers,
--- a/packages/trestle-entry/src/trestle_entry/direct/plain_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/plain_dispatch.py
@@ -20,6 +20,7 @@
     remaining_ms,
 )
 from trestle_entry.direct.direct_context import DirectContext, RouteMatch
+from trestle_entry.direct.promises import check_promise
 from trestle_entry.direct.replies import DirectReply, RefusedError
 from trestle_entry.direct.request_log import RequestTrace
 from trestle_entry.direct.request_run import RequestRun, make_failure
@@ -53,7 +54,7 @@
     run = RequestRun(context, request, route_match, trace)
     with within_deadline(run):
         answer = _send_until_final(run)
-    return complete_reply(answer)
+    return complete_reply(check_promise(run.route, answer))
 
 
 def _send_until_final(run: RequestRun) -> CompleteAnswer:
--- a/packages/trestle-entry/src/trestle_entry/direct/replies.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/replies.py
@@ -16,6 +16,8 @@
 )
 
 DEFAULT_RETRY_AFTER_SECONDS: Final = 0.2
+# Statuses that callers take for proof that nothing ran nor will.
+PROMISES: Final = frozenset((408, 421, 429, 503))
 
 
 class DirectReply(NamedTuple):
@@ -58,12 +60,11 @@
     """
     status = error.code.status
     headers = wire.own_headers(request_id)
+    if status in PROMISES and error.verdict is not Verdict.NOT_RUN:
+        status = BAD_GATEWAY
     if status == UNAVAILABLE:
-        if error.verdict is not Verdict.NOT_RUN:
-            status = BAD_GATEWAY
-        else:
-            seconds = getattr(error, 'retry_after', DEFAULT_RETRY_AFTER_SECONDS)
-            headers.append(wire.retry_after(seconds))
+        seconds = getattr(error, 'retry_after', DEFAULT_RETRY_AFTER_SECONDS)
+        headers.append(wire.retry_after(seconds))
     body = encode({'code': error.code.code, 'message': error.message})
     headers.append(('Content-Type', 'application/json'))
     headers.append(('Content-Length', str(len(body))))
