--- a/packages/trestle-entry/src/trestle_entry/direct/prompt_prefill.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/prompt_prefill.py
@@ -168,11 +168,10 @@
     if context.fleet.resting.seconds(engine.instance):
         context.metrics.count('handles_not_freed', 'resting')
         return
-    request_bytes = encode_request(
-        'DELETE', context.backend_wire.free_path(handle.key), 'engine', [], b''
-    )
+    path = context.backend_wire.free_path(handle.key)
     limit = Timeout(_FREE_SECONDS)
     try:
+        request_bytes = encode_request('DELETE', path, 'engine', [], b'')
         with limit:
             connection = context.pool.acquire(
                 engine.address,
