entry: a plain back end that turns requests away draws no traffic

Callers saw: 503 beside three sound back ends, when a fourth turned requests away without having run them and named no time to come back.

Cause: plain dispatch chooses by running requests; a back end that refuses at once has none and looks idle. Each refusal cost a resend, until the shared limit was spent. Model requests have noted a decline since long, plain ones never did. Class: an outcome is judged by one caller of the health and not by its twin.

Evidence: the new scenario printed "the retry limits are reached" before and passes.

--- a/features/leaving_back_ends.feature
+++ b/features/leaving_back_ends.feature
@@ -216,3 +216,12 @@
     Given an engine that replies to "its list" with 503 and 4 s to come back
     Then the leader calls it no more for 4 s
     And no entry that it turned away frees memory there
+
+  # Guards against: a back end that looks idle because it turns requests away at
+  # once, draws the traffic, and spends the resends of the others.
+  Scenario: A back end that turns away and names no time draws no traffic
+    Given 1 entries that share 4 back ends
+    When back end 1 turns every request away at once
+    And 1080 requests come in 9 s
+    Then no request was refused
+    And back end 1 got at least 10 requests in the last 9 s
--- a/features/steps/leaving_backends_steps.py
+++ b/features/steps/leaving_backends_steps.py
@@ -413,3 +413,8 @@
         ('rests_heard', ''): 1,
         ('handles_not_freed', 'resting'): 1,
     }
+
+
+@when('back end 1 turns every request away at once')
+def step_declines(context: Context) -> None:
+    context.group.declining.add(LEFT)
--- a/packages/trestle-entry/src/trestle_entry/direct/plain_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/plain_dispatch.py
@@ -29,6 +29,7 @@
     within_deadline,
 )
 from trestle_entry.direct.wire_types import (
+    MISDIRECTED,
     SERVER_ERROR,
     CallerRequest,
     SendOptions,
@@ -69,6 +70,10 @@
     """Return whether an answer goes to the caller instead of a resend."""
     if answer.head.is_declined:
         run.trace.add('declined', f'{instance}: {answer.head.status}')
+        # It refuses faster than others answer, so it would always look idle.
+        run.context.fleet.note_declined(
+            instance, is_full=answer.head.status != MISDIRECTED
+        )
         return False
     run.runs += 1
     if answer.head.status >= SERVER_ERROR and run.may_try_another:
--- a/testbed/entry_group.py
+++ b/testbed/entry_group.py
@@ -12,6 +12,7 @@
 from trestle_entry.direct import (
     crash_guard,
     entry_reports,
+    fleet_view,
     load_stream,
     rate_limits,
     request_run,
@@ -23,6 +24,7 @@
 _TIMED_MODULES: Final[tuple[ModuleType, ...]] = (
     crash_guard,
     entry_reports,
+    fleet_view,
     leaving_backends,
     load_table,
     rate_limits,
--- a/testbed/limited_entries.py
+++ b/testbed/limited_entries.py
@@ -25,6 +25,8 @@
         names = [f'backend-{number}' for number in range(1, backends + 1)]
         super().__init__(entries, dict.fromkeys(names, ''))
         self.rates: dict[str, float] = {}
+        # Those that turn requests away at once and name no time.
+        self.declining: set[str] = set()
         self.arrivals: dict[str, list[float]] = {name: [] for name in names}
         self.refusals: list[TrestleError] = []
         self.exchanged_at = 0.0
@@ -59,7 +61,11 @@
         entry, backend = call[0], call[2]
         self.arrivals[backend.instance].append(self.seconds)
         rate = self.rates.get(backend.instance, float('inf'))
-        head = AnswerHead(200, 'r', True, False, False, False, 0, [], rate)
+        declines = backend.instance in self.declining
+        status = 503 if declines else 200
+        head = AnswerHead(
+            status, 'r', not declines, declines, False, False, 0, [], rate
+        )
         entry.loads.rate_limits.note_named(backend.instance, rate, self.seconds)
         nothing: Any = None
         return OpenAnswer(nothing, nothing, head, backend)
