testbed: a back end that leaves is noticed beside odd entries of the list

The whole path with real processes: four odd entries (an escape that is no character, nesting, a number of 300 digits, port 70000 with slots of 64 bits) come into the list, a back end is listed as leaving, and gets no more calls; no process fails at a task or ends.

--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -84,6 +84,17 @@
     When a service is listed as leaving for 2 seconds
     Then 20 calls of "/look/plain" all run elsewhere
 
+  # Guards against: an odd entry of the list hides that a back end leaves, or
+  # ends a process.
+  Scenario: A back end that leaves is noticed beside odd entries of the list
+    Given a platform with 5 control hosts, 2 entries, 2 services and 3 engines
+    When document 3 is published at "core-1"
+    Then every entry is ready within its bound
+    When other writers leave odd entries in the list
+    And a service is listed as leaving for 2 seconds
+    Then 20 calls of "/look/plain" all run elsewhere
+    And no process has failed at a task or ended
+
   Scenario: A planned stop of an entry cuts nothing
     Given a platform with 5 control hosts, 2 entries, 2 services and 3 engines
     When document 3 is published at "core-1"
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 from behave.runner import Context
 from gevent import sleep, spawn
+from msgspec import Raw
 
 from testbed.platform_fleet import (
     Answer,
@@ -84,6 +85,33 @@
     ]
 
 
+@when('other writers leave odd entries in the list')
+def step_odd_entries(context: Context) -> None:
+    """Put entries on the list that its page cannot be decoded with."""
+    fleet_of(context).extra_entries = [
+        Raw(b'{"id":"\\ud800","service":"desk"}'),
+        Raw(b'[' * 5000 + b']' * 5000),
+        Raw(b'{"slots":' + b'9' * 300 + b',"state":"ready"}'),
+        {
+            'id': 'i-port',
+            'service': 'desk',
+            'addr': '127.0.0.1:70000',
+            'zone': 'z1',
+            'version': 'v1',
+            'state': 'ready',
+            'slots': 2**63,
+        },
+    ]
+
+
+@then('no process has failed at a task or ended')
+def step_no_failures(context: Context) -> None:
+    """Look at the processes and their logs."""
+    for process in context.processes.started.values():
+        assert process.running(), process.name
+        assert 'begins again' not in process.log_tail(), process.name
+
+
 @then('each entry answers 503 and is not ready before a document is published')
 def step_not_ready(context: Context) -> None:
     """Check entries that know nothing yet."""
