platform: a large odd page leaves the processor to other tasks

What callers saw: nothing measured. Cutting a page of 2 MB of brackets took the leader's whole process 6 s (trial), longer than its followers wait for it.

Evidence, on the code before: both new examples fail, no other task had a turn.

--- a/features/foreign_list.feature
+++ b/features/foreign_list.feature
@@ -86,6 +86,16 @@
     Given a leader whose list raises an unknown error once
     Then a reading soon after it lists "i-1", and the failure is counted
 
+  # Guards against: a large odd page keeps the processor from all other tasks of
+  # the leader, for longer than its followers wait.
+  Scenario Outline: Reading a large odd page leaves the processor to others
+    Then other tasks run while a page with <odd> is read
+
+    Examples:
+      | odd                 |
+      | a million brackets  |
+      | a million starts    |
+
   # Guards against: an entry of another writer, of a service that no manifest
   # names, gets orders and calls of the system.
   Scenario: Engines of a service that no manifest names get no calls
--- a/features/steps/foreign_list_steps.py
+++ b/features/steps/foreign_list_steps.py
@@ -22,7 +22,7 @@
 from trestle_links.codec import decode_message, encode_message
 from trestle_links.direct_messages import Backend
 from trestle_links.packed_document import pack_document
-from trestle_platform.instance_list import read_backends
+from trestle_platform.instance_list import read_backends, split_page
 from trestle_platform.manifest import read_table
 from trestle_platform.platform_calls import CallReply
 
@@ -95,6 +95,7 @@
     'an unknown stage': entry(stage='middle'),
     'an entry of 5 MB': with_raw('x', b'"' + b'x' * 5_000_000 + b'"'),
     'a million brackets': b'[{' * 500_000,
+    'a million starts': b',{' * 1_000_000,
     'a bracket too many': entry() + b'}]}',
     'a bracket too few': entry()[:-1],
     'a quote too few': entry()[:-2] + b'}',
@@ -283,3 +284,21 @@
     }
     assert ordered == {service}, ordered
     assert followed == {f'i-{service}-{number}' for number in range(4)}
+
+
+@then('other tasks run while a page with {odd} is read')
+def step_others_run(_context: Context, odd: str) -> None:
+    """Count the turns of another task."""
+    turns: list[int] = []
+
+    def take_turns() -> None:
+        while True:
+            turns.append(1)
+            sleep(0)
+
+    task = spawn(take_turns)
+    entries = [entry(id='i-1'), ODD[odd], entry(id='i-2')]
+    found = split_page(page(entries).body).entries
+    task.kill()
+    assert len(found) == 2, found
+    assert len(turns) >= 20, len(turns)
