entries: an old list tells nothing of the software of back ends

Shown with real processes: an entry is stopped, two engines of v1 start again under their names with v3, streams break, the entry runs on and is asked at once.

Cause: the origin was right (known by the leader), but which back ends run that version was looked up in the entry's own list, as old as its standstill. Streams that began there got their record from the same list. Class: an old fact used as a present one, though its age was known.

What rests on the software of a back end now asks for the age of the list, which the stamps of the followed control host give: over 1.5 s old (in step it is at most 0.6 s: stamps every 300 ms, the host's own confirmation every 200 ms and a heartbeat) no stream is resumed and no origin is recorded; a take-up waits 0.3 s for the list and is then refused as not run. Streams still begin there. An origin is not recorded either if the engine was listed anew with other software between send and first event.

Ruled out: "no record" read as "anywhere" (refused, tested before), a version without a listed back end (refused at once), a late answer of the leader (dropped by its channel), a back end's other name (421). A former leader with an old record was possible until records came from first events ("what the leader is told of a stream is never wrong").

Open: the lag of the provider's list itself, at entries in step.

--- a/features/software_versions.feature
+++ b/features/software_versions.feature
@@ -72,6 +72,7 @@
       | its version is no longer listed      | no-endpoint    |
       | its route has moved to another service | no-endpoint  |
       | its route may no longer be resumed   | no-endpoint    |
+      | its list is old                      | stale-node     |
 
   # Guards against: sound streams that are kept from going on.
   Scenario: A stream that the leader knows goes on, whatever else is listed
@@ -100,3 +101,31 @@
     Given 1 entries and their leader
     When streams of "v2", of "v1" and of "v2" are noted before a report, the last two under one id
     Then the leader knows that "v2" began it
+
+  # Guards against: a stream that goes on at an engine which started again under
+  # its name with other software while its entry was out of step.
+  Scenario: An entry with an old list resumes no stream
+    Given 2 engines of "v1" and 0 idle engines of "v2" that decode
+    And a list that gets old in the middle of the stream
+    When a stream begins at "v1" and breaks off after event 2
+    Then it went on nowhere and its answer is visibly broken
+
+  # Guards against: a record of a version that the engine does not run any more.
+  Scenario Outline: What is not certain of a beginning is not told
+    Given 1 engines of "v1" and 0 idle engines of "v2" that decode
+    When a stream begins at "v1" while <what>
+    Then it is whole and the leader is told nothing of it
+
+    Examples:
+      | what                                          |
+      | the list is old                               |
+      | its engine is listed anew with other software |
+
+  # Guards against: a stream that goes on at an engine which started again under
+  # its name with other software, through an entry that stood still meanwhile.
+  Scenario: An entry that stood still takes up no stream at another version
+    Given a platform with 2 engines of "v1" and 3 of "v2"
+    When "front-1" is killed in the middle of 12 streams while "front-2" stands still and "v1" becomes "v3"
+    And their callers take them up at "front-2"
+    Then the take-ups of streams of "v1" are refused as not run
+    And every stream of "v2" went on at the version that began it and is whole
--- a/features/steps/software_versions_steps.py
+++ b/features/steps/software_versions_steps.py
@@ -9,6 +9,8 @@
 
 # Running requests that make an engine dear.
 BUSY = 40
+# The age of the list at an entry that was cut off.
+OLD_SECONDS = 2.0
 # How an engine fails without an event.
 FAILURES = {
     'breaks off': Script(breaks_after=0),
@@ -117,3 +119,46 @@
     assert body.count(b'data: ') == body.count(software.encode()), body
     known = [begun.origin.software for begun in context.told]
     assert known == [software], context.told
+
+
+@given('a list that gets old in the middle of the stream')
+def step_gets_old(context: Context) -> None:
+    """Let the list be current until the origin of the stream is noted."""
+    entry = context.engines.context
+    entry.list_age_seconds = lambda: (
+        OLD_SECONDS if entry.loads.streams.unreported else 0
+    )
+
+
+@when('a stream begins at "{software}" while the list is old')
+def step_begins_old(context: Context, software: str) -> None:
+    """Serve a stream at an entry that is out of step."""
+    context.engines.context.list_age_seconds = lambda: OLD_SECONDS
+    serve_from(context, software, Script())
+
+
+@when(
+    'a stream begins at "{software}" while its engine is listed anew with other '
+    'software'
+)
+def step_begins_other(context: Context, software: str) -> None:
+    """Change the list between the send and the first event."""
+    fleet = context.engines.context.fleet
+    send = context.engines.open
+
+    def list_anew(*call: Any, **options: Any) -> Any:
+        opened = send(*call, **options)
+        other = opened.backend._replace(software='v9')
+        fleet.replace_list([other])
+        return opened
+
+    context.engines.open = list_anew
+    serve_from(context, software, Script())
+
+
+@then('it is whole and the leader is told nothing of it')
+def step_told_nothing(context: Context) -> None:
+    """Check what the caller got, and the next report."""
+    check_whole(context)
+    told = context.engines.context.loads.streams.take_unreported()
+    assert not told, told
--- a/features/steps/stream_origins_steps.py
+++ b/features/steps/stream_origins_steps.py
@@ -29,6 +29,8 @@
 
 START_SECONDS = 1000.0
 WAIT_SECONDS = 4.0
+# The age of the list at an entry that was cut off.
+OLD_SECONDS = 2.0
 
 
 def lead(context: Context) -> None:
@@ -225,7 +227,10 @@
             lambda _: known,
             route._replace(resumable=False),
         ),
+        'its list is old': ('s', lambda _: known, route),
     }
+    if what == 'its list is old':
+        context.engines.context.list_age_seconds = lambda: OLD_SECONDS
     take_up(context, *cases[what])
 
 
--- a/features/steps/stream_take_ups_steps.py
+++ b/features/steps/stream_take_ups_steps.py
@@ -141,6 +141,25 @@
         wait_until_serving(fleet, entry)
 
 
+@when(
+    '"{killed}" is killed in the middle of {streams:d} streams while "{frozen}" '
+    'stands still and "{old}" becomes "{new}"'
+)
+def step_stands_still(
+    context: Context, killed: str, streams: int, frozen: str, old: str, new: str
+) -> None:
+    """Change the software of engines, under their names, unseen by an entry."""
+    fleet = context.fleet
+    context.processes.started[frozen].pause()
+    kill_in_the_middle(context, [killed], streams)
+    for replica in fleet.replicas:
+        if replica.software == old:
+            replica.software = new
+    # Two reads of the list, so that the control hosts have seen it.
+    sleep(2 * READ_INTERVAL_SECONDS)
+    context.processes.started[frozen].resume()
+
+
 @when('their callers take them up at "{entry}"')
 def step_take_up(context: Context, entry: str) -> None:
     """Take up each stream with what its caller has."""
--- a/packages/trestle-entry/src/trestle_entry/direct/direct_app.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/direct_app.py
@@ -78,6 +78,7 @@
     app.add(start=control.start, stop=control.stop)
     app.add(stop=links.close)
     context.ask_origin = leader_origins(control, links)
+    context.list_age_seconds = control.freshness_seconds
     app.add_task(lambda: run_load_stream(context, control, links))
     app.add_task(lambda: _close_expired_connections(context))
     _add_pages(app, context)
--- a/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
@@ -18,6 +18,9 @@
 from trestle_links.load_messages import FailureNotice
 from trestle_links.stream_messages import StreamOrigin
 
+# Twice the age that the list has at most at an entry in step: the time between
+# two stamps, and between two confirmations of the control host's own state.
+_MAX_LIST_AGE_SECONDS: Final = 1.5
 _MS_PER_SECOND: Final = 1000
 
 
@@ -59,6 +62,16 @@
         self.random = Random(settings.host)
         # Asks the leader who began a stream; raises `TrestleError`.
         self.ask_origin: Callable[[int], StreamOrigin | None] = _no_leader
+        # The age of the list of back ends, as far as control confirms it.
+        self.list_age_seconds: Callable[[], float] = _no_age
+
+    @property
+    def knows_software(self) -> bool:
+        """Whether the list tells which software its back ends run.
+
+        An old one does not: a back end may have started again under its name.
+        """
+        return self.list_age_seconds() <= _MAX_LIST_AGE_SECONDS
 
     def apply_settings(self, settings: DirectSettings) -> None:
         """Apply the settings that may change in a running process."""
@@ -114,5 +127,9 @@
         return allowed
 
 
+def _no_age() -> float:
+    return 0.0
+
+
 def _no_leader(_key: int) -> StreamOrigin | None:
     raise LinkDownError('no leader is followed', sent=False)
--- a/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
@@ -120,7 +120,7 @@
             if events_received:
                 if self.timing.note():
                     self.run.trace.add('first event', opened.backend.software)
-                    self.run.note_first_event(opened.backend.software)
+                    self.run.note_first_event(opened.backend)
                 yield events_received
             if events.fault:
                 raise BrokenAnswerError(events.fault)
--- a/packages/trestle-entry/src/trestle_entry/direct/model_run.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_run.py
@@ -9,6 +9,7 @@
 from trestle_entry.direct.request_log import RequestTrace
 from trestle_entry.direct.request_run import RequestRun
 from trestle_entry.direct.wire_types import CallerRequest, ModelDemand
+from trestle_links.direct_messages import Backend
 from trestle_links.stream_messages import StreamOrigin
 
 _DEFAULT_DEMAND: Final = ModelDemand('', 1, 1, ())
@@ -51,8 +52,8 @@
         # The instance in whose load this request is counted, empty for none.
         self.counted_at = ''
         self.transfer: KvTransfer | None = None
-        # The software version that began the stream, None before an event of it
-        # has been received here or by the caller.
+        # The software version that began the stream, empty if that is not
+        # certain, None before an event was received here or by the caller.
         self.software = route_match.software
 
     @property
@@ -77,18 +78,14 @@
         if instance:
             own.add_running(instance, 1, self.kv_tokens)
 
-    def note_first_event(self, software: str) -> None:
+    def note_first_event(self, engine: Backend) -> None:
         """Record which software version began the stream.
 
         And how long the KV transfer of the prompt took.
         """
-        if self.software is None and self.route.resumable and software:
-            self.context.loads.streams.note(
-                self.request.request_id,
-                StreamOrigin(self.service.name, software),
-                self.request.waits_until,
-            )
-        self.software = software
+        if self.software is None:
+            self.software = self._software_of(engine)
+            self._note_origin()
         transfer = self.transfer
         if transfer is None:
             return
@@ -100,3 +97,20 @@
             transfer.link_ms,
             took_ms - transfer.wait_ms,
         )
+
+    def _software_of(self, engine: Backend) -> str:
+        """Return what an engine runs, nothing if that is not certain."""
+        fleet = self.context.fleet
+        listed = fleet.backends.get(engine.instance, engine)
+        is_same = listed.software == engine.software
+        return (
+            engine.software if is_same and self.context.knows_software else ''
+        )
+
+    def _note_origin(self) -> None:
+        if self.software and self.route.resumable:
+            self.context.loads.streams.note(
+                self.request.request_id,
+                StreamOrigin(self.service.name, self.software),
+                self.request.waits_until,
+            )
--- a/packages/trestle-entry/src/trestle_entry/direct/run_planning.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/run_planning.py
@@ -57,8 +57,11 @@
 def usable_engines(run: ModelRun) -> list[Backend]:
     """Return the engines that this request has not tried in vain.
 
-    A stream that has begun goes on only at the software version that began it.
+    A stream that has begun goes on only at the software version that began it,
+    as far as the list is current enough to tell.
     """
+    if run.software is not None and not run.context.knows_software:
+        return []
     return run.context.fleet.usable(
         run.service.name, run.unusable(), run.software
     )
--- a/packages/trestle-entry/src/trestle_entry/direct/take_ups.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/take_ups.py
@@ -12,7 +12,7 @@
 
 from gevent import sleep
 
-from trestle_core.errorcodes import NO_ENDPOINT, STREAM_UNKNOWN
+from trestle_core.errorcodes import NO_ENDPOINT, STALE_NODE, STREAM_UNKNOWN
 from trestle_core.errors import TrestleError
 from trestle_core.route_table import Repeat, Route
 from trestle_entry.direct.direct_context import DirectContext
@@ -67,9 +67,25 @@
         'taken up', f'{origin.service} {origin.software}, known by {source}'
     )
     _check_route(route, origin)
+    _wait_for_list(context)
     return origin
 
 
+def _wait_for_list(context: DirectContext) -> None:
+    """Let an entry that was out of step learn what back ends run now.
+
+    Raises `RefusedError` if that takes too long.
+    """
+    until = monotonic() + _ASK_SECONDS
+    while not context.knows_software:
+        if monotonic() > until:
+            context.metrics.count('stream_take_ups', 'old-list')
+            raise RefusedError(
+                STALE_NODE, 'the list of back ends is too old', _RETRY_SECONDS
+            )
+        sleep(_POLL_SECONDS)
+
+
 def _ask_leader(
     context: DirectContext, request: CallerRequest
 ) -> StreamOrigin | None:
