endpoints: an interim answer is not the reply of an engine or a service

An interim answer (1xx) before a reply was taken for the reply itself: status 103, an empty body, and the rest on the connection not read. Cause: the head of the first message ended the wait for the head of the final one. Class: as with the platform calls, a client that was not tested against cuts.

The exchange now waits for a final head; a close between the two breaks it.

Test: "an endpoint takes a reply for whole only with its last byte" over a length, chunks with trailers, an interim answer; the last one failed before ({37: HttpReply(status=103, body=b'')}).

--- a/features/platform_calls.feature
+++ b/features/platform_calls.feature
@@ -29,6 +29,17 @@
       | an interim answer      | closes |
       | an interim answer      | resets |
 
+  # Guards against: the same at the system's other clients.
+  Scenario Outline: <reader> takes a reply for whole only with its last byte
+    Given a server that stops at any byte of a reply with <framing> and closes
+    Then <reader> gets the whole reply after its last byte and else none
+
+    Examples:
+      | reader              | framing             |
+      | an endpoint         | a length            |
+      | an endpoint         | chunks and trailers |
+      | an endpoint         | an interim answer   |
+
   # Guards against: the same, where only the connection tells the end.
   Scenario: A reply that ends with its connection is whole after a close only
     Given a server that stops at any byte of a reply without a length and resets
--- a/features/steps/platform_calls_steps.py
+++ b/features/steps/platform_calls_steps.py
@@ -1,6 +1,7 @@
 """Steps on calls to the platform that get no proper answer."""
 
 from collections.abc import Callable
+from contextlib import suppress
 from itertools import count
 from typing import Any
 from unittest.mock import Mock
@@ -13,7 +14,10 @@
 from msgspec.json import encode
 
 from trestle_control.backend_list import BackendListReader
+from trestle_control.host_list import HostList, http_reader
+from trestle_core.addresses import resolve_address
 from trestle_core.metrics import Metrics
+from trestle_endpoint.http_exchange import HttpReply, HttpRequest, fetch
 from trestle_links.direct_messages import Backend
 from trestle_platform.caller_http import read_request
 from trestle_platform.engine_caches import EngineCache
@@ -32,7 +36,7 @@
     'an endless line': b'HTTP/1.1 200 ' + b'x' * 300_000,
 }
 HEAD = b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n'
-BODY = b'{"instances":[],"next":null}'
+BODY = b'{"instances":[],"next":null,"hosts":[]}'
 CHUNK = b'%x\r\n%s\r\n' % (len(BODY), BODY)
 LENGTH = b'Content-Length: %d\r\n\r\n' % len(BODY)
 CHUNKED = b'Transfer-Encoding: chunked\r\n'
@@ -50,6 +54,7 @@
 RESET = b'\x01\x00\x00\x00\x00\x00\x00\x00'
 # Time for bytes to arrive.
 FLUSH_SECONDS = 0.002
+LIMIT_SECONDS = 2.0
 
 
 def serve(context: Context, answer: bytes) -> None:
@@ -115,21 +120,55 @@
     listen(context, handle)
 
 
-def call_each(context: Context) -> list[CallReply | None]:
+def call_each(
+    context: Context, call: Callable[[str], object]
+) -> list[object | None]:
     """Call once for each place of a cut; None for calls that failed."""
-    replies: list[CallReply | None] = []
+    replies: list[object | None] = []
     for context.place in range(len(context.reply) + 1):
         try:
-            replies.append(call_platform(context.address, 'GET', '/x'))
-        except OSError:
+            replies.append(call(context.address))
+        except (OSError, ValueError):
             replies.append(None)
     return replies
 
 
+def call_as_platform(address: str) -> CallReply:
+    """Make a call to the platform."""
+    return call_platform(address, 'GET', '/x')
+
+
+def call_as_endpoint(address: str) -> HttpReply:
+    """Make a call as endpoints do to engines and services."""
+    request = HttpRequest('GET', '/x')
+    return fetch(lambda: resolve_address(address), request, LIMIT_SECONDS)
+
+
+def read_host_list(address: str) -> HostList:
+    """Read the list of hosts."""
+    return http_reader(address)()
+
+
+READERS: dict[str, tuple[Callable[[str], object], object]] = {
+    'an endpoint': (call_as_endpoint, HttpReply(200, BODY)),
+    'the reader of hosts': (read_host_list, HostList([])),
+}
+
+
+@then('{reader} gets the whole reply after its last byte and else none')
+def step_reader(context: Context, reader: str) -> None:
+    """Check the replies of another client."""
+    call, expected = READERS[reader]
+    *cut, whole = call_each(context, call)
+    taken = {place: reply for place, reply in enumerate(cut) if reply}
+    assert not taken, taken
+    assert whole == expected, whole
+
+
 @then('a call to it returns the whole reply after its last byte and else fails')
 def step_whole_only(context: Context) -> None:
     """Check the reply of each call."""
-    *cut, whole = call_each(context)
+    *cut, whole = call_each(context, call_as_platform)
     taken = {place: reply for place, reply in enumerate(cut) if reply}
     assert not taken, taken
     assert whole == CallReply(200, BODY), whole
@@ -138,7 +177,7 @@
 @then('each call to it fails')
 def step_each_fails(context: Context) -> None:
     """Check that no call returned."""
-    replies = call_each(context)
+    replies = call_each(context, call_as_platform)
     assert not any(replies), replies
 
 
@@ -151,10 +190,11 @@
         reply = b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d' % next(
             numbers
         )
-        while sock.recv(65_536):
-            sock.sendall(reply)
-            sleep(FLUSH_SECONDS)
-            sock.sendall(reply)
+        with suppress(ConnectionResetError):
+            while sock.recv(65_536):
+                sock.sendall(reply)
+                sleep(FLUSH_SECONDS)
+                sock.sendall(reply)
 
     listen(context, handle)
 
--- a/packages/trestle-endpoint/src/trestle_endpoint/http_exchange.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/http_exchange.py
@@ -23,6 +23,7 @@
 
 _CONNECT_TIMEOUT_SECONDS: Final = 2
 _READ_BYTES: Final = 65_536
+_FIRST_FINAL_STATUS: Final = 200
 
 
 class ConnectFailedError(OSError):
@@ -82,10 +83,15 @@
             self.sock.sendall(_encode_request(request))
         except OSError as error:
             raise ExchangeBrokenError(str(error)) from error
-        while not self.headers_complete:
+        while not self.headers_complete or self.is_interim:
             self._receive()
         return self.status_code
 
+    @property
+    def is_interim(self) -> bool:
+        """Whether the head is that of an answer before the final one."""
+        return self.status_code < _FIRST_FINAL_STATUS
+
     def read_some(self) -> bytes:
         """Return the available body bytes, waiting for some; empty at the end.
 
@@ -114,7 +120,7 @@
             self.feed(received)
         except (OSError, HTTPException) as error:
             raise ExchangeBrokenError(str(error)) from error
-        if not received and not self.message_complete:
+        if not received and (self.is_interim or not self.message_complete):
             raise ExchangeBrokenError('the connection was closed')
 
 
