host list: a list that is cut does not end its reader

A list of hosts that was cut in its head or body raised an error of the HTTP parser, which is no OSError: the reader's task ended, and no host was withdrawn any more until the next leader. Behind an interim answer a cut body was read as whole, and then was no JSON.

Cause: the reader promised OSError or ValueError and let the client's own errors through. It turns them into OSError now, and checks that the answer is whole.

--- a/features/platform_calls.feature
+++ b/features/platform_calls.feature
@@ -39,6 +39,8 @@
       | an endpoint         | a length            |
       | an endpoint         | chunks and trailers |
       | an endpoint         | an interim answer   |
+      | the reader of hosts | a length            |
+      | the reader of hosts | an interim answer   |
 
   # Guards against: the same, where only the connection tells the end.
   Scenario: A reply that ends with its connection is whole after a close only
--- a/packages/trestle-control/src/trestle_control/host_list.py
+++ b/packages/trestle-control/src/trestle_control/host_list.py
@@ -7,6 +7,7 @@
 
 from collections import Counter
 from collections.abc import Callable
+from http.client import HTTPException
 from typing import Final, Literal, Self
 from urllib.parse import urlsplit
 
@@ -65,18 +66,28 @@
             network_timeout=_HTTP_TIMEOUT_SECONDS,
         )
         try:
-            response = client.get('/hosts')
-            if response.status_code != _HTTP_OK:
-                raise OSError(
-                    f'the host list returned status {response.status_code}'
-                )
-            return decode(bytes(response.read()), type=HostList)
+            return decode(_read_page(client), type=HostList)
+        except HTTPException as error:
+            raise OSError(
+                f'the host list is not valid HTTP: {error}'
+            ) from error
         finally:
             client.close()
 
     return read
 
 
+def _read_page(client: HTTPClient) -> bytes:
+    response = client.get('/hosts')
+    if response.status_code != _HTTP_OK:
+        raise OSError(f'the host list returned status {response.status_code}')
+    page = bytes(response.read())
+    # Behind an interim answer the client does not wait for the rest.
+    if not response.message_complete:
+        raise OSError('the host list was cut')
+    return page
+
+
 class HostListReader:
     """Reads the list and submits withdrawals and restorations."""
 
