tests: a prefill answer that is cut gives no handle

The rest of the table of cut answers: the engine that reads a prompt stops at each byte of its answer (a length, chunks, neither; close and reset). Each caller still got its whole stream, and only a whole handle was decoded from.

--- a/features/cut_answers.feature
+++ b/features/cut_answers.feature
@@ -66,3 +66,16 @@
     And callers that speak HTTP/1.0 and keep connections
     When it stops at each byte of a stream with chunks
     Then callers get the whole answer after its last byte, else a failure or a visible break
+
+  # Guards against: a handle to KV cache that was cut, taken for another one.
+  Scenario Outline: A prompt is read at an engine that stops
+    Given an entry, a back end that stops and a sound one
+    When it stops at each byte of a read prompt with <framing>
+    Then each caller gets the whole answer
+    And only a whole handle is decoded from
+
+    Examples:
+      | framing  |
+      | a length |
+      | chunks   |
+      | neither  |
--- a/features/steps/cut_answers_steps.py
+++ b/features/steps/cut_answers_steps.py
@@ -4,6 +4,7 @@
 from behave.runner import Context
 
 from testbed.cut_answers import (
+    LONG_STREAM,
     LOOKUP,
     STOPPING,
     STREAM,
@@ -14,7 +15,11 @@
 
 # Resets need time to arrive: they are played at fewer places than closes.
 RESET_STEP = 5
-PATHS = {'a lookup': LOOKUP, 'a stream': STREAM}
+PATHS = {
+    'a lookup': LOOKUP,
+    'a stream': STREAM,
+    'a read prompt': LONG_STREAM,
+}
 
 
 @given('an entry and a back end that stops')
@@ -62,6 +67,7 @@
     context.path = path
     context.whole_bytes = len(entry.whole_answer(path, framing))
     context.answers = {}
+    context.received = {}
     for resets, step in ((False, 1), (True, RESET_STEP)):
         for place in range(0, context.whole_bytes + 1, step):
             if context.is_kept:
@@ -69,6 +75,7 @@
                 assert entry.call(path).whole
             entry.cut = Cut(framing, place, resets)
             context.answers[entry.cut] = entry.call(path, context.version)
+            context.received[entry.cut] = list(entry.received)
 
 
 @then(
@@ -110,3 +117,18 @@
     for cut, answer in context.answers.items():
         is_success = answer.whole and answer.status == 200
         assert not (cut.resets and is_success), (cut, answer)
+
+
+@then('only a whole handle is decoded from')
+def step_whole_handle(context: Context) -> None:
+    """Check what the engine that decodes was told of the KV cache."""
+    asked = {
+        cut: received
+        for cut, received in context.received.items()
+        if received[0] == (STOPPING, False)
+    }
+    # Once the entry knows how fast prompts are read here, it may not ask.
+    assert len(asked) > len(context.received) / 2, len(asked)
+    for cut, received in asked.items():
+        is_used = any(decodes for _, decodes in received)
+        assert is_used == (cut.place == context.whole_bytes), (cut, received)
--- a/testbed/cut_answers.py
+++ b/testbed/cut_answers.py
@@ -28,6 +28,9 @@
 # Paths of routes: one that may be repeated, and one of streams.
 LOOKUP: Final = '/look/1'
 STREAM: Final = '/check/1'
+# The same, with a prompt that another engine reads first.
+LONG_STREAM: Final = '/check/long'
+HANDLE: Final = b'{"kvHandle":"h1"}'
 # Back ends that stop within answers; the other ones are sound.
 STOPPING: Final = 'stopping'
 _READ_BYTES: Final = 65_536
@@ -38,6 +41,15 @@
 _CHUNK_BYTES: Final = 11
 
 
+# Service and roles of the back ends of a route; tokens of its requests.
+SERVED: Final = {
+    LOOKUP: ('desk', ('', '')),
+    STREAM: ('llm', ('decode', 'decode')),
+    LONG_STREAM: ('llm', ('prefill', 'decode')),
+}
+PROMPTS: Final = {LOOKUP: '100,3', STREAM: '100,3', LONG_STREAM: '17000,3'}
+
+
 class Cut(NamedTuple):
     """How a back end stops: after so many bytes, by a close or a reset."""
 
@@ -76,17 +88,18 @@
         self.server.start()
         self.backends: list[StreamServer] = []
         self.cut = Cut('a length', 0)
-        # Heads of requests that back ends got, from the latest caller.
-        self.received: list[str] = []
+        # Names of the back ends that the latest caller's request reached, and
+        # whether they decoded from the KV cache of another one.
+        self.received: list[tuple[str, bool]] = []
         self.calls = 0
         # What callers want of their connections.
         self.connection = 'close'
 
     def list_backends(self, path: str, *names: str) -> None:
         """Start back ends for the route of a path, the first one preferred."""
-        service, role = ('llm', 'decode') if path == STREAM else ('desk', '')
+        service, roles = SERVED[path]
         listed = []
-        for name in names:
+        for name, role in zip(names, roles, strict=False):
             server = StreamServer(('127.0.0.1', 0), self._backend(name))
             server.start()
             self.backends.append(server)
@@ -107,7 +120,7 @@
             f'POST {path} HTTP/{version}',
             'Host: firm.example',
             f'Kingcuptrestle-Request-Id: r{self.calls:06}',
-            'Kingcuptrestle-Token-Counts: 100,3',
+            f'Kingcuptrestle-Token-Counts: {PROMPTS[path]}',
             'Content-Length: 2',
             f'Connection: {self.connection}',
         ]
@@ -120,7 +133,8 @@
 
     def whole_answer(self, path: str, framing: str) -> bytes:
         """Return the bytes of a sound answer."""
-        return frame(framing, body_of(path), f'r{self.calls:06}')
+        body = HANDLE if path == LONG_STREAM else body_of(path)
+        return frame(framing, body, f'r{self.calls:06}')
 
     def stop(self) -> None:
         """Stop all servers."""
@@ -132,7 +146,7 @@
         def serve(sock: socket, _address: object) -> None:
             while received := sock.recv(_READ_BYTES):
                 head = received.decode('latin-1')
-                self.received.append(name)
+                self.received.append((name, 'Kv-Source: ' in head))
                 if not self._answer(sock, name, head):
                     return
 
@@ -140,14 +154,15 @@
 
     def _answer(self, sock: socket, name: str, head: str) -> bool:
         """Answer a request; return whether the connection goes on."""
-        path = head.split(' ')[1]
-        request_id = read_headers(head.split('\r\n'))[
-            'kingcuptrestle-request-id'
-        ]
+        headers = read_headers(head.split('\r\n'))
+        request_id = headers.get('kingcuptrestle-request-id', '')
+        body = body_of(head.split(' ')[1])
+        if 'kingcuptrestle-serving-stage' in headers:
+            body = HANDLE
         if name != STOPPING or self.cut.place < 0:
-            sock.sendall(frame('a length', body_of(path), request_id))
+            sock.sendall(frame('a length', body, request_id))
             return True
-        whole = frame(self.cut.framing, body_of(path), request_id)
+        whole = frame(self.cut.framing, body, request_id)
         sock.sendall(whole[: self.cut.place])
         if self.cut.resets:
             sleep(_FLUSH_SECONDS)
@@ -163,7 +178,7 @@
 
 def body_of(path: str) -> bytes:
     """Return the body of the whole answer at a path."""
-    return EVENTS if path == STREAM else RESULT
+    return RESULT if path == LOOKUP else EVENTS
 
 
 def frame(framing: str, body: bytes, request_id: str) -> bytes:
