control: a new leader knows for how long voters have been silent

The operator could see: the same loss as before (an acknowledged manifest, no quorum ever again), when one control host was replaced for good and another one was killed or frozen for seconds before two disks were lost.

Cause: with a voter dark the others don't suffice, so the 5 s held; and these are each leader's own, as one that is new has heard of nobody. Class: what decides is known to one process and ends with it.

Change: heartbeats name the voters that the leader hasn't heard of and for how long (a field at the end, empty by default); a new leader starts with that, and with the time at which the leader before it was heard of. Replies to votes count as signs of life. Only which surplus voter goes, and when, is changed; the set still changes by one, through the log, and only if those left have a live quorum.

A wrong choice is possible if two fall silent within a heartbeat. It is no worse than none: a set of 2f+2 with one dead voter and one dark one has no quorum after f lost disks whichever of them stays in it, or both.

--- a/features/member_policy.feature
+++ b/features/member_policy.feature
@@ -29,13 +29,29 @@
 
     Examples:
       | which                            | first | second | outcome                        |
-      | none is removed at once          | 3     | 4      | no member is changed           |
+      | none is removed at once          | 2     | 2.5    | no member is changed           |
       | the one that is silent for longer | 6     | 7      | voter 2 is removed with its host |
+      | the first if both are as silent   | 6     | 6      | voter 1 is removed with its host |
+
+  # Guards against: a voter that is gone and gets its time anew with each leader,
+  # while another one is dark.
+  Scenario: A leader that is new goes by what the one before it knew
+    Given 6 voters of which 5 are wanted, led for 1.2 s
+    When the leader before it had not heard of voter 1 for 3.5 s
+    And it fell silent itself 2 s ago as voter 2
+    Then voter 1 is removed with its host
+
+  # Guards against: the same, where this knowledge is handed on.
+  Scenario: Followers learn from each heartbeat who is silent, and who no longer
+    Given 6 voters of which 5 are wanted, led for 60 s
+    When voter 1 has been silent for 3.5 s
+    Then the heartbeats say so, and the next leader counts from there
+    And a voter that answered the leader before it counts as heard of
 
   # Guards against: a removal that counts on a voter which still lacks entries.
   Scenario: A successor that has not the log yet does not stand in
     Given 6 voters of which 5 are wanted, led for 60 s
-    When voter 1 has been silent for 4 s
+    When voter 1 has been silent for 2 s
     And voter 6 lacks the last member set
     Then no member is changed
 
--- a/features/steps/member_policy_steps.py
+++ b/features/steps/member_policy_steps.py
@@ -8,17 +8,28 @@
 from behave.runner import Context
 
 from trestle_control.member_policy import next_members
+from trestle_control.member_silence import (
+    note_silent_members,
+    silent_members,
+    take_over_silence,
+)
 from trestle_control.membership import (
     ListedHost,
     Member,
+    MemberIdentity,
     MemberSet,
     find_member,
 )
 from trestle_control.peers import Peer
+from trestle_control.replica_messages import AppendAsk, PeerHeader
 from trestle_control.replica_state import JoiningMember
+from trestle_links.codec import decode_message, encode_message
 
 ELECTION_SECONDS = 0.5
+HEARTBEAT_SECONDS = 0.1
+GONE_MS = 3000
 LAST_INDEX = 40
+NO_LINK: Any = None
 
 
 @given('{count:d} voters of which {wanted:d} are wanted, led for {seconds:g} s')
@@ -32,12 +43,16 @@
     ]
     hosts = [ListedHost(voter.host, voter.address) for voter in voters]
     leader = f'id-{count - 1}'
+    context.now = monotonic()
     context.state = SimpleNamespace(
         members=MemberSet('g', voters, hosts),
         members_index=LAST_INDEX,
         commit_index=LAST_INDEX,
-        settings=SimpleNamespace(seeds=['s'], wanted_voters=wanted),
+        settings=SimpleNamespace(
+            seeds=['s'], wanted_voters=wanted, gone_ms=GONE_MS
+        ),
         election_seconds=ELECTION_SECONDS,
+        heartbeat_seconds=HEARTBEAT_SECONDS,
         leading_since=monotonic() - seconds,
         incarnation=leader,
         joining_members={},
@@ -51,8 +66,7 @@
 
 def make_peer(member: Member) -> Peer:
     """Return a peer that has just answered and has the whole log."""
-    no_link: Any = None
-    peer = Peer(member, no_link)
+    peer = Peer(member, NO_LINK)
     peer.acked_at = monotonic()
     peer.match_index = LAST_INDEX
     return peer
@@ -61,7 +75,7 @@
 @when('voter {number:d} has been silent for {seconds:g} s')
 def step_silent(context: Context, number: int, seconds: float) -> None:
     """Let a voter have answered last so long ago."""
-    context.state.peers[f'id-{number}'].acked_at = monotonic() - seconds
+    context.state.peers[f'id-{number}'].acked_at = context.now - seconds
 
 
 @when('voter {number:d} lacks the last member set')
@@ -84,6 +98,65 @@
     state.peers['id-new'].match_index = 0
 
 
+@when(
+    'the leader before it had not heard of voter {number:d} for {seconds:g} s'
+)
+def step_not_heard(context: Context, number: int, seconds: float) -> None:
+    """Let a voter have answered neither leader."""
+    peer = context.state.peers[f'id-{number}']
+    peer.start_term(LAST_INDEX)
+    peer.heard_at = monotonic() - seconds
+
+
+@when('it fell silent itself {seconds:g} s ago as voter {number:d}')
+def step_leader_silent(context: Context, seconds: float, number: int) -> None:
+    """Let the leader before be dark."""
+    step_not_heard(context, number, seconds)
+
+
+@then('the heartbeats say so, and the next leader counts from there')
+def step_handed_on(context: Context) -> None:
+    """Hand the knowledge to a follower that leads next."""
+    told = silent_members(context.state)
+    assert [member.incarnation for member in told] == ['id-1'], told
+    request = AppendAsk(
+        PeerHeader('g', 1, MemberIdentity('core-5', 'id-5'), 'id-2'),
+        1,
+        1,
+        [],
+        1,
+        told,
+    )
+    received = decode_message(encode_message(request))
+    assert received == request, received
+    context.following = SimpleNamespace(
+        leader_contact_at=monotonic(),
+        heartbeat_seconds=HEARTBEAT_SECONDS,
+        silent_since={'id-3': monotonic() - GONE_MS},
+        peers={
+            f'id-{number}': Peer(
+                Member(f'core-{number}', f'id-{number}', '', True), NO_LINK
+            )
+            for number in (1, 3, 5)
+        },
+    )
+    note_silent_members(context.following, 'id-5', told)
+    take_over_silence(context.following)
+    seconds = context.following.peers['id-1'].unheard_seconds()
+    assert 3.4 < seconds < 4, seconds
+
+
+@then('a voter that answered the leader before it counts as heard of')
+def step_heard(context: Context) -> None:
+    """Check another voter, and the leader before itself."""
+    for incarnation in ('id-3', 'id-5'):
+        seconds = context.following.peers[incarnation].unheard_seconds()
+        assert seconds < ELECTION_SECONDS, (incarnation, seconds)
+    heard = [peer.last_heard_at for peer in context.following.peers.values()]
+    # It heard of that voter before it sent what was heard of itself.
+    assert heard == sorted(heard), heard
+
+
 @then('no member is changed')
 def step_unchanged(context: Context) -> None:
     """Check that the leader proposes nothing."""
--- a/packages/trestle-control/src/trestle_control/member_policy.py
+++ b/packages/trestle-control/src/trestle_control/member_policy.py
@@ -6,6 +6,8 @@
 has one voter more and one of them may never come back, so that fewer disks
 may be lost at once than wanted. As long as enough other voters are current,
 nothing is lost with a silent one that was not gone for good: it joins again.
+With fewer, the one that has been silent for longest goes, after a time in
+which others that are dark for a moment come back.
 """
 
 from functools import partial
@@ -29,11 +31,10 @@
 
 _MAX_LEARNER_LAG_ENTRIES: Final = 16
 _JOINING_TIMEOUTS: Final = 3
-# Election timeouts of silence after which a surplus voter is removed: while the
-# current voters are as many as wanted, and else, long enough for a host to
-# restart.
+# Election timeouts of silence after which a surplus voter is removed while the
+# current voters are as many as wanted.
 _SILENT_TIMEOUTS: Final = 2
-_GONE_TIMEOUTS: Final = 10
+_MS_PER_SECOND: Final = 1000
 
 
 def next_members(state: ReplicaState) -> MemberSet | None:
@@ -65,25 +66,29 @@
     wanted = state.settings.wanted_voters
     if not wanted or len(voters) <= wanted:
         return None
-    current = [voter for voter in voters if _is_current(state, voter)]
-    is_enough = len(current) >= wanted
-    timeouts = _SILENT_TIMEOUTS if is_enough else _GONE_TIMEOUTS
-    silent = max(voters, key=partial(_silent_seconds, state))
-    if _silent_seconds(state, silent) <= state.election_seconds * timeouts:
+    leading_seconds = monotonic() - state.leading_since
+    if leading_seconds <= state.election_seconds * _SILENT_TIMEOUTS:
+        # Others may not have answered this leader yet.
+        return None
+    others = [voter for voter in voters if voter.incarnation in state.peers]
+    silent = min(others, key=partial(_last_heard_at, state))
+    silent_seconds = monotonic() - _last_heard_at(state, silent)
+    if silent_seconds <= _needed_silence(state, voters):
         return None
     remaining = _without_voter(state, silent)
     return remaining if keeps_quorum(state, remaining) else None
 
 
-def _silent_seconds(state: ReplicaState, voter: Member) -> float:
-    """Return how long this leader has not heard of a voter."""
-    if voter.incarnation == state.incarnation:
-        return 0
-    leading_seconds = monotonic() - state.leading_since
-    peer = state.peers.get(voter.incarnation)
-    if peer is None:
-        return leading_seconds
-    return min(peer.silent_seconds(), leading_seconds)
+def _needed_silence(state: ReplicaState, voters: list[Member]) -> float:
+    """Return the seconds of silence after which a voter may be removed."""
+    current = [voter for voter in voters if _is_current(state, voter)]
+    if len(current) >= state.settings.wanted_voters:
+        return state.election_seconds * _SILENT_TIMEOUTS
+    return state.settings.gone_ms / _MS_PER_SECOND
+
+
+def _last_heard_at(state: ReplicaState, voter: Member) -> float:
+    return state.peers[voter.incarnation].last_heard_at
 
 
 def _is_current(state: ReplicaState, voter: Member) -> bool:
--- a/packages/trestle-control/src/trestle_control/peer_calls.py
+++ b/packages/trestle-control/src/trestle_control/peer_calls.py
@@ -1,5 +1,6 @@
 """Requests between members: links, headers, identity checks and quorums."""
 
+from time import monotonic
 from typing import TypeVar
 
 from trestle_control.membership import MemberIdentity, quorum_size
@@ -30,6 +31,8 @@
         if peer is None:
             peer = Peer(member, link_to(state, member.identity))
             peer.start_term(state.log.last_index)
+            if state.is_leader:
+                peer.heard_at = monotonic()
             state.peers[incarnation] = peer
         peer.member = member
 
--- a/packages/trestle-control/src/trestle_control/peer_replication.py
+++ b/packages/trestle-control/src/trestle_control/peer_replication.py
@@ -13,6 +13,7 @@
 from gevent import sleep
 
 from trestle_control.log_records import pack_entry
+from trestle_control.member_silence import silent_members
 from trestle_control.peer_calls import call_peer, header_for
 from trestle_control.peers import Peer
 from trestle_control.replica_log import term_at
@@ -93,6 +94,7 @@
         previous_term,
         [pack_entry(entry) for entry in entries],
         state.commit_index,
+        silent_members(state),
     )
     sent_at = monotonic()
     reply = call_peer(state, peer, request, AppendReply)
--- a/packages/trestle-control/src/trestle_control/peers.py
+++ b/packages/trestle-control/src/trestle_control/peers.py
@@ -14,7 +14,8 @@
 
     `acked_at` is the time, by this member's clock, at which the last
     acknowledged request was sent: the peer accepted this member as leader at
-    some time after it. `replication_term` is the term of the last replication
+    some time after it. `heard_at` is when the peer was heard of otherwise: in
+    an election, or by an earlier leader. `replication_term` is the term of the last replication
     greenlet that was started for the peer.
     """
 
@@ -25,6 +26,7 @@
         self.next_index = 1
         self.match_index = 0
         self.acked_at = -inf
+        self.heard_at = -inf
         self.replication_term = 0
         self.wake = Event()
         self.urgent = Event()
@@ -38,8 +40,18 @@
         """Reset the progress of an earlier term."""
         self.next_index = last_index + 1
         self.match_index = 0
+        self.heard_at = max(self.heard_at, self.acked_at)
         self.acked_at = -inf
 
     def silent_seconds(self) -> float:
         """Return the seconds since the last acknowledged request was sent."""
         return monotonic() - self.acked_at
+
+    @property
+    def last_heard_at(self) -> float:
+        """When this member, or a leader before it, heard of the peer last."""
+        return max(self.heard_at, self.acked_at)
+
+    def unheard_seconds(self) -> float:
+        """Return the seconds since then."""
+        return monotonic() - self.last_heard_at
--- a/packages/trestle-control/src/trestle_control/replica_election.py
+++ b/packages/trestle-control/src/trestle_control/replica_election.py
@@ -175,6 +175,7 @@
             'Vote request to {} failed: {}.', peer.member.host, error.message
         )
         return False
+    peer.heard_at = monotonic()
     # The peer's term may be higher than the local one, also after a pre-vote.
     state.adopt_term(reply.answer.term)
     return reply.granted
--- a/packages/trestle-control/src/trestle_control/replica_follower.py
+++ b/packages/trestle-control/src/trestle_control/replica_follower.py
@@ -9,6 +9,7 @@
 
 from trestle_control.control_errors import OldDataFolderError
 from trestle_control.log_records import LogEntry, unpack_entry
+from trestle_control.member_silence import note_silent_members
 from trestle_control.peer_calls import answer_from, check_header
 from trestle_control.replica_log import append_entries, term_at, truncate_log
 from trestle_control.replica_messages import (
@@ -52,6 +53,8 @@
     if state.term != request.header.term:
         return _reject(state, 0)
     state.leader_contact_at = monotonic()
+    leader = request.header.sender.incarnation
+    note_silent_members(state, leader, request.silent)
     state.advance_commit(min(request.commit_index, last_index))
     return AppendReply(answer_from(state), True, last_index, 0)
 
--- a/packages/trestle-control/src/trestle_control/replica_leader.py
+++ b/packages/trestle-control/src/trestle_control/replica_leader.py
@@ -14,6 +14,7 @@
 
 from trestle_control.log_records import EntryKind, LogEntry
 from trestle_control.member_policy import next_members
+from trestle_control.member_silence import take_over_silence
 from trestle_control.membership import MemberSet
 from trestle_control.peer_calls import (
     quorum_acked_at,
@@ -40,6 +41,7 @@
     refresh_peers(state)
     for peer in state.peers.values():
         peer.start_term(state.log.last_index)
+    take_over_silence(state)
     state.set_role(Role.LEADER, state.member_identity)
     # Committing an entry of this term also commits the entries that earlier
     # terms left uncommitted.
--- a/packages/trestle-control/src/trestle_control/replica_messages.py
+++ b/packages/trestle-control/src/trestle_control/replica_messages.py
@@ -76,15 +76,27 @@
     granted: bool
 
 
+class SilentMember(NamedTuple):
+    """A voter that the leader does not hear of, and for how long."""
+
+    incarnation: str
+    silent_ms: int
+
+
 @message(104)
 class AppendAsk(NamedTuple):
-    """Entries after `previous_index`; without entries it is a heartbeat."""
+    """Entries after `previous_index`; without entries it is a heartbeat.
+
+    `silent` are the voters that the leader does not hear of, so that the next
+    leader knows, too.
+    """
 
     header: PeerHeader
     previous_index: int
     previous_term: int
     entries: list[bytes]
     commit_index: int
+    silent: list[SilentMember] = []
 
 
 @message(105)
--- a/packages/trestle-control/src/trestle_control/replica_state.py
+++ b/packages/trestle-control/src/trestle_control/replica_state.py
@@ -117,6 +117,8 @@
         self.applied_index = 0
         self.peers: dict[str, Peer] = {}
         self.forward_links = LinkPool(local_identity)
+        # When the last leader was heard of, and voters that it did not hear of.
+        self.silent_since: dict[str, float] = {}
         self.joining_members: dict[str, JoiningMember] = {}
         # Addresses to announce to while this process is not a member.
         self.seeds = set(settings.seeds)
