entry: no watch on a caller's connection outlives its request

What callers saw: an entry ended with code 134, libev "I/O watcher with invalid fd" (epoll_modify), 65 to 130 ms after a thaw; all its requests broke off.

Cause: the watch was a greenlet, and `kill(block=False)` only puts its end in the loop's queue. Where the watch began in the same round (`io_start`, the change not yet told to epoll), and the server closed the connection before the queue came to that end, the loop could break off its callbacks (50 of them and 5 ms) and tell epoll of a descriptor that was closed: libev aborts. The class: a descriptor that is closed under a watcher whose stop is only scheduled. Ruled out: a watch that is older than the round (epoll knows the descriptor, and a stop of a closed one is no call), and one that never started (gevent cancels its start).

Change: the loop's own watcher, stopped by the request as its block ends; the error is thrown from the loop, so none can reach a request after its block. The same cause elsewhere: no other place waits for a bare descriptor.

--- /dev/null
+++ b/features/caller_watch.feature
@@ -0,0 +1,20 @@
+Feature: The watch on the connection of a caller
+
+  # Guards against an entry that aborts right after a thaw, with all its requests.
+  Scenario: A connection that is closed right after its watch leaves the process alive
+    When a process closes a connection in the round in which its watch began
+    Then the process ends by itself, alive
+
+  # Guards against a watch that takes the next request for the end, or misses it.
+  Scenario Outline: Only the end of the connection ends a request
+    Given a request that is watched for <seconds> s
+    When its caller <act>
+    Then the request ends as <outcome>
+
+    Examples:
+      | seconds | act                   | outcome |
+      | 0.05    | waits                 | served  |
+      | 0.05    | sends another request | served  |
+      | 30.00   | leaves                | gone    |
+      | 30.00   | resets                | gone    |
+      | 30.00   | has left before       | gone    |
--- a/features/steps/request_heads_steps.py
+++ b/features/steps/request_heads_steps.py
@@ -22,7 +22,7 @@
 from trestle_platform.wire_names import REQUEST_ID
 
 HIDDEN = b'GET /in HTTP/1.1\r\nHost: h\r\n\r\n'
-LIMIT_SECONDS = 1.0
+LIMIT_SECONDS = 30.0
 
 
 def octets(text: str) -> bytes:
--- a/packages/trestle-entry/src/trestle_entry/direct/caller_server.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/caller_server.py
@@ -7,14 +7,11 @@
 """
 
 from collections.abc import Iterable
-from select import POLLIN
 from typing import Any, Final
 
 from gevent import Timeout, get_hub, getcurrent
-from gevent.monkey import get_original
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIServer
-from gevent.socket import socket
 
 from trestle_core.addresses import Address, resolve_address
 from trestle_core.errorcodes import (
@@ -24,7 +21,7 @@
 )
 from trestle_core.errors import TrestleError
 from trestle_core.route_table import DEFAULT_LIMITS, CallerLimits
-from trestle_entry.caller_watch import CallerGoneError
+from trestle_entry.caller_watch import CallerGoneError, has_arrived
 from trestle_entry.direct.direct_context import DirectContext
 from trestle_entry.direct.dispatch import IncomingRequest, serve
 from trestle_entry.direct.replies import AbortedAnswerError
@@ -232,13 +229,5 @@
 def _end_idle(handler: CallerHandler) -> None:
     """Stop a handler's wait unless a request has arrived meanwhile."""
     is_idle = handler in handler.server.idle
-    if is_idle and not _has_arrived(handler.socket):
+    if is_idle and not has_arrived(handler.socket):
         handler.waiting_greenlet.throw(IdleEndedError())
-
-
-def _has_arrived(sock: socket) -> bool:
-    """Return whether received bytes are waiting to be read."""
-    # The gevent version would switch to other greenlets.
-    readable = get_original('select', 'poll')()
-    readable.register(sock.fileno(), POLLIN)
-    return bool(readable.poll(0))
