--- a/packages/trestle-entry/src/trestle_entry/caller_watch.py
+++ b/packages/trestle-entry/src/trestle_entry/caller_watch.py
@@ -11,9 +11,11 @@
 
 from collections.abc import Iterator
 from contextlib import contextmanager
+from select import POLLIN
 from typing import Any, Final
 
 from gevent import get_hub, getcurrent
+from gevent.monkey import get_original
 from gevent.socket import MSG_PEEK
 from greenlet import greenlet
 
@@ -39,6 +41,8 @@
     if sock is None:
         yield
         return
+    if sock.fileno() < 0:
+        raise CallerGoneError
     watcher = get_hub().loop.io(sock.fileno(), _READABLE)
     watcher.start(_check, watcher, sock, getcurrent())
     try:
@@ -50,6 +54,14 @@
         watcher.close()
 
 
+def has_arrived(sock: Any) -> bool:
+    """Return whether something received, or the end, is waiting to be read."""
+    # The gevent version would switch to other greenlets.
+    readable = get_original('select', 'poll')()
+    readable.register(sock.fileno(), POLLIN)
+    return bool(readable.poll(0))
+
+
 def _check(watcher: Any, sock: Any, request_greenlet: greenlet) -> None:
     """Handle a readable socket, as a callback of the loop."""
     try:
