What is told late of an earlier start keeps no sound back end out

Callers would have seen refusals while a sound back end was idle, for its whole life, and requests at one that leaves. Causes, each a fact applied to another process than it was said of: a leave that was heard late was merged into a later start, and the leader spread it; a leave was forgotten although the list showed the same start again; the time of a rest of a new start was dropped; of two entries of one id the last one counted, also where one says that it leaves; a page of odd brackets hid the pages behind it. Refused callers were told the longest rest although others were free at once.

What another host heard is now of exactly the start that it names; what is known to be of an earlier start than the listed one is not taken; the same start is never forgotten; either entry that says so makes a back end leave; the last token of an odd page is read. The row 'the list drops it for 6 s' said that a start which the list shows again is a new one; it is stricter now, and the case without a time of start has its own scenario.

--- a/features/foreign_list.feature
+++ b/features/foreign_list.feature
@@ -63,6 +63,19 @@
     When it lists "i-1" of services "other, desk, nobody"
     Then it knows "i-1" of service "desk"
 
+  # Guards against: a back end that drains and goes on being used, as an odd page
+  # hides the next one, or as another entry of its id is ready.
+  Scenario Outline: A back end that leaves is seen to leave <where>
+    Given a leader that knows back end "i-1" of service "desk"
+    When it reads that "i-1" leaves <where>
+    Then "i-1" leaves
+
+    Examples:
+      | where                                |
+      | on a page behind one of odd brackets |
+      | before an entry that is ready        |
+      | behind an entry that is ready        |
+
   # Guards against: pages that cannot be read make back ends vanish, or keep
   # the reader at one reading.
   Scenario Outline: Pages that <fault> leave what they do not name as it was
--- a/features/leaving_back_ends.feature
+++ b/features/leaving_back_ends.feature
@@ -117,13 +117,39 @@
       | 10      | it answers without the header                      | knows         |
       | 10      | the list shows it as ready after it had left       | knows         |
       | 10      | the list drops it for 2 s                          | knows         |
-      | 10      | the list drops it for 6 s                          | does not know |
+      | 10      | the list drops it for 6 s                          | knows         |
       | 10      | the list shows it started at 2000                  | does not know |
       | 10      | the list shows it started at 500                   | knows         |
       | 10      | the list does not show when it started             | knows         |
       | 1       | the list shows it started at 2000                  | knows         |
       | 10      | the list shows it elsewhere with no time of start  | does not know |
 
+  # Guards against: a back end kept out for good that the list, which never shows
+  # when it started, did not show for long.
+  Scenario: Without a time of start a long absence from the list is an end
+    Given an entry that knows 2 back ends
+    When back end 1, started at 0, says that it leaves
+    And 10 s later the list drops it for 6 s
+    Then the entry does not know that back end 1 leaves
+
+  # Guards against: a sound start kept out by what is told late of an earlier one.
+  Scenario Outline: What another host heard is of the start that it names
+    Given an entry that knows 2 back ends
+    When the leader tells that back end 1, started at <told>, leaves
+    And 1 s later the list shows it started at 2000
+    Then the entry <knows> that back end 1 leaves
+
+    Examples:
+      | told | knows         |
+      | 1000 | does not know |
+      | 2000 | knows         |
+
+  # Guards against: the same, by a late answer to a request of before.
+  Scenario: A late answer tells nothing of the start that is listed since
+    Given an entry that knows 2 back ends
+    When back end 1, started at 1000, says so after the list shows it started at 2000
+    Then the entry does not know that back end 1 leaves
+
   # Guards against: a crowd of names that come and go.
   Scenario: Only so many back ends are remembered
     Given an entry that knows 2 back ends
@@ -200,6 +226,7 @@
       | 5       | 4     | the list shows it elsewhere with no time of start | used      |
       | 5       | 1     | the list shows it elsewhere with no time of start | kept away |
       | 5       | 1     | the list drops it for 2 s                  | kept away |
+      | 5       | 4     | a later start of it names 4 s              | kept away |
       | 1e300   | 500   | back end 2 cannot be reached               | kept away |
       | 1e300   | 601   | back end 2 cannot be reached               | used      |
 
--- a/features/steps/foreign_list_steps.py
+++ b/features/steps/foreign_list_steps.py
@@ -181,6 +181,35 @@
     assert found == [(instance, service)], found
 
 
+def leaving_pages(where: str) -> list[CallReply]:
+    """Return pages that show that a back end leaves."""
+    ready, leaves = entry(id='i-1'), entry(id='i-1', state='draining')
+    if where == 'on a page behind one of odd brackets':
+        odd = page([entry(id='i-2'), b'{"x":[}'], b'"p-2"')
+        return [odd, page([leaves])]
+    if where == 'before an entry that is ready':
+        return [page([leaves, ready])]
+    return [page([ready, leaves])]
+
+
+@when('it reads that "i-1" leaves {where}')
+def step_reads_leaving(context: Context, where: str) -> None:
+    """Read the list twice, as its second reading counts, too."""
+    calls = Mock(side_effect=2 * leaving_pages(where))
+    with patch(CALL, calls):
+        context.reader.refresh()
+        context.reader.refresh()
+
+
+@then('"{instance}" leaves')
+def step_leaves(context: Context, instance: str) -> None:
+    """Check what the leader stored."""
+    leaving = {
+        known.instance for known in context.state.backends if known.leaving
+    }
+    assert leaving == {instance}, context.state.backends
+
+
 def odd_pages(fault: str) -> Iterator[CallReply]:
     """Return pages with a fault, without an end."""
     first = [entry(id='i-1')]
--- a/features/steps/leaving_backends_steps.py
+++ b/features/steps/leaving_backends_steps.py
@@ -150,7 +150,8 @@
 
     def read_slowly(*call: Any) -> Any:
         context.left = call[1].decode_engine.instance
-        fleet.leaving.note(context.left, Boot(0, ''), 'it says so')
+        left = call[1].decode_engine
+        fleet.leaving.note_heard(left.instance, left.boot)
         return context.handle
 
     with patch(
@@ -194,6 +195,35 @@
     context.entry.note_said(context.said.backends[0], head)
 
 
+@when('the leader tells that back end 1, started at {born:d}, leaves')
+def step_told_start(context: Context, born: int) -> None:
+    first = context.said.backends[0]
+    context.entry.fleet.replace_list(context.said.backends)
+    boot = Boot(born, first.address)
+    context.entry.note_told_leaving([LeaveNotice(first.instance, boot)])
+
+
+@when(
+    'back end 1, started at {born:d}, says so after the list shows it started '
+    'at {listed:d}'
+)
+def step_late_answer(context: Context, born: int, listed: int) -> None:
+    first = context.said.backends[0]
+    context.said.backends[0] = first._replace(born=born)
+    show_later(context, 1, born=listed)
+    say_leaving(context)
+
+
+@when('{later:d} s later a later start of it names {seconds:d} s')
+def step_later_start(context: Context, later: int, seconds: int) -> None:
+    context.now += later
+    first = context.said.backends[0]
+    context.said.backends[0] = first._replace(born=2000)
+    say(context, 503, f'Retry-After: {seconds}')
+    context.now += seconds - 1
+    context.entry.fleet.replace_list(context.said.backends)
+
+
 def show_later(context: Context, seconds: float, **changes: Any) -> None:
     """Let the list show another entry for back end 1 some time later."""
     context.now += seconds
--- a/packages/trestle-control/src/trestle_control/backend_list.py
+++ b/packages/trestle-control/src/trestle_control/backend_list.py
@@ -117,8 +117,9 @@
 def _merge(known: list[Backend], listing: BackendListing) -> list[Backend]:
     """Return the back ends of a listing, one for each id, sorted.
 
-    Of several with one id, that which is known stays, else the first one. What
-    an incomplete listing does not name stays as it is known.
+    Of several with one id, that which is known stays, else the first one; if
+    it is listed twice, it leaves if either says so. What an incomplete listing
+    does not name stays as it is known.
     """
     known_by_id = {backend.instance: backend for backend in known}
     merged = {} if listing.is_complete else dict(known_by_id)
@@ -126,7 +127,10 @@
     for backend in listing.backends:
         instance = backend.instance
         before = seen.get(instance)
-        if before is None or _is_same(known_by_id.get(instance), backend):
+        if before and _is_same(before, backend):
+            leaving = before.leaving or backend.leaving
+            seen[instance] = backend._replace(leaving=leaving)
+        elif before is None or _is_same(known_by_id.get(instance), backend):
             seen[instance] = backend
     merged.update(seen)
     return sorted(merged.values())
--- a/packages/trestle-control/src/trestle_control/backend_notices.py
+++ b/packages/trestle-control/src/trestle_control/backend_notices.py
@@ -32,20 +32,23 @@
     def note_leaving(self, notices: list[LeaveNotice], source: str) -> None:
         """Record back ends that leave; `source` tells who heard it."""
         for notice in notices:
-            if self.leaving.note(notice.instance, notice.boot, source):
-                self.news.append(notice)
-                self.changed.set()
+            if self.leaving.note_told(notice.instance, notice.boot, source):
+                self._pass_on(notice)
 
     def note_said(
         self, backend: Backend, is_leaving: bool, rest_seconds: float
     ) -> None:
         """Record what a back end has said to this host."""
         instance, boot = backend.instance, backend.boot
-        if is_leaving:
-            self.note_leaving([LeaveNotice(instance, boot)], 'it says so')
+        if is_leaving and self.leaving.note_heard(instance, boot):
+            self._pass_on(LeaveNotice(instance, boot))
         if rest_seconds:
             self.resting.note(instance, boot, rest_seconds)
 
+    def _pass_on(self, notice: LeaveNotice) -> None:
+        self.news.append(notice)
+        self.changed.set()
+
     def take_news(self) -> list[LeaveNotice]:
         """Return the back ends that leave since the last call."""
         taken = self.news
--- a/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
@@ -140,18 +140,15 @@
             self._note_leaving(instance, boot)
 
     def _note_leaving(self, instance: str, boot: Boot) -> None:
-        if self.fleet.leaving.note(instance, boot, 'it says so'):
+        if self.fleet.leaving.note_heard(instance, boot):
             self.metrics.count('backends_leaving', 'heard')
             self.loads.reports.note_leaving(LeaveNotice(instance, boot))
 
     def note_told_leaving(self, notices: list[LeaveNotice]) -> None:
         """Record the back ends that have told others that they leave."""
-        fleet = self.fleet
+        leaving = self.fleet.leaving
         for instance, boot in notices:
-            listed = fleet.backends.get(instance)
-            if listed and listed.boot.follows(boot):
-                continue
-            if fleet.leaving.note(instance, boot, 'the leader tells'):
+            if leaving.note_told(instance, boot, 'the leader tells'):
                 self.metrics.count('backends_leaving', 'told')
 
     def report_leaving(self) -> None:
--- a/packages/trestle-entry/src/trestle_entry/direct/request_sends.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/request_sends.py
@@ -54,8 +54,8 @@
         for backend in fleet.by_service.get(run.service.name, [])
         if backend.instance not in fleet.leaving
     ]
-    waits = [seconds for seconds in waits if seconds > 0]
-    if not waits:
+    if not waits or min(waits) <= 0:
+        # One that was tried in vain, or none at all.
         return make_failure(run, NO_ENDPOINT, text)
     # Refused callers do not return together.
     spread = min(min(waits), _MAX_SPREAD_SECONDS)
--- a/packages/trestle-links/src/trestle_links/resting_backends.py
+++ b/packages/trestle-links/src/trestle_links/resting_backends.py
@@ -45,7 +45,8 @@
         now = monotonic()
         seconds = min(seconds, MAX_REST_SECONDS)
         left = self.seconds(instance)
-        if seconds <= left:
+        known = self.rests.get(instance)
+        if known and seconds <= left and not boot.follows(known.boot):
             return
         self.rests[instance] = Rest(boot, now + seconds, now)
         while len(self.rests) > _MAX_RESTS:
