--- a/features/steps/leaving_backends_steps.py
+++ b/features/steps/leaving_backends_steps.py
@@ -114,7 +114,11 @@
         else:
             say(context, 503, 'Retry-After: 5')
 
-    sent = send_once(context.run, LEFT, lambda: context.said.send(1, b'', hear))
+    sent = send_once(
+        context.run,
+        LEFT,
+        lambda: context.said.send(1, said_answer('500', 'X-Other: 1'), hear),
+    )
     assert sent is None
 
 
