--- a/features/steps/leaving_backends_steps.py
+++ b/features/steps/leaving_backends_steps.py
@@ -117,7 +117,7 @@
     sent = send_once(
         context.run,
         LEFT,
-        lambda: context.said.send(1, said_answer('500', 'X-Other: 1'), hear),
+        lambda: context.said.send(1, b'', hear),
     )
     assert sent is None
 
--- a/testbed/said_answers.py
+++ b/testbed/said_answers.py
@@ -4,7 +4,7 @@
 from typing import Any, Final
 from unittest.mock import patch
 
-from gevent.socket import socket, socketpair
+from gevent.socket import SHUT_WR, socket, socketpair
 
 from testbed.direct_runs import DEMAND, make_context, make_request
 from trestle_core.metrics import Metrics
@@ -78,6 +78,7 @@
             if while_connecting:
                 while_connecting()
             back_end.sendall(answer)
+            back_end.shutdown(SHUT_WR)
             connection = BackendConnection(
                 own_end, backend.address, backend.instance
             )
