--- a/packages/trestle-control/src/trestle_control/peers.py
+++ b/packages/trestle-control/src/trestle_control/peers.py
@@ -15,8 +15,8 @@
     `acked_at` is the time, by this member's clock, at which the last
     acknowledged request was sent: the peer accepted this member as leader at
     some time after it. `heard_at` is when the peer was heard of otherwise: in
-    an election, or by an earlier leader. `replication_term` is the term of the last replication
-    greenlet that was started for the peer.
+    an election, or by an earlier leader. `replication_term` is the term of the
+    last replication greenlet that was started for the peer.
     """
 
     def __init__(self, member: Member, link: Link) -> None:
