What a leader decided before a freeze is not committed by its successor

Callers saw: nothing yet; by reading, after a leader was frozen while it read the list of back ends, the whole fleet holds the old list again for a reading (0.8 s): back ends that leave look ready, ones that are gone are listed. On the product's own interface a host that was withdrawn can come back, and two leaders can each begin a role change in one pool.

The readers of the lists, the clock, the rollouts and the role changes check that this host leads, wait, and then call `submit`, which a follower forwards to the leader of the next term.

Change: `submit_as_leader` proposes in the own log, and only in the term in which the decision began. An entry of a term that has ended is committed by no quorum. Commands of callers and operators go through `submit` as before.

--- a/features/steps/foreign_list_steps.py
+++ b/features/steps/foreign_list_steps.py
@@ -116,11 +116,11 @@
     """Make a reader of a leader that knows some back ends."""
     state: Any = Mock(backends=known)
 
-    def submit(command: Any, _timeout_seconds: float) -> None:
+    def submit(command: Any, _term: int, _timeout_seconds: float) -> None:
         packed = encode_message(command)
         state.backends = decode_message(packed)[0]
 
-    replica: Any = Mock(is_leader=True, submit=submit)
+    replica: Any = Mock(is_leader=True, submit_as_leader=submit)
     machine: Any = Mock(state=state)
     context.state = state
     context.reader = BackendListReader(read, machine, replica, Metrics())
--- a/packages/trestle-control/src/trestle_control/backend_list.py
+++ b/packages/trestle-control/src/trestle_control/backend_list.py
@@ -2,7 +2,9 @@
 
 A single process reads the list, because calls are limited for the whole
 fleet. A change goes through the log, so every entry receives the changes in
-order and keeps the list while the platform or the leader is unavailable. A
+order and keeps the list while the platform or the leader is unavailable. What
+a leader read is committed in its own term only: a host that was frozen between
+the two would undo what its successor has read since. A
 failed read changes nothing; the entries then detect on their own which back
 ends respond.
 """
@@ -69,7 +71,8 @@
             sleep(READ_INTERVAL_SECONDS)
 
     def refresh(self) -> None:
-        """Read the list once and commit what changed."""
+        """Read the list once and commit what changed, in the present term."""
+        term = self.replica.lead.term
         try:
             listing = self.read()
         except (OSError, ValueError) as error:
@@ -89,7 +92,9 @@
             return
         _log_changes(known, listed)
         try:
-            self.replica.submit(ListBackends(listed), _SUBMIT_TIMEOUT_SECONDS)
+            self.replica.submit_as_leader(
+                ListBackends(listed), term, _SUBMIT_TIMEOUT_SECONDS
+            )
         except TrestleError as error:
             # The next read submits the difference again.
             _log.warning('Cannot commit the list of back ends: {}.', error)
--- a/packages/trestle-control/src/trestle_control/host_list.py
+++ b/packages/trestle-control/src/trestle_control/host_list.py
@@ -1,6 +1,8 @@
 """The platform's host list: withdraws the hosts that it lists as leaving.
 
-Only the leader reads the list. The list lags and may revert to an older
+Only the leader reads the list, and what it read is submitted in its own term
+only, as a host that was frozen meanwhile knows an older list than its successor.
+The list lags and may revert to an older
 state for a while, so a host is restored only after several consecutive reads
 listed it as live, and only if the list caused its withdrawal.
 """
@@ -24,6 +26,7 @@
 from trestle_core.logs import part_logger
 from trestle_core.metrics import Metrics
 from trestle_core.settings import ControlSettings
+from trestle_links.codec import Message
 from trestle_links.fleet_messages import RestoreEndpoint, WithdrawEndpoint
 
 RESTORE_AFTER_READS: Final = 3
@@ -128,10 +131,12 @@
         """Read the list periodically while this host leads."""
         while True:
             if self.replica.is_leader:
-                self._apply_list()
+                self.apply_list()
             sleep(self.interval_seconds)
 
-    def _apply_list(self) -> None:
+    def apply_list(self) -> None:
+        """Read the list once and submit what it asks for."""
+        term = self.replica.lead.term
         try:
             listed = self.read().hosts
         except (OSError, ValueError) as error:
@@ -140,7 +145,7 @@
             return
         for entry in listed:
             try:
-                self._apply_host(entry)
+                self._apply_host(entry, term)
             except TrestleError as error:
                 # The next read retries.
                 _log.warning(
@@ -149,7 +154,7 @@
                     error,
                 )
 
-    def _apply_host(self, entry: ListedHost) -> None:
+    def _apply_host(self, entry: ListedHost, term: int) -> None:
         host = entry.host
         state = self.state_machine.state
         withdrawal = state.withdrawals.get(host)
@@ -159,7 +164,7 @@
                 command = WithdrawEndpoint(
                     host, 'listed as leaving', PLATFORM_OPERATOR
                 )
-                self.replica.submit(command, _SUBMIT_TIMEOUT_SECONDS)
+                self._submit(command, term)
             return
         if withdrawal is None or withdrawal.operator != PLATFORM_OPERATOR:
             return
@@ -167,4 +172,7 @@
         if self.consecutive_live_reads[host] >= RESTORE_AFTER_READS:
             self.consecutive_live_reads.pop(host)
             restore = RestoreEndpoint(host, 'listed as live', PLATFORM_OPERATOR)
-            self.replica.submit(restore, _SUBMIT_TIMEOUT_SECONDS)
+            self._submit(restore, term)
+
+    def _submit(self, command: Message, term: int) -> None:
+        self.replica.submit_as_leader(command, term, _SUBMIT_TIMEOUT_SECONDS)
--- a/packages/trestle-control/src/trestle_control/leader_clock.py
+++ b/packages/trestle-control/src/trestle_control/leader_clock.py
@@ -43,11 +43,11 @@
             if not self.replica.is_leader:
                 self.last_command_at = None
             elif self._elapsed_seconds() >= ADVANCE_SECONDS:
-                self._advance()
+                self.advance()
             elif self.last_command_at is None:
                 # The first command of a leader has no elapsed time yet and sets
                 # the wall clock only.
-                self._advance()
+                self.advance()
             sleep(_POLL_SECONDS)
 
     def _elapsed_seconds(self) -> float:
@@ -55,7 +55,9 @@
             return 0
         return monotonic() - self.last_command_at
 
-    def _advance(self) -> None:
+    def advance(self) -> None:
+        """Submit one command, in the present term."""
+        term = self.replica.lead.term
         command = AdvanceClock(
             self.state_machine.state.clock_ms,
             int(self._elapsed_seconds() * _MS_PER_SECOND),
@@ -64,7 +66,9 @@
         )
         self.last_command_at = monotonic()
         try:
-            self.replica.submit(command, _SUBMIT_TIMEOUT_SECONDS)
+            self.replica.submit_as_leader(
+                command, term, _SUBMIT_TIMEOUT_SECONDS
+            )
         except TrestleError:
             # The measurement restarts; the clock only falls behind.
             return
--- a/packages/trestle-control/src/trestle_control/replica.py
+++ b/packages/trestle-control/src/trestle_control/replica.py
@@ -13,7 +13,7 @@
 
 from gevent import Greenlet
 
-from trestle_control.control_errors import StorageFailedError
+from trestle_control.control_errors import NotLeaderError, StorageFailedError
 from trestle_control.membership import voters_of
 from trestle_control.read_barrier import (
     confirm_leads,
@@ -209,6 +209,18 @@
         """
         return submit(self.state, command, timeout_seconds)
 
+    def submit_as_leader(
+        self, command: Message, term: int, timeout_seconds: float
+    ) -> Message:
+        """Propose what this member decided as leader, in that term only.
+
+        A host that was frozen meanwhile may follow a leader that knows better.
+        Raises `NotLeaderError` (not run) or `CommitUnknownError`.
+        """
+        if not self.state.leads(term):
+            raise NotLeaderError(self.state.leader_address)
+        return propose(self.state, command, timeout_seconds)
+
     def read_barrier(self, timeout_seconds: float) -> int:
         """Wait until local reads are linearizable; return the read index.
 
--- a/packages/trestle-control/src/trestle_control/replica_api.py
+++ b/packages/trestle-control/src/trestle_control/replica_api.py
@@ -48,6 +48,11 @@
     def submit(self, command: Message, timeout_seconds: float) -> Message:
         """Commit a command through the leader; return its reply."""
 
+    def submit_as_leader(
+        self, command: Message, term: int, timeout_seconds: float
+    ) -> Message:
+        """Commit a command that this member decided as leader of a term."""
+
     def read_barrier(self, timeout_seconds: float) -> int:
         """Wait until local reads are linearizable; return the read index."""
 
--- a/packages/trestle-control/src/trestle_control/role_manager.py
+++ b/packages/trestle-control/src/trestle_control/role_manager.py
@@ -122,12 +122,13 @@
         if named_set is None:
             return
         self._observe(named_set)
-        if not self.replica.is_leader:
+        term = self.replica.lead.term
+        if not term:
             return
         for name, pool in named_set.pools.items():
             plan = named_set.plans[pool.plan]
             if plan.disaggregated:
-                self._decide(name, pool, plan)
+                self._decide(name, pool, plan, term)
 
     def _observe(self, named_set: NamedSet) -> None:
         now = monotonic()
@@ -148,7 +149,9 @@
             load = Load(tokens.prefill / seconds, tokens.decode / seconds)
             demand.observe(load, seconds)
 
-    def _decide(self, name: str, pool: EnginePool, plan: Plan) -> None:
+    def _decide(
+        self, name: str, pool: EnginePool, plan: Plan, term: int
+    ) -> None:
         change = self.changes.setdefault(name, RoleChange())
         engines = self._serving_engines(name)
         if self._must_wait(change, engines, plan):
@@ -163,7 +166,7 @@
         )
         proposal = self.policy(figures)
         if proposal:
-            self._issue_order(change, engines, proposal)
+            self._issue_order(change, engines, proposal, term)
 
     def _serving_engines(self, pool: str) -> list[EndpointInfo]:
         return [
@@ -228,6 +231,7 @@
         change: RoleChange,
         engines: list[EndpointInfo],
         proposal: Proposal,
+        term: int,
     ) -> None:
         running = {
             report.host: report.figures.get('running', 0)
@@ -240,7 +244,9 @@
         ]
         host = min(candidates, key=lambda name: running.get(name, 0))
         command = IssueOrder(host, 'set-role', proposal.target, proposal.cause)
-        reply = self.replica.submit(command, _SUBMIT_TIMEOUT_SECONDS)
+        reply = self.replica.submit_as_leader(
+            command, term, _SUBMIT_TIMEOUT_SECONDS
+        )
         if isinstance(reply, OrderReply) and reply.accepted:
             change.endpoint = host
             change.issued_at = monotonic()
--- a/packages/trestle-control/src/trestle_control/rollout_manager.py
+++ b/packages/trestle-control/src/trestle_control/rollout_manager.py
@@ -47,15 +47,16 @@
         """Issue load orders periodically while this host leads."""
         while True:
             sleep(TICK_SECONDS)
+            term = self.replica.lead.term
             named_set = self.read_set()
-            if named_set is None or not self.replica.is_leader:
+            if named_set is None or not term:
                 continue
             try:
-                self._tick(named_set)
+                self._tick(named_set, term)
             except TrestleError as error:
                 _log.warning('Cannot issue a load order: {}.', error)
 
-    def _tick(self, named_set: NamedSet) -> None:
+    def _tick(self, named_set: NamedSet, term: int) -> None:
         now = monotonic()
         for name, pool in named_set.pools.items():
             self._log_halt(name, named_set)
@@ -65,12 +66,14 @@
             for command in list(
                 next_orders(self.state_machine.state, named_set, name)
             ):
-                self._issue(command)
+                self._issue(command, term)
                 pause = named_set.plans[pool.plan].rollout_pause_ms
                 self.paused_until[name] = now + pause / _MS_PER_SECOND
 
-    def _issue(self, command: IssueOrder) -> None:
-        reply = self.replica.submit(command, _SUBMIT_TIMEOUT_SECONDS)
+    def _issue(self, command: IssueOrder, term: int) -> None:
+        reply = self.replica.submit_as_leader(
+            command, term, _SUBMIT_TIMEOUT_SECONDS
+        )
         if isinstance(reply, OrderReply) and reply.accepted:
             self.metrics.count('load_orders', command.kind)
             _log.info(
