A voter that has just gone dark is not taken for the leader that is gone

Cause: a new leader goes by when it or the leader before it heard of each voter. For one that it knows nothing of it took a heartbeat less than for the leader before it, so the frozen voter looked gone for longer than the dead leader.

Change: the silence of a voter that nobody listened to begins with the election that it did not answer; that of the leader before with its last message.

--- a/features/member_policy.feature
+++ b/features/member_policy.feature
@@ -41,6 +41,15 @@
     And it fell silent itself 2 s ago as voter 2
     Then voter 1 is removed with its host
 
+  # Guards against: a voter that went dark before an election and is removed in
+  # place of the leader that is gone for good, so that no quorum is left when two
+  # disks are lost.
+  Scenario: A voter that has just gone dark is not taken for the leader that is gone
+    Given 6 voters of which 5 are wanted, led for 2.4 s
+    When it fell silent itself 3.1 s ago as voter 2
+    And voter 1, which it had heard of, did not answer the election
+    Then voter 2 is removed with its host
+
   # Guards against: the same, where this knowledge is handed on.
   Scenario: Followers learn from each heartbeat who is silent, and who no longer
     Given 6 voters of which 5 are wanted, led for 60 s
--- a/packages/trestle-control/src/trestle_control/member_silence.py
+++ b/packages/trestle-control/src/trestle_control/member_silence.py
@@ -41,9 +41,12 @@
 def take_over_silence(state: ReplicaState) -> None:
     """Start a leadership with what the last leader knew.
 
-    All others count as heard of one heartbeat before it sent last.
+    The last leader itself has been silent since its last message: the election
+    shows it. The silence of any other begins with the election that it did not
+    answer, as nobody listened to it before. So a voter that has just gone dark
+    does not look as if it were gone for longer than the leader.
     """
-    heard_at = state.leader_contact_at - state.heartbeat_seconds
+    now = monotonic()
     for incarnation, peer in state.peers.items():
-        told = state.silent_since.get(incarnation, heard_at)
+        told = state.silent_since.get(incarnation, now)
         peer.heard_at = max(peer.heard_at, told)
