What still runs at the end of a planned stop gets an answer

Cause: the drain waited for connections, and the server then killed its handlers. No request was asked whether it could still be done, and none was told that its time was up.

Change: `PlannedStop`. At the end of the drain what still runs ends like at its deadline: 503 if nothing was sent, 502 if it may have run, a begun stream is broken off. A connection says only once that it closes.

--- a/packages/trestle-entry/src/trestle_entry/direct/caller_server.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/caller_server.py
@@ -24,6 +24,7 @@
 from trestle_entry.caller_watch import CallerGoneError, has_arrived
 from trestle_entry.direct.direct_context import DirectContext
 from trestle_entry.direct.dispatch import IncomingRequest, serve
+from trestle_entry.direct.planned_stop import draining
 from trestle_entry.direct.replies import AbortedAnswerError
 from trestle_entry.http_types import status_line
 from trestle_entry.socket_handler import SOCKET_KEY, SocketHandler
@@ -94,13 +95,9 @@
             self.close_connection = True
         return environ
 
-    def finalize_headers(self) -> None:
-        """Add `Connection: close` at a planned stop."""
-        super().finalize_headers()
-        if self.server.is_closing:
-            self.close_connection = True
-            headers: list[Any] = self.response_headers or []
-            headers.append((b'Connection', b'close'))
+    def is_last(self) -> bool:
+        """Return whether the connection closes for a planned stop."""
+        return bool(self.server.is_closing)
 
     def _wait_for_request(self, seconds: float) -> bool:
         if self.server.is_closing_idle:
@@ -205,6 +202,7 @@
 
     def _read_body(self, environ: dict[str, Any]) -> bytes:
         self._check_head(environ)
+        planned_stop = self.context.planned_stop
         limit = self.limits().body_bytes
         length = int(environ.get('CONTENT_LENGTH') or 0)
         if length > limit:
@@ -212,9 +210,11 @@
                 BODY_TOO_LARGE, f'the body limit is {limit} bytes'
             )
         try:
-            with Timeout(_BODY_SECONDS):
+            with planned_stop.bounded(_BODY_SECONDS):
                 body: bytes = environ['wsgi.input'].read(limit + 1)
         except (OSError, ValueError, Timeout) as error:
+            if planned_stop.is_over:
+                raise draining('this entry stops before the body') from error
             raise TrestleError(
                 BAD_REQUEST, 'the request body is incomplete'
             ) from error
--- a/packages/trestle-entry/src/trestle_entry/direct/direct_app.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/direct_app.py
@@ -35,6 +35,8 @@
 _POOL_CLEANUP_SECONDS: Final = 1.0
 # Time at a stop for the last answers to be sent.
 _FLUSH_SECONDS: Final = 0.2
+# The end of the drain, in which what still runs is answered.
+_ENDING_SECONDS: Final = 2 * _FLUSH_SECONDS
 
 _log = part_logger('entry')
 
@@ -181,19 +183,28 @@
 
     Requests are accepted until the load balancer has had time to notice.
     Meanwhile each answer closes its connection, so that callers reconnect to
-    another entry.
+    another entry. What still runs at the end is answered by this entry.
     """
     settings = server.context.settings
+    planned_stop = server.context.planned_stop
 
     def drain() -> None:
-        deadline = monotonic() + app.drain_seconds
+        ends_at = monotonic() + app.drain_seconds - _ENDING_SECONDS
         server.is_closing = True
         sleep(settings.drain_notice_ms / _MS_PER_SECOND)
+        planned_stop.begin(ends_at)
         server.close_idle()
         server.stop_listening()
-        handlers = server.pool
-        while handlers and len(handlers) and monotonic() < deadline:
-            sleep(_POLL_SECONDS)
+        _wait_for_handlers(server, ends_at)
+        planned_stop.end_requests()
+        _wait_for_handlers(server, monotonic() + _FLUSH_SECONDS)
         sleep(_FLUSH_SECONDS)
 
     return drain
+
+
+def _wait_for_handlers(server: CallerServer, until: float) -> None:
+    """Wait until no connection of a caller is left, or until a time."""
+    handlers = server.pool
+    while handlers and len(handlers) and monotonic() < until:
+        sleep(_POLL_SECONDS)
--- a/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
@@ -11,6 +11,7 @@
 from trestle_entry.direct.crash_guard import CrashGuard
 from trestle_entry.direct.engine_loads import EngineLoads
 from trestle_entry.direct.fleet_view import FleetView
+from trestle_entry.direct.planned_stop import PlannedStop
 from trestle_entry.direct.request_log import RequestLog
 from trestle_entry.direct.retry_limits import RetryLimits
 from trestle_entry.direct.wire_types import (
@@ -64,6 +65,7 @@
         self.crash_guard = CrashGuard(settings.host, self.loads.reports)
         # Back ends that are being asked whether they have crashed.
         self.probed: set[str] = set()
+        self.planned_stop = PlannedStop()
         self.log = RequestLog(metrics, settings.host)
         self.retry_limits: dict[str, RetryLimits] = {}
         self.random = Random(settings.host)
--- a/packages/trestle-entry/src/trestle_entry/direct/dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/dispatch.py
@@ -79,6 +79,7 @@
         request.arrived_at + route_match.route.timeout_ms / _MS_PER_SECOND
     )
     request = request._replace(deadline=min(request.deadline, route_deadline))
+    context.planned_stop.check(route_match.route, request.deadline)
     context.limits_for(route_match.service.name).note_request()
     with cancel_when_gone(incoming.socket):
         if route_match.service.engine:
--- a/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
@@ -13,7 +13,6 @@
 from trestle_core.errorcodes import (
     ANSWER_INCOMPLETE,
     CANCELLED,
-    DEADLINE_PASSED,
 )
 from trestle_core.errors import TrestleError
 from trestle_core.verdict import Verdict
@@ -124,9 +123,10 @@
             self.outcome = _SERVED
         except TrestleError as error:
             self.outcome = error.code.code
-            if error.code is DEADLINE_PASSED:
-                raise _aborted('the deadline passed') from error
-            raise
+            if isinstance(error, AbortedAnswerError | CallerGoneError):
+                raise
+            # The deadline, or a planned stop of this entry.
+            raise _aborted(error.message) from error
 
     def _release(self) -> None:
         if self.opened:
--- a/packages/trestle-entry/src/trestle_entry/direct/request_sends.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/request_sends.py
@@ -15,6 +15,7 @@
     ANSWER_INCOMPLETE,
     CRASH_SUSPECT,
     DEADLINE_PASSED,
+    DRAINING,
     NO_ENDPOINT,
     OVERLOADED,
     RETRY_BUDGET,
@@ -142,14 +143,24 @@
 
 @contextmanager
 def within_deadline(run: RequestRun) -> Iterator[None]:
-    """Raise `TrestleError` in the block when the caller's deadline passes."""
-    limit = Timeout(
-        max(_MIN_TIMEOUT_SECONDS, run.request.deadline - monotonic())
-    )
+    """Raise `TrestleError` in the block when the caller's deadline passes.
+
+    Also when a planned stop of this entry ends what still runs.
+    """
+    planned_stop = run.context.planned_stop
+    seconds = max(_MIN_TIMEOUT_SECONDS, run.request.deadline - monotonic())
     try:
-        with limit:
+        with planned_stop.bounded(seconds) as limit:
             yield
     except Timeout as error:
         if error is not limit:
             raise
+        if planned_stop.is_over and run.remaining_ms > 0:
+            raise _ended_by_stop(run) from error
         raise TrestleError(DEADLINE_PASSED, verdict=run.verdict) from error
+
+
+def _ended_by_stop(run: RequestRun) -> TrestleError:
+    run.trace.add('ended', 'this entry stops')
+    run.context.metrics.count('requests_ended_by_stop', run.verdict.value)
+    return make_failure(run, DRAINING, 'this entry stops before the answer')
--- a/packages/trestle-entry/src/trestle_entry/socket_handler.py
+++ b/packages/trestle-entry/src/trestle_entry/socket_handler.py
@@ -62,7 +62,7 @@
     def finalize_headers(self) -> None:
         """Announce that no request can follow on the connection."""
         super().finalize_headers()
-        if self.ends_with_connection():
+        if self.ends_with_connection() or self.is_last():
             self.close_connection = True
         elif not self.wsgi_input.ends_connection:
             return
@@ -81,6 +81,10 @@
         if self.headers_sent and self.ends_with_connection():
             self.socket.setsockopt(SOL_SOCKET, SO_LINGER, _RESET)
 
+    def is_last(self) -> bool:
+        """Return whether the server wants no other request on the connection."""
+        return False
+
     def ends_with_connection(self) -> bool:
         """Return whether the answer has neither a length nor chunks."""
         headers: list[Any] = self.response_headers or []
--- a/testbed/platform_fleet.py
+++ b/testbed/platform_fleet.py
@@ -138,7 +138,7 @@
         head = '\r\n'.join(lines) + '\r\n\r\n'
         try:
             sock.sendall(head.encode('latin-1') + body)
-            return _read_answer(sock)
+            return read_answer(sock)
         finally:
             sock.close()
 
@@ -252,7 +252,7 @@
     return min(port, 65_500)
 
 
-def _read_answer(sock: Any) -> Answer:
+def read_answer(sock: Any) -> Answer:
     received = b''
     try:
         while more := sock.recv(_READ_BYTES):
--- a/testbed/platform_replica.py
+++ b/testbed/platform_replica.py
@@ -18,6 +18,8 @@
 _PREFIX: Final = 'Kingcuptrestle-'
 _READ_BYTES: Final = 65_536
 _SLOW_SECONDS: Final = 30.0
+# Pauses before the events of slow streams.
+_PAUSES_SECONDS: Final = {'slow': 0.3, 'crawl': 2.0}
 # Time for bytes to arrive before a reset drops them.
 _FLUSH_SECONDS: Final = 0.1
 # Time of a prefill.
@@ -217,8 +219,7 @@
                 _send_piece(sock, b'id: 3\ndata: tok', is_bare)
                 sock.close()
                 return False
-            if received.fault == 'slow':
-                sleep(0.3)
+            sleep(_PAUSES_SECONDS.get(received.fault, 0))
             event = f'id: {number}\ndata: token\n\n'.encode()
             _send_piece(sock, event, is_bare)
         if is_bare:
