A folder that could not be recovered is not locked for the next try

Cause: opening a folder takes its lock first. When the recovery then fails in the log, the log keeps the error, the error's traceback keeps the frame that holds the lock file, and that keeps the log: a cycle. Until the collector comes by, the next try of the same process finds the folder locked, which counts as no failure of the storage, and ends the process.

Change: the lock is given back where the opening fails.

Evidence: folder_work.feature, "A folder that could not be recovered ...": data-folder-in-use before, passes now.

--- a/packages/trestle-control/src/trestle_control/replica.py
+++ b/packages/trestle-control/src/trestle_control/replica.py
@@ -98,10 +98,18 @@
         folder = Path(settings.data_folder)
         try:
             lock_file = lock_folder(folder)
-            state = recover_state(settings, machine, local_identity)
         except OSError as error:
             raise StorageFailedError(str(error)) from error
-        return cls(state, lock_file)
+        try:
+            return cls(
+                recover_state(settings, machine, local_identity), lock_file
+            )
+        except BaseException as error:
+            # The next try of this process needs the lock.
+            lock_file.close()
+            if isinstance(error, OSError):
+                raise StorageFailedError(str(error)) from error
+            raise
 
     @property
     def is_leader(self) -> bool:
