Nothing writes to a data folder that its replica has given up

A replica whose disk failed is built anew in the same process. The end of its greenlets ended no thread: a write that hung on a stalled disk went on under the new replica. It could put an older vote over a newer one, mix two drafts of one file so that the folder counts as damaged for good, or write records through a descriptor that stands for another file by then. Handlers of requests that were under way could begin further writes.

Cause: stopping a replica closed the files and the lock at once, whatever its threads still did.

Change: `FolderWork` runs every operation of a folder and knows what is under way. A replica that stops lets none begin any more, and the descriptor and the lock are closed when the last has ended; until then the folder is in use. A vote that is asked of a replica that has stopped as planned is refused and is no failure, which would have built the replica anew.

--- a/features/folder_work.feature
+++ b/features/folder_work.feature
@@ -7,3 +7,20 @@
     When a replica is opened while the disk refuses to remove the log
     Then opening it was refused with "storage-failed"
     And the next try opens the folder
+
+  # Guards against a write of a former replica that hangs on a stalled disk and
+  # changes files under the one that has opened the folder since.
+  Scenario: A folder stays locked while a write to it hangs
+    Given a replica whose vote hangs on the disk
+    When the replica stops
+    Then the folder cannot be opened, and no further write begins
+    When the disk goes on
+    Then the folder opens with the vote that was written
+
+  # Guards against a stop that counts as a failure, after which the process would
+  # open its folder again and not end.
+  Scenario: A vote that is asked for after a planned stop is no failure
+    Given a replica that has stopped as planned
+    When a vote is stored
+    Then storing it was refused with "storage-failed"
+    And the replica has not failed
--- a/packages/trestle-control/src/trestle_control/durable_files.py
+++ b/packages/trestle-control/src/trestle_control/durable_files.py
@@ -5,50 +5,19 @@
 kernel may have dropped the dirty pages and would report success.
 """
 
-from collections.abc import Callable
 from os import O_DIRECTORY, O_RDONLY, close, fsync, replace
 from os import open as open_file
 from pathlib import Path
 from struct import Struct
-from typing import Final, NamedTuple, TypeVar
+from typing import Final
 
-from gevent import get_hub
 from xxhash import xxh3_64_intdigest
 
-from trestle_control.control_errors import DamagedLogError, StorageFailedError
-
-Returned = TypeVar('Returned')
+from trestle_control.control_errors import DamagedLogError
 
 _CHECKSUM: Final = Struct('>Q')
 
 
-class _Failure(NamedTuple):
-    """The error that a disk operation raised."""
-
-    error: OSError
-
-
-def run_blocking(work: Callable[[], Returned]) -> Returned:
-    """Run a disk operation in a thread, without blocking other greenlets.
-
-    Raises `StorageFailedError`.
-    """
-    outcome: Returned | _Failure = get_hub().threadpool.apply(
-        _outcome_of, (work,)
-    )
-    if isinstance(outcome, _Failure):
-        raise StorageFailedError(str(outcome.error)) from outcome.error
-    return outcome
-
-
-def _outcome_of(work: Callable[[], Returned]) -> Returned | _Failure:
-    # The thread pool would print a traceback of an exception.
-    try:
-        return work()
-    except OSError as error:
-        return _Failure(error)
-
-
 def write_checked_file(path: Path, content: bytes) -> None:
     """Replace a file by a checksum and content; block until synced."""
     draft = path.with_suffix('.draft')
--- a/packages/trestle-control/src/trestle_control/log_segments.py
+++ b/packages/trestle-control/src/trestle_control/log_segments.py
@@ -8,7 +8,7 @@
 Invariants:
 - `synced_index` never covers an entry that is not synced.
 - After a failed write or sync nothing more is written: `failure` is set and
-  the process has to exit.
+  the replica has to be opened anew.
 """
 
 from collections.abc import Callable
@@ -21,7 +21,7 @@
 from gevent.lock import BoundedSemaphore
 
 from trestle_control.control_errors import StorageFailedError
-from trestle_control.durable_files import run_blocking
+from trestle_control.folder_work import FolderWork
 from trestle_control.log_records import LogEntry, encode_record
 from trestle_control.log_recovery import recover_entries
 from trestle_control.segment_files import SegmentFiles, SyncFile
@@ -58,6 +58,7 @@
         self.sync_signal = Signal()
         self.wake_writer = Event()
         self.file_lock = BoundedSemaphore()
+        self.folder_work = FolderWork()
         self.writer: Greenlet[..., None] | None = None
 
     @property
@@ -70,7 +71,10 @@
         self.writer = spawn(self._run_writer)
 
     def stop(self) -> None:
-        """Wait until all entries are synced, then close the file."""
+        """Wait until all entries are synced, then close the file.
+
+        It is closed later if a write hangs.
+        """
         self.sync_signal.wait_until(
             lambda: (
                 self.failure is not None or self.synced_index >= self.last_index
@@ -79,7 +83,7 @@
         )
         if self.writer:
             self.writer.kill()
-        self.files.close()
+        self.folder_work.when_idle(self.files.close)
 
     def entry_at(self, index: int) -> LogEntry | None:
         """Return the entry at an index, or None outside of the log."""
@@ -172,7 +176,7 @@
         if self.failure:
             raise self.failure
         try:
-            run_blocking(operation)
+            self.folder_work.run(operation)
         except StorageFailedError as error:
             _log.error(
                 'Storage failed; the log accepts no more writes: {}.',
--- a/packages/trestle-control/src/trestle_control/replica.py
+++ b/packages/trestle-control/src/trestle_control/replica.py
@@ -190,7 +190,10 @@
             self.tasks.append(spawn_task(state, loop))
 
     def stop(self) -> None:
-        """Hand over leadership, sync the log and stop."""
+        """Hand over leadership, sync the log, stop and give the folder up.
+
+        The folder stays locked as long as an operation on it hangs.
+        """
         if self.state.is_leader:
             hand_over(self.state)
         self.state.end()
@@ -200,7 +203,7 @@
         for peer in list(self.state.peers.values()):
             peer.link.close()
         self.state.forward_links.close()
-        self.lock_file.close()
+        self.state.folder_work.close(self.lock_file.close)
 
     def submit(self, command: Message, timeout_seconds: float) -> Message:
         """Propose a command from any member, through the leader.
--- a/packages/trestle-control/src/trestle_control/replica_snapshots.py
+++ b/packages/trestle-control/src/trestle_control/replica_snapshots.py
@@ -6,7 +6,6 @@
     CommitUnknownError,
     StorageFailedError,
 )
-from trestle_control.durable_files import run_blocking
 from trestle_control.membership import MemberSet
 from trestle_control.replica_log import reset_log, term_at
 from trestle_control.replica_state import ReplicaState
@@ -95,7 +94,7 @@
 
 def _store(state: ReplicaState, snapshot: Snapshot) -> None:
     try:
-        run_blocking(lambda: store_snapshot(state.folder, snapshot))
+        state.folder_work.run(lambda: store_snapshot(state.folder, snapshot))
     except StorageFailedError as error:
         state.fail(error)
         raise
--- a/packages/trestle-control/src/trestle_control/replica_state.py
+++ b/packages/trestle-control/src/trestle_control/replica_state.py
@@ -29,6 +29,7 @@
     CommitUnknownError,
     StorageFailedError,
 )
+from trestle_control.folder_work import FolderWork
 from trestle_control.log_segments import SegmentLog
 from trestle_control.membership import (
     EMPTY_MEMBER_SET,
@@ -106,6 +107,9 @@
         self.log = log
         self.vote_file = vote_file
         self.machine = machine
+        self.folder_work = FolderWork()
+        log.folder_work = self.folder_work
+        vote_file.folder_work = self.folder_work
         self.snapshot: Snapshot | None = None
         self.member_sets: list[tuple[int, MemberSet]] = [(0, EMPTY_MEMBER_SET)]
         self.role = Role.FOLLOWER
@@ -245,7 +249,8 @@
 
         Its disk or its log can no longer be trusted.
         """
-        if self.failure:
+        if self.failure or not self.running:
+            # One that stops as planned has given its folder up.
             return
         self.failure = error
         self.end()
--- a/packages/trestle-control/src/trestle_control/vote_file.py
+++ b/packages/trestle-control/src/trestle_control/vote_file.py
@@ -17,9 +17,9 @@
 
 from trestle_control.durable_files import (
     read_checked_file,
-    run_blocking,
     write_checked_file,
 )
+from trestle_control.folder_work import FolderWork
 
 _FILE_NAME: Final = 'vote'
 
@@ -47,6 +47,7 @@
         self.path = path
         self.record = record
         self.lock = RLock()
+        self.folder_work = FolderWork()
 
     @classmethod
     def open(
@@ -71,5 +72,5 @@
         """
         record = self.record._replace(term=term, voted_for=voted_for)
         packed: bytes = packb(record)
-        run_blocking(lambda: write_checked_file(self.path, packed))
+        self.folder_work.run(lambda: write_checked_file(self.path, packed))
         self.record = record
