What a failed sync has dropped is written again before it counts

Cause: after a failed sync the kernel drops what it should have written, but it can still be read. The log was then opened anew in the same process, read these records from the page cache, synced the file once more, which reports success, and counted and acknowledged them. A loss of power takes them.

Change: opening a log writes its last segment to a new file, syncs that and puts it in the place of the old one. Older segments were synced before the next one began. It costs one write of at most a segment at a start.

--- a/features/folder_work.feature
+++ b/features/folder_work.feature
@@ -24,3 +24,17 @@
     When a vote is stored
     Then storing it was refused with "storage-failed"
     And the replica has not failed
+
+  # Guards against records that are acknowledged from the page cache: the disk does
+  # not have what a failed sync has dropped, and a later sync says nothing of it.
+  Scenario Outline: What a failed sync has dropped is written again before it counts
+    Given a disk that drops what a failed sync should have written
+    When the sync of batch <batch> fails, and the log is opened again
+    And the power is lost
+    Then the log has all that counted as durable before
+
+    Examples:
+      | batch |
+      | 1     |
+      | 3     |
+      | 6     |
--- a/packages/trestle-control/src/trestle_control/durable_files.py
+++ b/packages/trestle-control/src/trestle_control/durable_files.py
@@ -15,12 +15,13 @@
 
 from trestle_control.control_errors import DamagedLogError
 
+DRAFT_SUFFIX: Final = '.draft'
 _CHECKSUM: Final = Struct('>Q')
 
 
 def write_checked_file(path: Path, content: bytes) -> None:
     """Replace a file by a checksum and content; block until synced."""
-    draft = path.with_suffix('.draft')
+    draft = path.with_suffix(DRAFT_SUFFIX)
     with draft.open('wb') as file:
         file.write(_CHECKSUM.pack(xxh3_64_intdigest(content)) + content)
         file.flush()
--- a/packages/trestle-control/src/trestle_control/log_segments.py
+++ b/packages/trestle-control/src/trestle_control/log_segments.py
@@ -48,7 +48,7 @@
         """
         self.files = SegmentFiles(folder, segment_bytes, sync_file)
         self.entries = recover_entries(self.files.segments)
-        self.files.sync_last()
+        self.files.rewrite_last()
         segments = self.files.segments
         self.first_index = segments[0].first_index if segments else 1
         self.synced_index = self.last_index
--- a/packages/trestle-control/src/trestle_control/segment_files.py
+++ b/packages/trestle-control/src/trestle_control/segment_files.py
@@ -6,12 +6,12 @@
 """
 
 from collections.abc import Callable
-from os import O_APPEND, O_CREAT, O_WRONLY, close, write
+from os import O_APPEND, O_CREAT, O_TRUNC, O_WRONLY, close, replace, write
 from os import open as open_file
 from pathlib import Path
 from typing import Final
 
-from trestle_control.durable_files import sync_folder
+from trestle_control.durable_files import DRAFT_SUFFIX, sync_folder
 from trestle_control.log_recovery import (
     Segment,
     list_segments,
@@ -39,26 +39,30 @@
         self.descriptor: int | None = None
         self.size = 0
 
-    def sync_last(self) -> None:
-        """Sync the last segment, as an earlier process may not have done so.
+    def rewrite_last(self) -> None:
+        """Write the last segment anew, as it may not be on the disk as it reads.
 
-        A process killed between a write and its sync leaves records that are
-        readable from the page cache but may not be on the disk.
+        A process killed between a write and its sync leaves records in the page
+        cache. Those of a sync that failed are there, too, but the kernel has
+        given up writing them, and a later sync of the file reports success.
         """
         if not self.segments:
             return
-        descriptor = open_file(self.segments[-1].path, O_WRONLY)
+        path = self.segments[-1].path
+        draft = path.with_suffix(DRAFT_SUFFIX)
+        descriptor = open_file(draft, O_WRONLY | O_CREAT | O_TRUNC, _FILE_MODE)
         try:
+            _write_all(descriptor, path.read_bytes())
             self.sync_file(descriptor)
         finally:
             close(descriptor)
+        replace(draft, path)
+        sync_folder(self.folder)
 
     def append(self, first_index: int, packed: bytes) -> None:
         """Write records with one sync; the first one has `first_index`."""
         descriptor = self._segment_for(first_index)
-        offset = 0
-        while offset < len(packed):
-            offset += write(descriptor, packed[offset:])
+        _write_all(descriptor, packed)
         self.sync_file(descriptor)
         self.size += len(packed)
 
@@ -123,3 +127,9 @@
         is_full = last.stat().st_size >= self.segment_bytes
         # A closed segment without entries already has the name of the new one.
         return (is_closed or is_full) and last != path
+
+
+def _write_all(descriptor: int, content: bytes) -> None:
+    offset = 0
+    while offset < len(content):
+        offset += write(descriptor, content[offset:])
