Drafts that failed writes leave behind are removed at the next start

Callers saw: nothing yet; by reading.

Change: a replica removes the drafts in its folder, which it holds the lock of, before it reads anything.

--- a/features/folder_work.feature
+++ b/features/folder_work.feature
@@ -38,3 +38,9 @@
       | 1     |
       | 3     |
       | 6     |
+
+  # Guards against files that a failed write leaves behind and that fill the disk.
+  Scenario: Drafts of files that were never finished are removed
+    Given a data folder with drafts of a vote and of snapshots
+    When a replica is opened
+    Then no draft is left in the folder
--- a/packages/trestle-control/src/trestle_control/durable_files.py
+++ b/packages/trestle-control/src/trestle_control/durable_files.py
@@ -42,6 +42,12 @@
     return content
 
 
+def remove_drafts(folder: Path) -> None:
+    """Remove what writes that failed or were killed have left behind."""
+    for draft in folder.glob(f'*{DRAFT_SUFFIX}'):
+        draft.unlink()
+
+
 def sync_folder(folder: Path) -> None:
     """Sync the directory entries of a folder."""
     descriptor = open_file(folder, O_RDONLY | O_DIRECTORY)
--- a/packages/trestle-control/src/trestle_control/replica_recovery.py
+++ b/packages/trestle-control/src/trestle_control/replica_recovery.py
@@ -8,7 +8,7 @@
 from typing import TextIO
 
 from trestle_control.control_errors import DamagedLogError
-from trestle_control.durable_files import sync_folder
+from trestle_control.durable_files import remove_drafts, sync_folder
 from trestle_control.log_segments import SegmentLog
 from trestle_control.replica_log import record_member_set
 from trestle_control.replica_snapshots import restore_snapshot
@@ -33,6 +33,7 @@
     Raises `DamagedLogError` and `OSError`.
     """
     folder = Path(settings.data_folder)
+    remove_drafts(folder)
     # A killed process may have left a rename that the kernel shows but that
     # is not yet synced.
     sync_folder(folder)
