A process that builds its application anew keeps nothing of the former one

While its disk is full, a control process builds its application again and again. A SIGTERM in between was heard by the former application only, so that the process was not stopped as planned; before the first one, SIGTERM and SIGHUP ended it. Each former application was kept by its signal watches, with its log and state, and reloaded beside the one that ran. A part that failed to stop left all others running, with ports and locks.

Cause: signals, an affair of the process, were left to the application.

--- a/features/steps/foreign_settings_steps.py
+++ b/features/steps/foreign_settings_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 from behave.runner import Context
 from gevent import spawn_later
+from gevent.event import Event
 from msgspec.json import encode
 
 from trestle_platform import main
@@ -84,7 +85,9 @@
     path: Path = context.path
     spawn_later(0.1, path.write_bytes, CHANGED)
     with patch.object(main, '_RETRY_SECONDS', 0.05):
-        context.node = main._wait_for_node_file(str(path))  # noqa: SLF001
+        context.node = main._wait_for_node_file(  # noqa: SLF001
+            str(path), Event()
+        )
 
 
 @then('the process goes on with the mended file')
--- a/packages/trestle-core/src/trestle_core/lifecycle.py
+++ b/packages/trestle-core/src/trestle_core/lifecycle.py
@@ -102,16 +102,20 @@
 
     def run(self) -> None:
         """Start every part, wait for SIGTERM or SIGINT, drain and stop."""
-        signal_handler(SIGTERM, self.stop_asked.set)
-        signal_handler(SIGINT, self.stop_asked.set)
-        signal_handler(SIGHUP, self.reload_on_signal)
+        watched = [
+            signal_handler(SIGTERM, self.stop_asked.set),
+            signal_handler(SIGINT, self.stop_asked.set),
+            signal_handler(SIGHUP, self.reload_on_signal),
+        ]
         for hook in self.start_hooks:
             hook()
         _log.info('{} started.', self.name)
         self.stop_asked.wait()
         self._drain()
-        for hook in reversed(self.stop_hooks):
-            hook()
+        self._stop()
+        # A process that builds its application anew keeps nothing of this one.
+        for watcher in watched:
+            watcher.cancel()
         _log.info('{} stopped.', self.name)
 
     def fail(self, error: TrestleError) -> None:
@@ -132,6 +136,14 @@
         except (Exception, Timeout):
             _log.exception('{} keeps its settings.', self.name)
 
+    def _stop(self) -> None:
+        """Stop every part; one that fails to keeps no other from it."""
+        for hook in reversed(self.stop_hooks):
+            try:
+                hook()
+            except (Exception, Timeout):
+                _log.exception('A part of {} fails to stop.', self.name)
+
     def _drain(self) -> None:
         _log.info('{} drains.', self.name)
         tasks = [spawn(hook) for hook in self.drain_hooks]
