A writer of the log that fails in an unknown way fails the member

Cause: the writer of the log ended only with an error of the storage. With any other exception its greenlet ended unnoticed: the member ran on, answered votes and heartbeats, and nothing on it was ever durable again. On three of five members that is the reported symptom; no such exception is known here.

Change: any exception counts as a failure of the storage, after which the replica is opened anew.

--- a/features/log_storage.feature
+++ b/features/log_storage.feature
@@ -27,6 +27,13 @@
     Then waiting for it raises storage-failed
     And after a restart the first batch is there
 
+  # Guards against a writer that ends unnoticed: the process runs on, and nothing
+  # is ever durable again.
+  Scenario: A writer that fails in an unknown way fails the member
+    Given a log whose writes fail in an unknown way after the first batch
+    When another batch is appended
+    Then waiting for it raises storage-failed
+
   Scenario: Entries of a deposed leader do not follow a truncation
     Given a follower with an entry of an earlier term
     When a later term begins while a conflict is truncated
--- a/features/steps/log_storage_steps.py
+++ b/features/steps/log_storage_steps.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 from behave.runner import Context
-from gevent import monkey, sleep, spawn
+from gevent import Timeout, monkey, sleep, spawn
 from hypothesis import given as any_value
 from hypothesis import settings
 from hypothesis import strategies as some
@@ -43,6 +43,7 @@
 
 BATCHES = 8
 SLOW_SECONDS = 0.3
+LIMIT_SECONDS = 20.0
 EXAMPLES = 300
 
 block = monkey.get_original('time', 'sleep')
@@ -187,6 +188,16 @@
     context.log = log
 
 
+@given('a log whose writes fail in an unknown way after the first batch')
+def step_odd_log(context: Context) -> None:
+    step_failing_log(context)
+
+    def fail(descriptor: int) -> None:
+        raise LookupError(f'descriptor {descriptor}')
+
+    context.log.files.sync_file = fail
+
+
 @when('another batch is appended')
 def step_append(context: Context) -> None:
     context.log.append(batch_from(BATCH_ENTRIES + 1))
@@ -195,7 +206,8 @@
 @then('waiting for it raises storage-failed')
 def step_storage_failed(context: Context) -> None:
     try:
-        context.log.wait_synced(BATCH_ENTRIES + 1)
+        with Timeout(LIMIT_SECONDS):
+            context.log.wait_synced(BATCH_ENTRIES + 1)
     except StorageFailedError as error:
         assert error.code.code == 'storage-failed'
     else:
--- a/packages/trestle-control/src/trestle_control/log_segments.py
+++ b/packages/trestle-control/src/trestle_control/log_segments.py
@@ -153,6 +153,11 @@
                 self._write_next_batch()
             except StorageFailedError:
                 return
+            except Exception as error:
+                # Otherwise nothing would ever be synced again, unnoticed.
+                _log.exception('The writer of the log failed.')
+                self._fail(StorageFailedError(repr(error)))
+                return
             self.sync_signal.notify()
 
     def _write_next_batch(self) -> None:
@@ -178,12 +183,15 @@
         try:
             self.folder_work.run(operation)
         except StorageFailedError as error:
-            _log.error(
-                'Storage failed; the log accepts no more writes: {}.',
-                error.message,
-            )
-            self.failure = error
-            self.sync_signal.notify()
-            for hook in self.on_failed:
-                hook(error)
+            self._fail(error)
             raise
+
+    def _fail(self, error: StorageFailedError) -> None:
+        _log.error(
+            'Storage failed; the log accepts no more writes: {}.',
+            error.message,
+        )
+        self.failure = error
+        self.sync_signal.notify()
+        for hook in self.on_failed:
+            hook(error)
