--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -51,8 +51,7 @@
 @given('a platform with 5 control hosts, 2 entries, 2 services and 3 engines')
 def step_platform(context: Context) -> None:
     """Start everything at once."""
-    net = 10 + abs(hash(context.scenario.name)) % 200
-    fleet = PlatformFleet(context.processes, net)
+    fleet = PlatformFleet(context.processes)
     context.fleet = fleet
     context.number = 0
     context.add_cleanup(fleet.stop)
--- a/features/steps/stream_take_ups_steps.py
+++ b/features/steps/stream_take_ups_steps.py
@@ -40,8 +40,7 @@
     context: Context, old: int, first: str, new: int, second: str
 ) -> None:
     """Start everything, and wait until streams are served."""
-    net = 10 + abs(hash(context.scenario.name)) % 200
-    fleet = PlatformFleet(context.processes, net)
+    fleet = PlatformFleet(context.processes)
     context.fleet = fleet
     context.add_cleanup(fleet.stop)
     for number in range(old):
--- a/testbed/platform_fleet.py
+++ b/testbed/platform_fleet.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 from pathlib import Path
+from random import sample
 from socket import AF_INET, SOCK_STREAM
 from socket import socket as plain_socket
 from sys import executable
@@ -22,6 +23,9 @@
 LIMIT_SECONDS: Final = 20.0
 SERVICES: Final = ('desk', 'llm')
 _SEEDS: Final = 3
+# Loopback networks, and the port that is bound on the one in use.
+_NETS: Final = range(10, 250)
+_KEEPER_PORT: Final = 9464
 _READ_BYTES: Final = 65_536
 
 
@@ -37,10 +41,10 @@
 class PlatformFleet:
     """Hosts, their settings files, the list and the back ends."""
 
-    def __init__(self, processes: Processes, net: int) -> None:
-        """Prepare; `net` keeps fleets of other scenarios apart."""
+    def __init__(self, processes: Processes) -> None:
+        """Prepare, on a loopback network that no other fleet uses."""
         self.processes = processes
-        self.net = net
+        self.net, self.net_keeper = _reserve_net()
         self.port = _free_port()
         self.replicas: list[PlatformReplica] = []
         self.leaving: set[str] = set()
@@ -147,7 +151,8 @@
         poll_until(condition, LIMIT_SECONDS, what)
 
     def stop(self) -> None:
-        """Stop the servers of this process."""
+        """Stop the servers of this process, and give the network back."""
+        self.net_keeper.close()
         self.list_server.stop()
         for replica in self.replicas:
             replica.server.stop()
@@ -244,6 +249,22 @@
     }
 
 
+def _reserve_net() -> tuple[int, plain_socket]:
+    """Return the number of a free loopback network.
+
+    Fleets of any process keep off it as long as the socket is open.
+    """
+    for net in sample(_NETS, len(_NETS)):
+        keeper = plain_socket(AF_INET, SOCK_STREAM)
+        try:
+            keeper.bind((f'127.{net}.8.1', _KEEPER_PORT))
+        except OSError:
+            keeper.close()
+            continue
+        return net, keeper
+    raise OSError('no loopback network is free')
+
+
 def _free_port() -> int:
     """Return the first of ten ports that are free on every address."""
     with plain_socket(AF_INET, SOCK_STREAM) as probe:
