--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 PACKAGES := $(wildcard packages/*) platform
 
-.PHONY: setup demo test bench bench-path format lint types check capacity soak soak-log soak-claims soak-system bench-log
+.PHONY: setup demo test bench bench-path format lint types check capacity soak soak-log soak-claims soak-system soak-stops bench-log
 
 setup: $(VENV)/.installed
 
@@ -47,7 +47,7 @@
 SEED ?= 1
 MINUTES ?= 1
 
-soak: soak-log soak-claims soak-system
+soak: soak-log soak-claims soak-system soak-stops
 
 soak-system: setup
 	$(BIN)/python -m testbed.soak_system --seed $(SEED) --minutes $(MINUTES)
@@ -60,3 +60,6 @@
 
 bench-log: setup
 	$(BIN)/python -m testbed.bench_log
+
+soak-stops: setup
+	$(BIN)/python -m testbed.soak_stops --seed $(SEED)
--- a/testbed/platform_fleet.py
+++ b/testbed/platform_fleet.py
@@ -38,13 +38,25 @@
     whole: bool
 
 
+class ReservedNet(NamedTuple):
+    """A loopback network; fleets of any process keep off it.
+
+    It is free again when the keeper is closed.
+    """
+
+    number: int
+    keeper: plain_socket
+
+
 class PlatformFleet:
     """Hosts, their settings files, the list and the back ends."""
 
     def __init__(self, processes: Processes) -> None:
         """Prepare, on a loopback network that no other fleet uses."""
         self.processes = processes
-        self.net, self.net_keeper = _reserve_net()
+        reserved = _reserve_net()
+        self.net = reserved.number
+        self.net_keeper = reserved.keeper
         self.port = _free_port()
         self.replicas: list[PlatformReplica] = []
         self.leaving: set[str] = set()
@@ -249,11 +261,8 @@
     }
 
 
-def _reserve_net() -> tuple[int, plain_socket]:
-    """Return the number of a free loopback network.
-
-    Fleets of any process keep off it as long as the socket is open.
-    """
+def _reserve_net() -> ReservedNet:
+    """Reserve a free loopback network."""
     for net in sample(_NETS, len(_NETS)):
         keeper = plain_socket(AF_INET, SOCK_STREAM)
         try:
@@ -261,7 +270,7 @@
         except OSError:
             keeper.close()
             continue
-        return net, keeper
+        return ReservedNet(net, keeper)
     raise OSError('no loopback network is free')
 
 
--- a/testbed/platform_replica.py
+++ b/testbed/platform_replica.py
@@ -15,6 +15,9 @@
 
 EVENTS: Final = 6
 SEAL: Final = 'standin.seal'
+# Work of so many ms, in the place of a fault.
+WORK: Final = 'work-'
+_MS_PER_SECOND: Final = 1000
 _PREFIX: Final = 'Kingcuptrestle-'
 _READ_BYTES: Final = 65_536
 _SLOW_SECONDS: Final = 30.0
@@ -166,6 +169,7 @@
         fault = received.fault
         headers = self._sealed(received)
         body = encode({'ran': received.target})
+        sleep(_work_seconds(fault))
         if fault == 'reset':
             sock.setsockopt(SOL_SOCKET, SO_LINGER, _RESET)
             sock.close()
@@ -229,6 +233,12 @@
         return True
 
 
+def _work_seconds(fault: str) -> float:
+    if not fault.startswith(WORK):
+        return 0.0
+    return int(fault.removeprefix(WORK)) / _MS_PER_SECOND
+
+
 def _read_request(sock: socket) -> Received | None:
     received = b''
     while b'\r\n\r\n' not in received:
--- /dev/null
+++ b/testbed/soak_stops.py
@@ -0,0 +1,262 @@
+"""Entries that are stopped as planned, by turns and together, from one seed.
+
+Callers use their connections until the entry ends them, some with bodies that
+come slowly, while entries get SIGTERM and start again, SIGHUP comes and
+documents change time limits. There is no other trouble, so every request that
+a back end has run must get its whole answer, nothing runs twice that may run
+once only, and every entry is gone by itself within its grace. The exit status
+is 1 if something was violated.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+from collections import Counter
+from dataclasses import dataclass, field
+from itertools import count
+from pathlib import Path
+from random import Random
+from signal import SIGHUP, SIGTERM
+from sys import exit as sys_exit
+from sys import stdout
+from tempfile import TemporaryDirectory
+from time import monotonic
+from typing import Annotated, Final
+
+from cappa import Arg, parse
+from gevent import Greenlet, joinall, killall, sleep, spawn
+
+from testbed.kept_channels import Heard, KeptChannel
+from testbed.platform_fleet import PlatformFleet, document
+from testbed.processes import Processes, poll_until
+
+CORES: Final = tuple(f'core-{number}' for number in range(1, 6))
+ENTRIES: Final = ('front-1', 'front-2', 'front-3')
+CALLERS: Final = 24
+GRACE_SECONDS: Final = 8.0
+LIMIT_SECONDS: Final = 30.0
+READY_SECONDS: Final = 0.3
+# Longest work of a back end, of a slow body and time limit of a route.
+_WORK_MS: Final = 2400
+_BODY_SECONDS: Final = 2.0
+_SLOW_BODIES: Final = 0.15
+_TIMEOUTS_MS: Final = (3000, 4000, 5000)
+_PROMISES: Final = frozenset((408, 421, 429, 503))
+_PATHS: Final = ('/book/work-', '/look/work-', '/check/plain', '/grade/slow')
+
+
+@dataclass
+class SoakReport:
+    """What callers got, what was done, and what was violated."""
+
+    answers: Counter[str] = field(default_factory=Counter)
+    events: Counter[str] = field(default_factory=Counter)
+    violations: list[str] = field(default_factory=list)
+
+
+class StopSoak:
+    """One run on a fleet of its own."""
+
+    def __init__(self, processes: Processes, seed: int) -> None:
+        """Start the fleet."""
+        self.random = Random(seed)
+        self.processes = processes
+        self.fleet = PlatformFleet(processes)
+        self.report = SoakReport()
+        self.numbers = count(1)
+        self.version = 3
+        self.ready: list[str] = []
+        # The requests of callers, with what came for each.
+        self.heard: dict[str, tuple[str, str, Heard]] = {}
+        for instance, stage in (
+            ('i-desk1', ''),
+            ('i-desk2', ''),
+            ('i-read', 'prefill'),
+            ('i-write1', 'decode'),
+            ('i-write2', 'decode'),
+        ):
+            self.fleet.add_replica(instance, stage)
+        for name in (*CORES, *ENTRIES):
+            self.fleet.start(name, bootstrap=True)
+
+    def run(self, seconds: float) -> SoakReport:
+        """Run callers and stops for a time, then judge."""
+        poll_until(self._publish, LIMIT_SECONDS, 'a document')
+        poll_until(
+            lambda: all(map(self.fleet.is_ready, ENTRIES)),
+            LIMIT_SECONDS,
+            'ready entries',
+        )
+        until = monotonic() + seconds
+        watcher = spawn(self._watch_ready)
+        callers = [spawn(self._call_until, until) for _ in range(CALLERS)]
+        self._play(until)
+        joinall(callers, timeout=LIMIT_SECONDS, raise_error=True)
+        killall([watcher])
+        self._judge()
+        self.fleet.stop()
+        return self.report
+
+    def _publish(self) -> bool:
+        timeout_ms = self.random.choice(_TIMEOUTS_MS)
+        routes = [
+            {**route, 'timeoutMs': timeout_ms}
+            for route in document(self.version)['routes']
+        ]
+        wanted = document(self.version, routes=routes)
+        try:
+            status = self.fleet.publish(CORES[0], wanted).status
+        except OSError:
+            return False
+        return status == 200
+
+    def _watch_ready(self) -> None:
+        while True:
+            self.ready = [name for name in ENTRIES if self.fleet.is_ready(name)]
+            sleep(READY_SECONDS)
+
+    def _play(self, until: float) -> None:
+        """Stop, start, reload and publish until the time is over."""
+        stopping: dict[str, Greenlet[..., None]] = {}
+        while monotonic() < until:
+            sleep(self.random.uniform(0.2, 1.5))
+            stopping = {
+                name: task
+                for name, task in stopping.items()
+                if not task.ready()
+            }
+            running = [name for name in ENTRIES if name not in stopping]
+            event = self.random.choice(('stop', 'stop', 'hang-up', 'document'))
+            if event == 'stop' and len(running) > 1:
+                name = self.random.choice(running)
+                stopping[name] = spawn(self._stop_and_start, name)
+            elif event == 'hang-up':
+                # One that is stopped may get it, too.
+                name = self.random.choice(ENTRIES)
+                self.processes.started[name].popen.send_signal(SIGHUP)
+            elif event == 'document':
+                self.version += 1
+                self._publish()
+            else:
+                continue
+            self.report.events[event] += 1
+        joinall(list(stopping.values()), timeout=LIMIT_SECONDS)
+
+    def _stop_and_start(self, name: str) -> None:
+        process = self.processes.started[name]
+        began = monotonic()
+        process.popen.send_signal(SIGTERM)
+        while process.running() and monotonic() < began + GRACE_SECONDS:
+            sleep(0.05)
+        if process.running():
+            process.kill()
+            self.report.violations.append(f'{name} had to be killed')
+        elif process.wait():
+            self.report.violations.append(f'{name} ended with {process.wait()}')
+        self.fleet.start(name, bootstrap=False)
+        poll_until(
+            lambda: self.fleet.is_ready(name), LIMIT_SECONDS, f'{name} again'
+        )
+
+    def _call_until(self, until: float) -> None:
+        while monotonic() < until:
+            if not self.ready:
+                sleep(READY_SECONDS)
+                continue
+            name = self.random.choice(self.ready)
+            try:
+                channel = KeptChannel(
+                    (self.fleet.ip(name), self.fleet.port + 7)
+                )
+            except OSError:
+                self.report.answers['no connection'] += 1
+                sleep(READY_SECONDS)
+                continue
+            while channel.is_open and monotonic() < until:
+                self._call(name, channel)
+                sleep(self.random.choice((0, 0, 0.05, 0.5)))
+            channel.close()
+
+    def _call(self, name: str, channel: KeptChannel) -> None:
+        path = self.random.choice(_PATHS)
+        if path.endswith('-'):
+            path += str(self.random.choice((0, 20, 200, _WORK_MS)))
+        request_id = f's{next(self.numbers)}'
+        headers = {
+            'Kingcuptrestle-Request-Id': request_id,
+            'Kingcuptrestle-Deadline-Ms': '5000',
+        }
+        if not path.startswith(('/book/', '/look/')):
+            headers['Kingcuptrestle-Model'] = 'm'
+            headers['Kingcuptrestle-Token-Counts'] = '400,6'
+        is_slow = self.random.random() < _SLOW_BODIES
+        pause = self.random.uniform(0, _BODY_SECONDS) if is_slow else 0.0
+        heard = channel.call(path, headers, pause)
+        self.heard[request_id] = (name, path, heard)
+        whole = 'whole' if heard.is_whole else 'cut'
+        self.report.answers[f'{heard.status} {whole}'] += 1
+
+    def _judge(self) -> None:
+        runs = Counter(
+            received.named('Request-Id')
+            for replica in self.fleet.replicas
+            for received in replica.ran
+        )
+        for request_id, (name, path, heard) in self.heard.items():
+            fault = _fault_of(path, heard, runs[request_id])
+            if fault:
+                self.report.violations.append(
+                    f'{request_id} {path} at {name}: {fault}; ran '
+                    f'{runs[request_id]} times, got {heard.status} '
+                    f'{heard.body[:80]!r}'
+                )
+
+
+def _fault_of(path: str, heard: Heard, runs: int) -> str:
+    """Return what is wrong with an answer, or nothing."""
+    if path.startswith('/book/') and runs > 1:
+        return 'it may run once only'
+    if not heard.is_whole:
+        return 'cut without an answer' if runs or heard.status else ''
+    if heard.status == 200:
+        return '' if runs else 'it never ran'
+    if heard.status not in _PROMISES:
+        return 'a failure without any trouble'
+    return 'it was promised not to have run' if runs else ''
+
+
+def run_soak(processes: Processes, seed: int, seconds: float) -> SoakReport:
+    """Run the soak of a seed."""
+    return StopSoak(processes, seed).run(seconds)
+
+
+@dataclass
+class Options:
+    """Stop entries as planned, with callers of one seed."""
+
+    seed: Annotated[int, Arg(long='--seed', help='seed of the first run')] = 1
+    runs: Annotated[int, Arg(long='--runs', help='seeds from there on')] = 1
+    seconds: Annotated[float, Arg(long='--seconds', help='of each run')] = 25
+
+
+def main() -> None:
+    """Run the seeds; exit with 1 if one was violated."""
+    options = parse(Options)
+    is_violated = False
+    for seed in range(options.seed, options.seed + options.runs):
+        with TemporaryDirectory() as folder, Processes(Path(folder)) as started:
+            report = run_soak(started, seed, options.seconds)
+        is_violated = is_violated or bool(report.violations)
+        stdout.write(
+            f'seed {seed}: {len(report.violations)} violations, '
+            f'{dict(report.events)}, {dict(report.answers)}\n'
+        )
+        for violation in report.violations[:10]:
+            stdout.write(f'  {violation}\n')
+        stdout.flush()
+    sys_exit(is_violated)
+
+
+if __name__ == '__main__':
+    main()
