--- a/features/steps/late_in_the_stop_steps.py
+++ b/features/steps/late_in_the_stop_steps.py
@@ -10,6 +10,7 @@
 from msgspec.json import decode
 
 from features.steps.platform_path_steps import LONG_NEED, fleet_of
+from features.steps.platform_path_steps import call as path_call
 from testbed.platform_fleet import Answer, document, read_answer
 from testbed.processes import poll_until
 
@@ -157,3 +158,14 @@
         assert decode(answer.body)['code'] == 'draining', answer
         assert float(answer.headers['retry-after']) < 1, answer
     assert context.stopped.wait() == 0
+
+
+@then('a stream that runs while its entry is stopped comes back whole')
+def step_stopped(context: Context) -> None:
+    """Stop the entry in the middle of a slow stream."""
+    task = spawn(path_call, context, '/grade/slow', **LONG_NEED)
+    sleep(0.6)
+    context.processes.started['front-1'].terminate()
+    answer = task.get()
+    assert answer.status == 200 and answer.whole, answer
+    assert not fleet_of(context).is_ready('front-1')
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -12,12 +12,10 @@
 from gevent.event import Event
 from gevent.socket import create_connection, socket
 
-from trestle_core.metrics import Metrics
-from trestle_core.settings import DirectSettings
+from testbed.direct_fixtures import make_caller_server
 from trestle_entry.caller_watch import cancel_when_gone
 from trestle_entry.direct import caller_server
 from trestle_entry.direct.caller_server import CallerServer
-from trestle_entry.direct.direct_context import DirectContext
 from trestle_entry.direct.replies import DirectReply
 
 REQUEST = b'GET /x HTTP/1.1\r\nHost: h\r\n\r\n'
@@ -27,17 +25,7 @@
 
 def start(context: Context) -> None:
     """Start a server, and a caller whose first request was answered."""
-    settings = DirectSettings(
-        host='e1',
-        zone='z',
-        key_file='',
-        control=['127.0.0.1:1'],
-        http_listen='127.0.0.1:0',
-    )
-    wire: Any = None
-    context.server = CallerServer(
-        DirectContext(settings, wire, wire, Metrics())
-    )
+    context.server = make_caller_server(wire=None)
     context.ended = Event()
 
     def body(sock: Any) -> Iterator[bytes]:
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -55,14 +55,7 @@
     context.fleet = fleet
     context.number = 0
     context.add_cleanup(fleet.stop)
-    for instance, stage in (
-        ('i-desk1', ''),
-        ('i-desk2', ''),
-        ('i-read', 'prefill'),
-        ('i-write1', 'decode'),
-        ('i-write2', 'decode'),
-    ):
-        fleet.add_replica(instance, stage)
+    fleet.add_usual_replicas()
     for name in (*CORES, *ENTRIES):
         fleet.start(name, bootstrap=True)
 
@@ -335,17 +328,6 @@
     assert len(leaving.ran) == before
 
 
-@then('a stream that runs while its entry is stopped comes back whole')
-def step_stopped(context: Context) -> None:
-    """Stop the entry in the middle of a slow stream."""
-    task = spawn(call, context, '/grade/slow', **LONG_NEED)
-    sleep(0.6)
-    context.processes.started['front-1'].terminate()
-    answer = task.get()
-    assert answer.status == 200 and answer.whole, answer
-    assert not fleet_of(context).is_ready('front-1')
-
-
 @then('a head of 20,000 bytes gets 431 and a body of 5,000 bytes gets 413')
 def step_too_large(context: Context) -> None:
     """Send more than the limits allow; nothing of it runs."""
--- a/features/steps/request_heads_steps.py
+++ b/features/steps/request_heads_steps.py
@@ -10,13 +10,10 @@
 from behave.runner import Context
 from gevent.socket import create_connection
 
+from testbed.direct_fixtures import make_caller_server
 from trestle_core.errors import TrestleError
-from trestle_core.metrics import Metrics
-from trestle_core.settings import DirectSettings
 from trestle_entry.direct import caller_server
 from trestle_entry.direct.backend_exchange import NotSentError, encode_request
-from trestle_entry.direct.caller_server import CallerServer
-from trestle_entry.direct.direct_context import DirectContext
 from trestle_entry.direct.replies import DirectReply, error_answer
 from trestle_platform.caller_http import caller_wire, read_request
 from trestle_platform.wire_names import REQUEST_ID
@@ -50,15 +47,8 @@
 @given("a callers' server that notes what runs")
 def step_server(context: Context) -> None:
     """Start it, with one caller."""
-    settings = DirectSettings(
-        host='e1',
-        zone='z',
-        key_file='',
-        control=['127.0.0.1:1'],
-        http_listen='127.0.0.1:0',
-    )
-    wire: Any = caller_wire()
-    server = CallerServer(DirectContext(settings, wire, wire, Metrics()))
+    wire = caller_wire()
+    server = make_caller_server(wire)
     context.ran = []
 
     def serve(_context: Any, incoming: Any) -> DirectReply:
--- a/packages/trestle-entry/src/trestle_entry/direct/planned_stop.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/planned_stop.py
@@ -27,7 +27,7 @@
 _RETRY_AFTER_SECONDS: Final = 0.05
 # A request that may be repeated is taken with so many times its latency target
 # left, but at least with so much time.
-_TARGETS_LEFT: Final = 4
+_TARGETS_LEFT: Final = 2
 _MIN_LEFT_SECONDS: Final = 1.0
 _MS_PER_SECOND: Final = 1000
 _AT_ONCE_SECONDS: Final = 0.001
--- a/testbed/platform_fleet.py
+++ b/testbed/platform_fleet.py
@@ -23,6 +23,13 @@
 LIMIT_SECONDS: Final = 20.0
 SERVICES: Final = ('desk', 'llm')
 _SEEDS: Final = 3
+_USUAL_REPLICAS: Final = (
+    ('i-desk1', ''),
+    ('i-desk2', ''),
+    ('i-read', 'prefill'),
+    ('i-write1', 'decode'),
+    ('i-write2', 'decode'),
+)
 # Loopback networks, and the port that is bound on the one in use.
 _NETS: Final = range(10, 250)
 _KEEPER_PORT: Final = 9464
@@ -66,6 +73,11 @@
         )
         self.list_server.start()
 
+    def add_usual_replicas(self) -> None:
+        """Start two back ends of a desk, and an engine pool of three."""
+        for instance, stage in _USUAL_REPLICAS:
+            self.add_replica(instance, stage)
+
     def add_replica(
         self, instance: str, stage: str = '', software: str = 'v1'
     ) -> PlatformReplica:
--- a/testbed/soak_stops.py
+++ b/testbed/soak_stops.py
@@ -69,14 +69,7 @@
         self.ready: list[str] = []
         # The requests of callers, with what came for each.
         self.heard: dict[str, tuple[str, str, Heard]] = {}
-        for instance, stage in (
-            ('i-desk1', ''),
-            ('i-desk2', ''),
-            ('i-read', 'prefill'),
-            ('i-write1', 'decode'),
-            ('i-write2', 'decode'),
-        ):
-            self.fleet.add_replica(instance, stage)
+        self.fleet.add_usual_replicas()
         for name in (*CORES, *ENTRIES):
             self.fleet.start(name, bootstrap=True)
 
