--- a/testbed/soak_stops.py
+++ b/testbed/soak_stops.py
@@ -22,7 +22,7 @@
 from sys import stdout
 from tempfile import TemporaryDirectory
 from time import monotonic
-from typing import Annotated, Final
+from typing import Annotated, Final, NamedTuple
 
 from cappa import Arg, parse
 from gevent import Greenlet, joinall, killall, sleep, spawn
@@ -42,6 +42,9 @@
 _BODY_SECONDS: Final = 2.0
 _SLOW_BODIES: Final = 0.15
 _TIMEOUTS_MS: Final = (3000, 4000, 5000)
+_MS_PER_SECOND: Final = 1000
+_STREAMED: Final = 200
+_TIMED_OUT: Final = 504
 _PROMISES: Final = frozenset((408, 421, 429, 503))
 _PATHS: Final = ('/book/work-', '/look/work-', '/check/plain', '/grade/slow')
 
@@ -55,6 +58,16 @@
     violations: list[str] = field(default_factory=list)
 
 
+class Asked(NamedTuple):
+    """A request, its entry, and what came after some seconds."""
+
+    request_id: str
+    entry: str
+    path: str
+    heard: Heard
+    seconds: float
+
+
 class StopSoak:
     """One run on a fleet of its own."""
 
@@ -67,8 +80,7 @@
         self.numbers = count(1)
         self.version = 3
         self.ready: list[str] = []
-        # The requests of callers, with what came for each.
-        self.heard: dict[str, tuple[str, str, Heard]] = {}
+        self.requests: list[Asked] = []
         self.fleet.add_usual_replicas()
         for name in (*CORES, *ENTRIES):
             self.fleet.start(name, bootstrap=True)
@@ -148,9 +160,15 @@
         elif process.wait():
             self.report.violations.append(f'{name} ended with {process.wait()}')
         self.fleet.start(name, bootstrap=False)
-        poll_until(
-            lambda: self.fleet.is_ready(name), LIMIT_SECONDS, f'{name} again'
-        )
+        until = monotonic() + LIMIT_SECONDS
+        while not self.fleet.is_ready(name):
+            if monotonic() > until:
+                self.report.violations.append(
+                    f'{name} is not ready again after {LIMIT_SECONDS:.0f} s: '
+                    f'{process_log(self.processes, name)}'
+                )
+                return
+            sleep(READY_SECONDS)
 
     def _call_until(self, until: float) -> None:
         while monotonic() < until:
@@ -185,8 +203,10 @@
             headers['Kingcuptrestle-Token-Counts'] = '400,6'
         is_slow = self.random.random() < _SLOW_BODIES
         pause = self.random.uniform(0, _BODY_SECONDS) if is_slow else 0.0
+        began = monotonic()
         heard = channel.call(path, headers, pause)
-        self.heard[request_id] = (name, path, heard)
+        seconds = monotonic() - began
+        self.requests.append(Asked(request_id, name, path, heard, seconds))
         whole = 'whole' if heard.is_whole else 'cut'
         self.report.answers[f'{heard.status} {whole}'] += 1
 
@@ -196,20 +216,30 @@
             for replica in self.fleet.replicas
             for received in replica.ran
         )
-        for request_id, (name, path, heard) in self.heard.items():
-            fault = _fault_of(path, heard, runs[request_id])
+        for asked in self.requests:
+            fault = _fault_of(asked, runs[asked.request_id])
             if fault:
                 self.report.violations.append(
-                    f'{request_id} {path} at {name}: {fault}; ran '
-                    f'{runs[request_id]} times, got {heard.status} '
-                    f'{heard.body[:80]!r}'
+                    f'{fault}; ran {runs[asked.request_id]} times: {asked}'
                 )
 
 
-def _fault_of(path: str, heard: Heard, runs: int) -> str:
-    """Return what is wrong with an answer, or nothing."""
-    if path.startswith('/book/') and runs > 1:
+def process_log(processes: Processes, name: str) -> str:
+    """Return the last lines of the log of a process."""
+    return processes.started[name].log_tail()
+
+
+def _fault_of(asked: Asked, runs: int) -> str:
+    """Return what is wrong with an answer, or nothing.
+
+    One whose time limit may have been reached may be a failure, or be cut.
+    """
+    heard = asked.heard
+    is_over_time = asked.seconds * _MS_PER_SECOND >= min(_TIMEOUTS_MS)
+    if asked.path.startswith('/book/') and runs > 1:
         return 'it may run once only'
+    if is_over_time and heard.status in {_STREAMED, _TIMED_OUT}:
+        return ''
     if not heard.is_whole:
         return 'cut without an answer' if runs or heard.status else ''
     if heard.status == 200:
