The soak of stops judges time limits strictly, and its lost entry is traced

Two mistakes of mine in the soak. Its excuse for time limits took any 200 or 504 of 3 s or more, slow bodies included. Now a 504 or a cut stream is excused only if the shortest limit that may have held was reached since the body was whole.

--- a/testbed/soak_stops.py
+++ b/testbed/soak_stops.py
@@ -42,6 +42,8 @@
 _BODY_SECONDS: Final = 2.0
 _SLOW_BODIES: Final = 0.15
 _TIMEOUTS_MS: Final = (3000, 4000, 5000)
+# The platform's bound for a document to be in force.
+_APPLY_SECONDS: Final = 2.0
 _MS_PER_SECOND: Final = 1000
 _STREAMED: Final = 200
 _TIMED_OUT: Final = 504
@@ -59,13 +61,17 @@
 
 
 class Asked(NamedTuple):
-    """A request, its entry, and what came after some seconds."""
+    """A request, its entry, and what came some seconds after its body.
+
+    `limit_ms` is the shortest time limit that may have held for it.
+    """
 
     request_id: str
     entry: str
     path: str
     heard: Heard
     seconds: float
+    limit_ms: int
 
 
 class StopSoak:
@@ -80,7 +86,10 @@
         self.numbers = count(1)
         self.version = 3
         self.ready: list[str] = []
+        self.starting: set[str] = set()
         self.requests: list[Asked] = []
+        # When each time limit was sent, the oldest first.
+        self.limits_sent: list[tuple[float, int]] = []
         self.fleet.add_usual_replicas()
         for name in (*CORES, *ENTRIES):
             self.fleet.start(name, bootstrap=True)
@@ -105,6 +114,7 @@
 
     def _publish(self) -> bool:
         timeout_ms = self.random.choice(_TIMEOUTS_MS)
+        self.limits_sent.append((monotonic(), timeout_ms))
         routes = [
             {**route, 'timeoutMs': timeout_ms}
             for route in document(self.version)['routes']
@@ -137,8 +147,11 @@
                 name = self.random.choice(running)
                 stopping[name] = spawn(self._stop_and_start, name)
             elif event == 'hang-up':
-                # One that is stopped may get it, too.
-                name = self.random.choice(ENTRIES)
+                # One that is stopped may get it, too, but none in its first
+                # moments: no program can hear a signal before it runs.
+                name = self.random.choice(
+                    [one for one in ENTRIES if one not in self.starting]
+                )
                 self.processes.started[name].popen.send_signal(SIGHUP)
             elif event == 'document':
                 self.version += 1
@@ -159,16 +172,19 @@
             self.report.violations.append(f'{name} had to be killed')
         elif process.wait():
             self.report.violations.append(f'{name} ended with {process.wait()}')
+        self.starting.add(name)
         self.fleet.start(name, bootstrap=False)
         until = monotonic() + LIMIT_SECONDS
         while not self.fleet.is_ready(name):
             if monotonic() > until:
                 self.report.violations.append(
-                    f'{name} is not ready again after {LIMIT_SECONDS:.0f} s: '
+                    f'{name} is not ready again after {LIMIT_SECONDS:.0f} s, '
+                    f'status {self.processes.started[name].popen.poll()}: '
                     f'{process_log(self.processes, name)}'
                 )
                 return
             sleep(READY_SECONDS)
+        self.starting.remove(name)
 
     def _call_until(self, until: float) -> None:
         while monotonic() < until:
@@ -205,11 +221,24 @@
         pause = self.random.uniform(0, _BODY_SECONDS) if is_slow else 0.0
         began = monotonic()
         heard = channel.call(path, headers, pause)
-        seconds = monotonic() - began
-        self.requests.append(Asked(request_id, name, path, heard, seconds))
+        seconds = monotonic() - began - pause
+        limit_ms = self._shortest_limit(began)
+        self.requests.append(
+            Asked(request_id, name, path, heard, seconds, limit_ms)
+        )
         whole = 'whole' if heard.is_whole else 'cut'
         self.report.answers[f'{heard.status} {whole}'] += 1
 
+    def _shortest_limit(self, began: float) -> int:
+        """Return the shortest limit in force since a request began, ms."""
+        settled = [
+            limit
+            for limit in self.limits_sent
+            if limit[0] < began - _APPLY_SECONDS
+        ]
+        held = [*settled[-1:], *self.limits_sent[len(settled) :]]
+        return min(limit_ms for _, limit_ms in held)
+
     def _judge(self) -> None:
         runs = Counter(
             received.named('Request-Id')
@@ -232,13 +261,14 @@
 def _fault_of(asked: Asked, runs: int) -> str:
     """Return what is wrong with an answer, or nothing.
 
-    One whose time limit may have been reached may be a failure, or be cut.
+    One whose time limit was reached may get 504, or a stream that is cut.
     """
     heard = asked.heard
-    is_over_time = asked.seconds * _MS_PER_SECOND >= min(_TIMEOUTS_MS)
+    is_over_time = asked.seconds * _MS_PER_SECOND >= asked.limit_ms
+    is_cut_stream = heard.status == _STREAMED and not heard.is_whole
     if asked.path.startswith('/book/') and runs > 1:
         return 'it may run once only'
-    if is_over_time and heard.status in {_STREAMED, _TIMED_OUT}:
+    if is_over_time and (is_cut_stream or heard.status == _TIMED_OUT):
         return ''
     if not heard.is_whole:
         return 'cut without an answer' if runs or heard.status else ''
