A comment is no event: nothing of a stream begins with it

On a resumable route a comment before a break held the stream to its engine's software version, and the leader's record named that engine.

Cause: what has begun was told from bytes that the splitter passed, among them comments, not from events.

Change: the splitter counts events; comments before the first are held until it comes, or the stream ends.

--- a/features/cut_answers.feature
+++ b/features/cut_answers.feature
@@ -79,3 +79,23 @@
       | a length |
       | chunks   |
       | neither  |
+
+  # Guards against: a kept channel that is closed without an answer, or with one
+  # that was begun without an event, when the limit is reached before the first.
+  Scenario Outline: A back end falls silent within <kind> until its time limit
+    Given an entry and a back end that stops
+    And a document has lowered the time limit of its routes
+    When it falls silent within <kind> with <framing>
+    Then callers without an event get 504 on a channel that stays, others a visible break
+
+    Examples:
+      | kind                     | framing          |
+      | a stream                 | chunks           |
+      | a stream                 | neither          |
+      | a stream behind comments | chunks           |
+      | a stream behind comments | an interim answer |
+
+  # Guards against: the same at the end of a planned stop.
+  Scenario: A stream of comments is answered at the end of a planned stop
+    Given an entry and a back end that stops
+    Then a stream that has sent comments when the entry ends its planned stop gets 502
--- a/features/software_versions.feature
+++ b/features/software_versions.feature
@@ -89,11 +89,12 @@
     Then "v2" brought its events and is the one that the leader knows
 
     Examples:
-      | fails                  |
-      | breaks off             |
-      | declines               |
-      | answers with a failure |
-      | cannot be connected to |
+      | fails                           |
+      | breaks off                      |
+      | writes a comment and breaks off |
+      | declines                        |
+      | answers with a failure          |
+      | cannot be connected to          |
 
   # Guards against: a record that is replaced by the one before it, as reports
   # tell of streams by their origin.
--- a/features/steps/cut_answers_steps.py
+++ b/features/steps/cut_answers_steps.py
@@ -2,8 +2,11 @@
 
 from behave import given, then, when
 from behave.runner import Context
+from gevent import spawn_later
 
 from testbed.cut_answers import (
+    COMMENTED_STREAM,
+    EVENTS,
     LONG_STREAM,
     LOOKUP,
     STOPPING,
@@ -12,12 +15,18 @@
     CutEntry,
     body_of,
 )
+from testbed.kept_channels import KeptChannel
 
 # Resets need time to arrive: they are played at fewer places than closes.
 RESET_STEP = 5
+# A silence is played at fewer places, as each takes the time limit.
+SILENCE_STEP = 7
+LIMIT_MS = 80
+FIRST_EVENT = EVENTS[: EVENTS.index(b'\n\n') + 2]
 PATHS = {
     'a lookup': LOOKUP,
     'a stream': STREAM,
+    'a stream behind comments': COMMENTED_STREAM,
     'a read prompt': LONG_STREAM,
 }
 
@@ -132,3 +141,60 @@
     for cut, received in asked.items():
         is_used = any(decodes for _, decodes in received)
         assert is_used == (cut.place == context.whole_bytes), (cut, received)
+
+
+@given('a document has lowered the time limit of its routes')
+def step_lowered(context: Context) -> None:
+    """Let no call take long."""
+    context.entry.limit_calls(LIMIT_MS)
+
+
+@when('it falls silent within {kind} with {framing}')
+def step_silent(context: Context, kind: str, framing: str) -> None:
+    """Hold the answer at each place; callers keep their channel."""
+    entry = context.entry
+    path = PATHS[kind]
+    entry.list_backends(path, *context.names)
+    whole_bytes = len(entry.whole_answer(path, framing))
+    context.heard = []
+    channel = None
+    for place in range(0, whole_bytes, SILENCE_STEP):
+        if channel is None or not channel.is_open:
+            channel = KeptChannel(entry.server.bound())
+            context.add_cleanup(channel.close)
+        entry.cut = Cut(framing, place, holds=True)
+        heard = channel.call(path, entry.next_headers(path), 0)
+        context.heard.append((place, heard, channel.is_open))
+
+
+@then(
+    'callers without an event get 504 on a channel that stays, others a visible '
+    'break'
+)
+def step_silence_judged(context: Context) -> None:
+    """Check what callers got, by whether an event was among it."""
+    for place, heard, is_open in context.heard:
+        if heard.status == 200:
+            assert FIRST_EVENT in heard.body, (place, heard)
+            assert not heard.is_whole, (place, heard)
+            continue
+        assert heard.status == 504, (place, heard)
+        assert heard.is_whole and is_open, (place, heard)
+    seen = {heard.status for _, heard, _ in context.heard}
+    assert seen == {200, 504}, seen
+
+
+@then(
+    'a stream that has sent comments when the entry ends its planned stop gets '
+    '{status:d}'
+)
+def step_stop_behind_comments(context: Context, status: int) -> None:
+    """End what still runs while only comments have come."""
+    entry = context.entry
+    entry.list_backends(COMMENTED_STREAM, *context.names)
+    whole = entry.whole_answer(COMMENTED_STREAM, 'chunks')
+    entry.cut = Cut('chunks', whole.index(b'id: 1'), holds=True)
+    spawn_later(0.3, entry.context.planned_stop.end_requests)
+    answer = entry.call(COMMENTED_STREAM)
+    assert answer.status == status, answer
+    assert answer.whole, answer
--- a/features/steps/software_versions_steps.py
+++ b/features/steps/software_versions_steps.py
@@ -14,6 +14,9 @@
 # How an engine fails without an event.
 FAILURES = {
     'breaks off': Script(breaks_after=0),
+    'writes a comment and breaks off': Script(
+        opening=(b': still here\n\n',), breaks_after=0
+    ),
     'declines': Script(status=503, is_declined=True),
     'answers with a failure': Script(status=500),
     'cannot be connected to': Script(is_unreachable=True),
--- a/features/steps/stream_events_steps.py
+++ b/features/steps/stream_events_steps.py
@@ -28,12 +28,25 @@
     'event 2 once more': Script(body=b'id: 2\ndata: v1\n\n' + REST),
     'the end of its stream at once': Script(body=b'HTTP'),
 }
+COMMENT = b': still here\n\n'
 BEFORE_FIRST = {
     'reaches its time limit': Script(pause_seconds=5),
     'breaks off': Script(breaks_after=0),
     'sends no event but an error': Script(body=b'engine failed\n\n'),
+    'sends comments until its time limit': Script(
+        opening=(COMMENT,) * 100, pause_seconds=0.05
+    ),
+    'sends a comment and breaks off': Script(
+        opening=(COMMENT,), breaks_after=0
+    ),
+    'sends a comment and an error': Script(
+        opening=(COMMENT,), body=b'engine failed\n\n'
+    ),
+    'sends comments without end': Script(opening=(COMMENT * 1000,) * 100),
 }
 LIMIT_SECONDS = 0.5
+# Characters of an unexpected answer in a message.
+SHOWN = 200
 SOUND = {
     'ids from 0': b'id: 0\ndata: a\n\nid: 1\ndata: b\n\n',
     'lines that end with CR and LF': (
@@ -120,4 +133,26 @@
         assert error.code.status == status, error.code
         assert error.verdict is Verdict.MAY_HAVE_RUN, error.verdict
         return
-    raise AssertionError(f'an answer was begun: {relayed}')
+    raise AssertionError(f'an answer was begun: {str(relayed)[:SHOWN]}')
+
+
+@then(
+    'a comment comes with the first event, and later ones without another event'
+)
+def step_comments(_context: Context) -> None:
+    """Feed comments before and behind the first event."""
+    events = EventSplitter()
+    assert not events.feed(COMMENT)
+    first = b'id: 1\ndata: a\n\n'
+    assert events.feed(first) == COMMENT + first
+    assert events.feed(COMMENT) == COMMENT
+    assert events.count == 1, events.count
+
+
+@then('a stream of comments alone passes unchanged at its end')
+def step_only_comments(_context: Context) -> None:
+    """End a stream without an event."""
+    events = EventSplitter()
+    assert not events.feed(COMMENT)
+    assert events.finish() == COMMENT
+    assert not events.fault, events.fault
--- a/features/stream_events.feature
+++ b/features/stream_events.feature
@@ -32,14 +32,23 @@
       | several data lines in an event      |
       | ids that are no numbers             |
 
-  # Guards against: a channel that is closed without any answer, although nothing
-  # of one has left yet.
+  # Guards against: a channel that is closed without any answer, or behind comments
+  # only, although no event has left yet.
   Scenario Outline: A stream that <fails> before its first event is answered <status>
     Given an engine whose stream <fails> before its first event
     Then the caller of that stream gets <status>, which does not deny that it ran
 
     Examples:
-      | fails                        | status |
-      | reaches its time limit       | 504    |
-      | breaks off                   | 502    |
-      | sends no event but an error  | 502    |
+      | fails                               | status |
+      | reaches its time limit              | 504    |
+      | breaks off                          | 502    |
+      | sends no event but an error         | 502    |
+      | sends comments until its time limit | 504 |
+      | sends a comment and breaks off      | 502 |
+      | sends a comment and an error        | 502 |
+      | sends comments without end          | 502 |
+
+  # Guards against: comments that are lost, or that come too late to keep a caller.
+  Scenario: Comments pass with the first event, at once behind it, and at the end
+    Then a comment comes with the first event, and later ones without another event
+    And a stream of comments alone passes unchanged at its end
--- a/packages/trestle-entry/src/trestle_entry/direct/event_stream.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/event_stream.py
@@ -27,6 +27,8 @@
     def __init__(self) -> None:
         """Start at the first byte of an event."""
         self.incomplete = b''
+        # Complete comments that are passed with the first event.
+        self.held = b''
         self.last_id = ''
         # Complete events so far.
         self.count = 0
@@ -43,16 +45,35 @@
             _end_of_last_event(buffered, separator) for separator in _EVENT_ENDS
         )
         self.incomplete = buffered[end:]
-        sound = b''.join(self._take_sound(buffered[:end]))
-        if not self.fault and len(self.incomplete) > _MAX_EVENT_BYTES:
+        self.held += b''.join(self._take_sound(buffered[:end]))
+        passed = self._release_held() if self.count else b''
+        if not self.fault and self._buffered_bytes() > _MAX_EVENT_BYTES:
             self.fault = 'an event that does not end'
-        return sound
+        return passed
+
+    def finish(self) -> bytes:
+        """Return the bytes left at the end of the stream.
+
+        Sets `fault` if it ended within an event.
+        """
+        if self.incomplete:
+            self.fault = 'the stream ended within an event'
+        return self._release_held()
 
     def go_on(self) -> None:
         """Expect the event after the last one, from another back end."""
         self.incomplete = b''
+        self.held = b''
         self.fault = ''
 
+    def _release_held(self) -> bytes:
+        released = self.held
+        self.held = b''
+        return released
+
+    def _buffered_bytes(self) -> int:
+        return len(self.incomplete) + len(self.held)
+
     def _take_sound(self, complete: bytes) -> Iterator[bytes]:
         """Record and return events up to the first that is not sound."""
         for match in _EVENT.finditer(complete):
--- a/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
@@ -25,7 +25,7 @@
 )
 from trestle_entry.direct.backend_exchange import BrokenAnswerError
 from trestle_entry.direct.direct_context import DirectContext, RouteMatch
-from trestle_entry.direct.event_stream import StreamTiming
+from trestle_entry.direct.event_stream import EventSplitter, StreamTiming
 from trestle_entry.direct.model_dispatch import open_stream, reopen_stream
 from trestle_entry.direct.model_run import ModelRun
 from trestle_entry.direct.promises import check_promise
@@ -146,23 +146,29 @@
         events = self.run.events
         answer = opened.answer
         while True:
-            events_received = events.feed(answer.drain_body())
-            if events_received:
-                if self.timing.note():
-                    self.run.trace.add('first event', opened.backend.software)
-                    self.run.note_first_event(opened.backend)
-                yield events_received
-            if events.fault:
-                raise BrokenAnswerError(events.fault)
+            events_before = events.count
+            passed = events.feed(answer.drain_body())
+            if events.count > events_before:
+                self._note_events(opened)
+            if passed:
+                yield passed
+            _check_sound(events)
             if answer.message_complete:
                 break
             opened.connection.read_more(answer)
-        if events.incomplete:
-            raise BrokenAnswerError('the stream ended within an event')
+        left = events.finish()
+        _check_sound(events)
+        if left:
+            yield left
         self.opened = None
         release_connection(self.run.context, opened)
         self.run.note_served(opened.backend.instance)
 
+    def _note_events(self, opened: OpenAnswer) -> None:
+        if self.timing.note():
+            self.run.trace.add('first event', opened.backend.software)
+            self.run.note_first_event(opened.backend)
+
     def _resume(self, opened: OpenAnswer, error: BrokenAnswerError) -> None:
         run = self.run
         note_broken(run, opened.backend.instance, error)
@@ -183,5 +189,10 @@
         run.trace.add('resumed', f'after event {run.events.last_id or "none"}')
 
 
+def _check_sound(events: EventSplitter) -> None:
+    if events.fault:
+        raise BrokenAnswerError(events.fault)
+
+
 def _aborted(text: str) -> AbortedAnswerError:
     return AbortedAnswerError(ANSWER_INCOMPLETE, text, Verdict.MAY_HAVE_RUN)
--- a/testbed/cut_answers.py
+++ b/testbed/cut_answers.py
@@ -1,6 +1,6 @@
 """An entry in this process, and back ends that stop within their answers.
 
-Callers and back ends talk over loopback, so that the whole way of an answer is
+They end the connection there, or fall silent until the entry gives up. Callers and back ends talk over loopback, so that the whole way of an answer is
 passed: its parser, the retries, the relay of streams and the callers' server.
 """
 
@@ -23,11 +23,14 @@
 from trestle_platform.manifest import read_table
 from trestle_platform.replica_http import backend_wire
 
+COMMENT: Final = b': still here\n\n'
 EVENTS: Final = b''.join(b'id: %d\ndata: token\n\n' % n for n in range(1, 4))
 RESULT: Final = b'{"lots":[1,2]}'
 # Paths of routes: one that may be repeated, and one of streams.
 LOOKUP: Final = '/look/1'
 STREAM: Final = '/check/1'
+# The same, with comments before its events.
+COMMENTED_STREAM: Final = '/check/comments'
 # The same, with a prompt that another engine reads first.
 LONG_STREAM: Final = '/check/long'
 HANDLE: Final = b'{"kvHandle":"h1"}'
@@ -39,23 +42,34 @@
 # Time for bytes to arrive, as a reset drops what was not read yet.
 _FLUSH_SECONDS: Final = 0.002
 _CHUNK_BYTES: Final = 11
+_LIMIT_MS: Final = 5000
 
 
 # Service and roles of the back ends of a route; tokens of its requests.
 SERVED: Final = {
     LOOKUP: ('desk', ('', '')),
     STREAM: ('llm', ('decode', 'decode')),
+    COMMENTED_STREAM: ('llm', ('decode', 'decode')),
     LONG_STREAM: ('llm', ('prefill', 'decode')),
 }
-PROMPTS: Final = {LOOKUP: '100,3', STREAM: '100,3', LONG_STREAM: '17000,3'}
+PROMPTS: Final = {
+    LOOKUP: '100,3',
+    STREAM: '100,3',
+    COMMENTED_STREAM: '100,3',
+    LONG_STREAM: '17000,3',
+}
 
 
 class Cut(NamedTuple):
-    """How a back end stops: after so many bytes, by a close or a reset."""
+    """How a back end stops: after so many bytes, by a close or a reset.
+
+    One that holds the connection says nothing more on it.
+    """
 
     framing: str
     place: int
     resets: bool = False
+    holds: bool = False
 
 
 class CallerAnswer(NamedTuple):
@@ -83,7 +97,7 @@
         self.context = DirectContext(
             settings, caller_wire(), backend_wire(), Metrics()
         )
-        self.context.table = read_table(encode(document(1)))
+        self.limit_calls(_LIMIT_MS)
         self.server = CallerServer(self.context)
         self.server.start()
         self.backends: list[StreamServer] = []
@@ -95,6 +109,13 @@
         # What callers want of their connections.
         self.connection = 'close'
 
+    def limit_calls(self, limit_ms: int) -> None:
+        """Set the time limit of all routes, as a new document does."""
+        routes = [
+            {**route, 'timeoutMs': limit_ms} for route in document(1)['routes']
+        ]
+        self.context.table = read_table(encode(document(1, routes=routes)))
+
     def list_backends(self, path: str, *names: str) -> None:
         """Start back ends for the route of a path, the first one preferred."""
         service, roles = SERVED[path]
@@ -113,14 +134,11 @@
 
     def call(self, path: str, version: str = '1.1') -> CallerAnswer:
         """Make a caller's call on a connection of its own."""
-        self.calls += 1
-        self.received.clear()
-        self._forget_failures()
+        headers = self.next_headers(path)
         lines = [
             f'POST {path} HTTP/{version}',
             'Host: firm.example',
-            f'Kingcuptrestle-Request-Id: r{self.calls:06}',
-            f'Kingcuptrestle-Token-Counts: {PROMPTS[path]}',
+            *[f'{name}: {text}' for name, text in headers.items()],
             'Content-Length: 2',
             f'Connection: {self.connection}',
         ]
@@ -131,6 +149,16 @@
         finally:
             sock.close()
 
+    def next_headers(self, path: str) -> dict[str, str]:
+        """Return the platform's headers of the next call."""
+        self.calls += 1
+        self.received.clear()
+        self._forget_failures()
+        return {
+            'Kingcuptrestle-Request-Id': f'r{self.calls:06}',
+            'Kingcuptrestle-Token-Counts': PROMPTS[path],
+        }
+
     def whole_answer(self, path: str, framing: str) -> bytes:
         """Return the bytes of a sound answer."""
         body = HANDLE if path == LONG_STREAM else body_of(path)
@@ -164,6 +192,8 @@
             return True
         whole = frame(self.cut.framing, body, request_id)
         sock.sendall(whole[: self.cut.place])
+        if self.cut.holds:
+            sock.recv(_READ_BYTES)
         if self.cut.resets:
             sleep(_FLUSH_SECONDS)
             sock.setsockopt(SOL_SOCKET, SO_LINGER, _RESET)
@@ -178,6 +208,8 @@
 
 def body_of(path: str) -> bytes:
     """Return the body of the whole answer at a path."""
+    if path == COMMENTED_STREAM:
+        return COMMENT * 2 + EVENTS
     return RESULT if path == LOOKUP else EVENTS
 
 
--- a/testbed/stream_runs.py
+++ b/testbed/stream_runs.py
@@ -45,7 +45,8 @@
     """How an engine answers: so many events, then a break, or to the end.
 
     Without `status` 200 it fails with a text for a body. `body` replaces the
-    events. Each read takes `pause_seconds`. One that is unreachable gets nothing.
+    events. `opening` comes before all else, a read for each of its pieces. Each
+    read takes `pause_seconds`. One that is unreachable gets nothing.
     """
 
     breaks_after: int | None = None
@@ -54,6 +55,7 @@
     body: bytes | None = None
     pause_seconds: float = 0
     is_unreachable: bool = False
+    opening: tuple[bytes, ...] = ()
 
 
 class StreamSend(NamedTuple):
@@ -175,7 +177,7 @@
             pieces = [script.body]
         connection: Any = ScriptedConnection(script.pause_seconds)
         answer: Any = ScriptedAnswer(
-            pieces, breaks=script.breaks_after is not None
+            [*script.opening, *pieces], breaks=script.breaks_after is not None
         )
         return OpenAnswer(connection, answer, head, backend)
 
