Sound event streams are not taken for broken or endless

Cause: two ends of an event were known, fields in lower case with a colon only, and each block but a comment had to have an id.

Change: blocks are cut at any ends of lines (trestle_core.event_blocks); those that cause no event at a caller are passed. Not passed: names with capitals (an error's head within an event), other words without a colon, data without an id, an empty id (passed before), a stream that ends behind a type.

--- a/features/stream_events.feature
+++ b/features/stream_events.feature
@@ -19,7 +19,7 @@
       | event 2 once more                     |
       | the end of its stream at once         |
 
-  # Guards against: sound streams that a check cuts.
+  # Guards against: sound streams that a check cuts, or that seem to have no end.
   Scenario Outline: What a sound stream may contain passes byte for byte
     Then a stream with <what> passes unchanged
 
@@ -31,6 +31,41 @@
       | an event with a version line first  |
       | several data lines in an event      |
       | ids that are no numbers             |
+      | a time to reconnect alone           |
+      | a type without data                 |
+      | a type without data between events  |
+      | a byte order mark                   |
+      | lines that end with CR              |
+      | mixed ends of lines                 |
+      | digits and underscores in a name    |
+      | a field without a value             |
+      | an empty line too many              |
+      | a comment at its end                |
+
+  # Guards against: an error that passes for an event, or for nothing.
+  Scenario Outline: What is no sound stream is not passed as one
+    Then a stream with <what> is taken for broken
+
+    Examples:
+      | what                            |
+      | an error's head within an event |
+      | an error's text                 |
+      | an error's text like a field    |
+      | a word alone                    |
+      | data without an id              |
+      | a type and data without an id   |
+      | a text for a time               |
+      | an empty id                     |
+      | a type at its end               |
+      | half a comment at its end       |
+      | half an event at its end        |
+      | a second byte order mark        |
+
+  # Guards against: events that wait for the one behind them, and a mark in the
+  # middle of an answer.
+  Scenario: Events pass at once, and without what belongs to another stream
+    Then each event passes with its last byte, however its lines end
+    And the mark of an engine that resumes a stream is dropped
 
   # Guards against: a channel that is closed without any answer, or behind comments
   # only, although no event has left yet.
--- a/packages/trestle-entry/src/trestle_entry/direct/event_stream.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/event_stream.py
@@ -4,21 +4,30 @@
 middle of one; the stream is then resumed at another back end after the last
 complete one. Bytes that are no event of the stream, such as an error's text, and
 an event that does not follow the last one are a fault of the back end.
+
+Blocks that tell callers nothing are passed, too: comments, `retry`, and an `event`
+without data. Those before the first event are held back until it comes, so that
+until then the answer has not begun. Names of fields have no capitals here, though
+the standard allows them: within an event those are a sign of an error's head.
 """
 
 import re
-from collections.abc import Iterator
 from time import monotonic
 from typing import Final
 
+from trestle_core.event_blocks import MAX_BLOCK_BYTES, BlockCutter
+
 _MS_PER_SECOND: Final = 1000
-_EVENT_ENDS: Final = (b'\n\n', b'\r\n\r\n')
-# Far more than an event of a few tokens takes.
-_MAX_EVENT_BYTES: Final = 1_048_576
-_EVENT: Final = re.compile(rb'.*?(?:\n\n|\r\n\r\n)', re.DOTALL)
 _NUMBER: Final = re.compile('[0-9]{1,100}')
-# An empty line, a comment, or a field, whose names are in lower case.
-_LINE: Final = re.compile(rb'$|[a-z-]*:')
+# An empty line, a comment, a field, or a field without a value.
+_LINE: Final = re.compile(rb'$|[a-z0-9_-]*:|(?:data|event|retry)$')
+# A line that causes no event by itself.
+_SILENT_LINE: Final = re.compile(rb'$|:|event(?:$|:)|retry(?:$|: ?[0-9]*$)')
+_EVENT_TYPE: Final = b'event'
+# Empty lines and comments, all of them ended.
+_SILENT_END: Final = re.compile(rb'(?:(?::[^\r\n]*)?(?:\r\n|\n|\r))*')
+# May stand at the start of a stream.
+_BYTE_ORDER_MARK: Final = b'\xef\xbb\xbf'
 
 
 class EventSplitter:
@@ -26,76 +35,88 @@
 
     def __init__(self) -> None:
         """Start at the first byte of an event."""
-        self.incomplete = b''
-        # Complete comments that are passed with the first event.
-        self.held = b''
+        self.cutter = BlockCutter()
+        # Complete blocks that are passed with the next event.
+        self.held = bytearray()
         self.last_id = ''
         # Complete events so far.
         self.count = 0
         # Why the bytes after the last event were not passed, empty if they were.
         self.fault = ''
+        # Whether the next block is the first one of its back end.
+        self.is_at_start = True
+        # Whether an event's type has come, but not the event.
+        self.is_announced = False
 
     def feed(self, received: bytes) -> bytes:
         """Return the bytes of all events that are complete now.
 
         Sets `fault` and returns the events before it if bytes are no event.
         """
-        buffered = self.incomplete + received
-        end = max(
-            _end_of_last_event(buffered, separator) for separator in _EVENT_ENDS
-        )
-        self.incomplete = buffered[end:]
-        self.held += b''.join(self._take_sound(buffered[:end]))
-        passed = self._release_held() if self.count else b''
-        if not self.fault and self._buffered_bytes() > _MAX_EVENT_BYTES:
+        passed = bytearray()
+        for block in self.cutter.feed(received):
+            self._take(block)
+            if self.fault:
+                return bytes(passed)
+            if self.count and not self.is_announced:
+                passed += self._release_held()
+        if len(self.cutter.incomplete) + len(self.held) > MAX_BLOCK_BYTES:
             self.fault = 'an event that does not end'
-        return passed
+        return bytes(passed)
 
     def finish(self) -> bytes:
         """Return the bytes left at the end of the stream.
 
         Sets `fault` if it ended within an event.
         """
-        if self.incomplete:
+        left = self.cutter.incomplete
+        if self.is_announced or not _SILENT_END.fullmatch(left):
             self.fault = 'the stream ended within an event'
-        return self._release_held()
+        return self._release_held() + left
 
     def go_on(self) -> None:
         """Expect the event after the last one, from another back end."""
-        self.incomplete = b''
-        self.held = b''
+        self.cutter = BlockCutter()
+        self.held.clear()
         self.fault = ''
+        self.is_at_start = True
+        self.is_announced = False
+
+    def _take(self, block: bytes) -> None:
+        content = block
+        if self.is_at_start:
+            self.is_at_start = False
+            content = block.removeprefix(_BYTE_ORDER_MARK)
+        # A mark is no part of a stream that another back end began.
+        self.held += content if self.count else block
+        self.fault = self._note(content.splitlines())
 
     def _release_held(self) -> bytes:
-        released = self.held
-        self.held = b''
+        released = bytes(self.held)
+        self.held.clear()
         return released
 
-    def _buffered_bytes(self) -> int:
-        return len(self.incomplete) + len(self.held)
-
-    def _take_sound(self, complete: bytes) -> Iterator[bytes]:
-        """Record and return events up to the first that is not sound."""
-        for match in _EVENT.finditer(complete):
-            lines = match.group().splitlines()
-            self.fault = self.fault or self._fault_of(lines)
-            if self.fault:
-                return
-            yield match.group()
-
-    def _fault_of(self, lines: list[bytes]) -> str:
-        """Record an event if it is sound; return its fault, or nothing."""
+    def _note(self, lines: list[bytes]) -> str:
+        """Record a block if it is sound; return its fault, or nothing."""
         if not all(_LINE.match(line) for line in lines):
             return 'bytes that are no event'
         ids = [line[3:].strip() for line in lines if line.startswith(b'id:')]
-        if not ids:
-            is_comment = all(line[:1] in {b'', b':'} for line in lines)
-            return '' if is_comment else 'an event without an id'
+        if not (ids and ids[-1]):
+            return self._note_silent(lines)
         event_id = ids[-1].decode('latin-1')
         if not _follows(self.last_id, event_id):
             return f'event {event_id} after {self.last_id}'
         self.last_id = event_id
         self.count += 1
+        self.is_announced = False
+        return ''
+
+    def _note_silent(self, lines: list[bytes]) -> str:
+        """Record a block that is no event; return its fault, or nothing."""
+        if not all(_SILENT_LINE.match(line) for line in lines):
+            return 'an event without an id'
+        if any(line.startswith(_EVENT_TYPE) for line in lines):
+            self.is_announced = True
         return ''
 
 
@@ -134,8 +155,3 @@
     if not (_NUMBER.fullmatch(last_id) and _NUMBER.fullmatch(event_id)):
         return True
     return int(event_id) == int(last_id) + 1
-
-
-def _end_of_last_event(buffered: bytes, separator: bytes) -> int:
-    position = buffered.rfind(separator)
-    return 0 if position < 0 else position + len(separator)
