The endpoint process reads an engine's events as the standard allows

What callers saw: answers of a sound engine whose events have ids or types, lines with CR LF or CR, or a comment in the block, counted as incomplete, since their tokens were passed over silently. An event without an end had no bound in memory.

Cause: the same class as in the direct entry: one end of an event, and data only as the first line of a block.

--- a/features/steps/stream_events_steps.py
+++ b/features/steps/stream_events_steps.py
@@ -1,5 +1,6 @@
 """Steps on what passes from engines to the callers of streams."""
 
+from functools import partial
 from time import monotonic
 
 from behave import given, then, when
@@ -8,6 +9,7 @@
 from testbed.stream_runs import EVENTS, Script, StreamEngines
 from trestle_core.errors import TrestleError
 from trestle_core.verdict import Verdict
+from trestle_endpoint.engine_events import token_batches
 from trestle_entry.direct.event_stream import EventSplitter
 
 ERROR_HEAD = b'HTTP/1.1 500 Failed\r\nContent-Type: text/plain\r\n\r\n'
@@ -90,6 +92,22 @@
     'a second byte order mark': b': a\n\n\xef\xbb\xbfid: 1\ndata: a\n\n',
 }
 
+TOKENS = (
+    b'{"id":"r","index":0,"choices":[{"text":"a"}]}',
+    b'{"id":"r","index":1,"choices":[{"text":"b"}]}',
+)
+TOKEN_STREAMS = {
+    'LF': b'data: %b\n\ndata: %b\n\ndata: [DONE]\n\n' % TOKENS,
+    'CR LF': b'data: %b\r\n\r\ndata: %b\r\n\r\ndata: [DONE]\r\n\r\n' % TOKENS,
+    'CR': b'data: %b\r\rdata: %b\r\rdata: [DONE]\r\r' % TOKENS,
+    'ids and types': (
+        b'id: 1\ndata: %b\n\nevent: token\ndata: %b\n\n' % TOKENS
+    ),
+    'comments and times': (
+        b': a\n\n: b\ndata: %b\n\nretry: 9\n\ndata:%b\n\n' % TOKENS
+    ),
+}
+
 
 @given(
     '{count:d} engines that decode, of which the first breaks off after event '
@@ -226,3 +244,14 @@
     assert not events.feed(COMMENT)
     assert events.finish() == COMMENT
     assert not events.fault, events.fault
+
+
+@then('an endpoint process reads both tokens of a stream with {what}')
+def step_tokens(_context: Context, what: str) -> None:
+    """Cut the bytes in two at every place."""
+    stream = TOKEN_STREAMS[what]
+    for place in range(1, len(stream)):
+        pieces = iter((stream[:place], stream[place:], b''))
+        batches = token_batches(partial(next, pieces))
+        texts = [token.text for batch in batches for token in batch]
+        assert texts == ['a', 'b'], (place, texts)
--- a/features/stream_events.feature
+++ b/features/stream_events.feature
@@ -87,3 +87,16 @@
   Scenario: Comments pass with the first event, at once behind it, and at the end
     Then a comment comes with the first event, and later ones without another event
     And a stream of comments alone passes unchanged at its end
+
+  # Guards against: tokens that the product's own endpoint process passes over, so
+  # that a sound answer counts as incomplete.
+  Scenario Outline: An endpoint process reads streams with <what>
+    Then an endpoint process reads both tokens of a stream with <what>
+
+    Examples:
+      | what               |
+      | LF                 |
+      | CR LF              |
+      | CR                 |
+      | ids and types      |
+      | comments and times |
--- a/packages/trestle-endpoint/src/trestle_endpoint/engine_adapter.py
+++ b/packages/trestle-endpoint/src/trestle_endpoint/engine_adapter.py
@@ -1,18 +1,18 @@
 """The engine interface over HTTP, see docs/design/outside-interfaces.md.
 
-Reading a stream takes one receive for all events that are available, and one
-typed decode for each event.
+`engine_events` reads the tokens of a stream.
 """
 
 from collections.abc import Callable, Iterator
 from typing import Any, Final
 
 from msgspec import DecodeError, Struct
-from msgspec.json import Decoder, decode, encode
+from msgspec.json import decode, encode
 
 from trestle_core.errorcodes import ENGINE_CRASHED, ENGINE_REFUSED
 from trestle_core.errors import TrestleError
 from trestle_core.verdict import Verdict
+from trestle_endpoint.engine_events import token_batches
 from trestle_endpoint.engine_interface import (
     CacheEvents,
     EngineAdapter,
@@ -39,20 +39,6 @@
 _ACCEPTED: Final = 202
 _SERVER_ERROR: Final = 500
 _UNAVAILABLE: Final = 503
-_EVENT_END: Final = b'\n\n'
-_DATA: Final = b'data:'
-_STREAM_END: Final = b'[DONE]'
-
-
-class _Choice(Struct):
-    text: str
-    finish_reason: str | None = None
-
-
-class _Event(Struct):
-    id: str
-    index: int
-    choices: list[_Choice]
 
 
 class _Refusal(Struct):
@@ -63,9 +49,6 @@
     ticket: str
 
 
-_event_decoder: Final = Decoder(_Event)
-
-
 def engine_over_http(resolve: ResolveAddress) -> EngineAdapter:
     """Return an adapter for the engine at an address."""
 
@@ -138,29 +121,12 @@
 
 
 def _read_batches(exchange: HttpExchange) -> Iterator[list[EngineToken]]:
-    remainder = b''
     try:
-        while received := exchange.read_some():
-            *events, remainder = (remainder + received).split(_EVENT_END)
-            yield [
-                _token_from(event) for event in events if _has_content(event)
-            ]
+        yield from token_batches(exchange.read_some)
     except (ExchangeBrokenError, DecodeError) as error:
         raise _crash_error(error) from error
 
 
-def _has_content(event: bytes) -> bool:
-    return event.startswith(_DATA) and not event.endswith(_STREAM_END)
-
-
-def _token_from(event: bytes) -> EngineToken:
-    decoded = _event_decoder.decode(event[len(_DATA) :])
-    choice = decoded.choices[0]
-    return EngineToken(
-        decoded.id, decoded.index, choice.text, choice.finish_reason
-    )
-
-
 def _crash_error(error: Exception) -> TrestleError:
     return TrestleError(ENGINE_CRASHED, str(error), Verdict.MAY_HAVE_RUN)
 
