A hang-up does not end a process that still imports its packages

What callers saw: an entry or a control host that gets SIGHUP (a changed settings file) shortly after its start is gone.

Cause: the handler was set behind the imports, the default ends the process.

--- a/features/application_rebuilds.feature
+++ b/features/application_rebuilds.feature
@@ -12,6 +12,17 @@
       | ends when it is asked to | SIGTERM | it has ended with 0 within 2 s |
       | bears a hang-up          | SIGHUP  | it still tries                 |
 
+  # Guards against a hang-up that ends a process which has just been started.
+  Scenario Outline: <program> that still imports its packages bears a hang-up
+    Given <program> whose packages take long to import
+    When a hang-up comes while it imports them
+    Then it goes on to its end
+
+    Examples:
+      | program                   |
+      | a program of the platform |
+      | a program of the product  |
+
   # Guards against the same while an application was built before.
   Scenario: A process asked to stop between two applications builds no other one
     Given a program whose application fails at its start
--- a/features/steps/application_rebuilds_steps.py
+++ b/features/steps/application_rebuilds_steps.py
@@ -1,8 +1,9 @@
 """Steps on applications that follow each other in one process."""
 
 import gc
-from os import getpid, kill
+from os import environ, getpid, kill
 from signal import SIGHUP, Signals
+from subprocess import Popen
 from sys import executable
 from types import SimpleNamespace
 from unittest.mock import patch
@@ -22,6 +23,23 @@
 LIMIT_SECONDS = 20.0
 DRAIN_SECONDS = 1.0
 RETRY_TEXT = 'The role cannot start yet'
+PROGRAMS = {
+    'a program of the platform': ['platform/launch.py', 'entry'],
+    'a program of the product': [
+        '-c',
+        'from kingcuptrestle.daemon_cli import main; main()',
+    ],
+}
+# In the place of a package: tells that it is imported, takes its time and ends
+# the process in a way of its own.
+SLOW_PACKAGE = """
+from pathlib import Path
+from time import sleep
+Path(__file__).with_name('imported').touch()
+sleep(0.5)
+raise SystemExit(7)
+"""
+SLOW_END = 7
 
 
 @given('a control process whose data folder cannot be made')
@@ -184,3 +202,30 @@
 def step_all_stopped(context: Context) -> None:
     """Check the order."""
     assert context.stopped == [3, 2, 1], context.stopped
+
+
+@given('{program} whose packages take long to import')
+def step_slow_imports(context: Context, program: str) -> None:
+    """Start it with a package that stands in for the first one."""
+    context.package = context.folder / 'gevent'
+    context.package.mkdir()
+    (context.package / '__init__.py').write_text(SLOW_PACKAGE)
+    context.program = Popen(
+        [executable, *PROGRAMS[program]],
+        env={**environ, 'PYTHONPATH': str(context.folder)},
+    )
+
+
+@when('a hang-up comes while it imports them')
+def step_early_hang_up(context: Context) -> None:
+    """Wait for the import, and signal."""
+    marker = context.package / 'imported'
+    poll_until(marker.exists, LIMIT_SECONDS, 'the import')
+    context.program.send_signal(SIGHUP)
+
+
+@then('it goes on to its end')
+def step_own_end(context: Context) -> None:
+    """Check that the signal was not its end."""
+    status = context.program.wait(timeout=LIMIT_SECONDS)
+    assert status == SLOW_END, status
