Settings that change while a role is built are taken over

What operators saw: nothing yet; found by reading. A settings file that is replaced while its process builds the role stayed unknown until its next change, and a hang-up then is only noted.

Cause: the watch's first look came behind the build's.

Change: the watch starts from the content before the build.

Evidence: the new scenario of application_rebuilds failed before (no reload), 18 passed now with foreign_settings.

--- a/features/application_rebuilds.feature
+++ b/features/application_rebuilds.feature
@@ -23,6 +23,13 @@
       | a program of the platform |
       | a program of the product  |
 
+  # Guards against settings that stay as they were, since they changed between the
+  # build of a role and the first look of its watch.
+  Scenario: Settings that change while a role is built are taken over
+    Given a settings file that changes while its role is built
+    When the role runs
+    Then it has reloaded its settings
+
   # Guards against the same while an application was built before.
   Scenario: A process asked to stop between two applications builds no other one
     Given a program whose application fails at its start
--- a/features/steps/application_rebuilds_steps.py
+++ b/features/steps/application_rebuilds_steps.py
@@ -19,6 +19,7 @@
 from trestle_control.control_errors import StorageFailedError
 from trestle_core.lifecycle import Application
 from trestle_platform import main
+from trestle_platform.file_watch import CHECK_INTERVAL_SECONDS
 
 LIMIT_SECONDS = 20.0
 DRAIN_SECONDS = 1.0
@@ -229,3 +230,42 @@
     """Check that the signal was not its end."""
     status = context.program.wait(timeout=LIMIT_SECONDS)
     assert status == SLOW_END, status
+
+
+@given('a settings file that changes while its role is built')
+def step_changing(context: Context) -> None:
+    """Let the build of the role be followed by a change."""
+    context.node_file = context.folder / 'node.json'
+    context.node_file.write_text('before')
+    context.reloads = []
+
+    def build(_node: object, path: str) -> Application:
+        app = Application('changing', DRAIN_SECONDS)
+        app.reload_hooks.append(lambda: context.reloads.append(path))
+        context.node_file.write_text('after')
+        return app
+
+    role = SimpleNamespace(build=build)
+    for changed in (
+        patch.object(main, 'import_module', lambda _name: role),
+        patch.object(main, 'read_node_file', lambda _path: None),
+    ):
+        changed.start()
+        context.add_cleanup(changed.stop)
+
+
+@when('the role runs')
+def step_role_runs(context: Context) -> None:
+    """Run it for longer than its watch waits between two looks."""
+    asked = Event()
+    program = spawn(main.run_role, str(context.node_file), 'entry', asked)
+    sleep(CHECK_INTERVAL_SECONDS * 2)
+    asked.set()
+    program.join(LIMIT_SECONDS)
+    assert program.successful(), program.exception
+
+
+@then('it has reloaded its settings')
+def step_settings_reloaded(context: Context) -> None:
+    """Check that it did so once."""
+    assert len(context.reloads) == 1, context.reloads
--- a/features/steps/foreign_settings_steps.py
+++ b/features/steps/foreign_settings_steps.py
@@ -48,7 +48,9 @@
         node = read_node_file(str(context.path))
         context.taken.append(direct_settings(node))
 
-    context.watch = FileWatch(str(context.path), take)
+    context.watch = FileWatch(
+        str(context.path), context.path.read_bytes(), take
+    )
 
 
 @when('the file changes to {odd}')
