A stream that nobody reads ends with its true outcome and no trace

What operators saw: a stream whose caller reads nothing, ended by its time limit or a planned stop: the log said cancelled (by the caller), and forty lines of trace came for each.

Cause: the limit ends the server's write in that case, outside of the relay.

Change: the relay tells the limit that has passed; the server closes quietly.

--- a/features/steps/caller_channels_steps.py
+++ b/features/steps/caller_channels_steps.py
@@ -2,16 +2,27 @@
 
 from subprocess import run
 from sys import executable
+from unittest.mock import patch
 
 from behave import given, then, when
 from behave.runner import Context
-from gevent import sleep, spawn
+from gevent import get_hub, sleep, spawn, spawn_later
 from gevent.socket import socket, socketpair
 
-from testbed.processes import ROOT
+from testbed.cut_answers import STREAM, CutEntry
+from testbed.processes import ROOT, poll_until
 from trestle_entry.caller_watch import CallerGoneError, cancel_when_gone
 
 SOON_SECONDS = 0.5
+LIMIT_MS = 500
+LIMIT_SECONDS = 20.0
+READ_BYTES = 1_048_576
+# Characters of an unexpected answer in a message.
+SHOWN = 100
+# Far more than the buffers of the connections in between.
+LARGE_EVENTS = b''.join(
+    b'id: %d\ndata: %b\n\n' % (number, b'x' * 900_000) for number in range(30)
+)
 SHORTLY_SECONDS = 0.05
 
 
@@ -74,3 +85,59 @@
     """Check that the request ends with the caller."""
     context.request.join(SOON_SECONDS)
     assert isinstance(context.request.exception, CallerGoneError)
+
+
+@given('an entry whose streams are larger than a connection holds')
+def step_large_streams(context: Context) -> None:
+    """Start an entry, and note what its server reports."""
+    entry = CutEntry()
+    context.add_cleanup(entry.stop)
+    entry.bodies[STREAM] = LARGE_EVENTS
+    entry.list_backends(STREAM, 'sound')
+    context.entry = entry
+    context.failures = []
+    noted = patch.object(
+        get_hub(), 'handle_error', lambda *told: context.failures.append(told)
+    )
+    noted.start()
+    context.add_cleanup(noted.stop)
+
+
+@when('a caller reads nothing of a stream until {end}')
+def step_unread(context: Context, end: str) -> None:
+    """Wait with the first read until the request has its outcome."""
+    entry = context.entry
+    if end == 'its time limit':
+        entry.limit_calls(LIMIT_MS)
+    else:
+        spawn_later(SOON_SECONDS, entry.context.planned_stop.end_requests)
+    context.caller = entry.send(STREAM)
+    context.add_cleanup(context.caller.close)
+    poll_until(lambda: outcomes(context), LIMIT_SECONDS, 'the outcome')
+
+
+def outcomes(context: Context) -> list[str]:
+    """Return the outcomes that the entry has counted, from its metrics."""
+    page = context.entry.context.metrics.render()
+    return [
+        line.partition('"')[2].partition('"')[0]
+        for line in page.splitlines()
+        if '_request_outcomes_total{' in line
+    ]
+
+
+@then('the stream has ended as "{outcome}", and its answer is visibly broken')
+def step_unread_end(context: Context, outcome: str) -> None:
+    """Read what there is."""
+    assert outcomes(context) == [outcome], outcomes(context)
+    received = b''
+    while more := context.caller.recv(READ_BYTES):
+        received += more
+    assert received.startswith(b'HTTP/1.1 200 '), received[:SHOWN]
+    assert not received.endswith(b'0\r\n\r\n'), received[-SHOWN:]
+
+
+@then('the server has reported no failure of its own')
+def step_no_failure(context: Context) -> None:
+    """Check what would have gone to the standard error output."""
+    assert not context.failures, context.failures
--- a/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
@@ -13,6 +13,7 @@
 from trestle_core.errorcodes import (
     ANSWER_INCOMPLETE,
     CANCELLED,
+    DEADLINE_PASSED,
 )
 from trestle_core.errors import TrestleError
 from trestle_core.verdict import Verdict
@@ -107,6 +108,7 @@
         if self.relayed:
             # If the caller could not be written to, it has not ended yet.
             self.relayed.close()
+            self._note_unread_end()
         self._release()
         trace = self.run.trace
         trace.fields.update(self.timing.fields(self.run.events.count))
@@ -128,6 +130,19 @@
             # The deadline, or a planned stop of this entry.
             raise _aborted(error.message) from error
 
+    def _note_unread_end(self) -> None:
+        """Tell an end by a limit from one by the caller.
+
+        While a caller does not read, a limit ends the write of events, and not
+        the wait for them.
+        """
+        if self.outcome != CANCELLED.code:
+            return
+        if self.run.remaining_ms <= 0:
+            self.outcome = DEADLINE_PASSED.code
+        elif self.run.context.planned_stop.is_over:
+            self.outcome = ANSWER_INCOMPLETE.code
+
     def _release(self) -> None:
         if self.opened:
             self.opened.connection.close()
--- a/testbed/cut_answers.py
+++ b/testbed/cut_answers.py
@@ -5,6 +5,7 @@
 """
 
 import re
+from contextlib import suppress
 from typing import Any, Final, NamedTuple
 
 from gevent import sleep
@@ -106,6 +107,8 @@
         # whether they decoded from the KV cache of another one.
         self.received: list[tuple[str, bool]] = []
         self.calls = 0
+        # Bodies of sound answers that differ from the usual ones, by path.
+        self.bodies: dict[str, bytes] = {}
         # What callers want of their connections.
         self.connection = 'close'
 
@@ -134,6 +137,14 @@
 
     def call(self, path: str, version: str = '1.1') -> CallerAnswer:
         """Make a caller's call on a connection of its own."""
+        sock = self.send(path, version)
+        try:
+            return _read_answer(sock)
+        finally:
+            sock.close()
+
+    def send(self, path: str, version: str = '1.1') -> socket:
+        """Send a caller's request; return its connection."""
         headers = self.next_headers(path)
         lines = [
             f'POST {path} HTTP/{version}',
@@ -143,11 +154,8 @@
             f'Connection: {self.connection}',
         ]
         sock = create_connection(self.server.bound(), timeout=5)
-        try:
-            sock.sendall(('\r\n'.join(lines) + '\r\n\r\n{}').encode())
-            return _read_answer(sock)
-        finally:
-            sock.close()
+        sock.sendall(('\r\n'.join(lines) + '\r\n\r\n{}').encode())
+        return sock
 
     def next_headers(self, path: str) -> dict[str, str]:
         """Return the platform's headers of the next call."""
@@ -172,19 +180,25 @@
 
     def _backend(self, name: str) -> Any:
         def serve(sock: socket, _address: object) -> None:
-            while received := sock.recv(_READ_BYTES):
-                head = received.decode('latin-1')
-                self.received.append((name, 'Kv-Source: ' in head))
-                if not self._answer(sock, name, head):
-                    return
+            # The entry may give an answer up while it is sent.
+            with suppress(ConnectionResetError, BrokenPipeError):
+                self._serve(sock, name)
 
         return serve
 
+    def _serve(self, sock: socket, name: str) -> None:
+        while received := sock.recv(_READ_BYTES):
+            head = received.decode('latin-1')
+            self.received.append((name, 'Kv-Source: ' in head))
+            if not self._answer(sock, name, head):
+                return
+
     def _answer(self, sock: socket, name: str, head: str) -> bool:
         """Answer a request; return whether the connection goes on."""
         headers = read_headers(head.split('\r\n'))
         request_id = headers.get('kingcuptrestle-request-id', '')
-        body = body_of(head.split(' ')[1])
+        path = head.split(' ')[1]
+        body = self.bodies.get(path, body_of(path))
         if 'kingcuptrestle-serving-stage' in headers:
             body = HANDLE
         if name != STOPPING or self.cut.place < 0:
@@ -221,11 +235,7 @@
         'Kingcuptrestle-Server-Seal: standin.seal\r\n'
     ).encode()
     length = b'Content-Length: %d\r\n' % len(body)
-    pieces = [
-        body[start : start + _CHUNK_BYTES]
-        for start in range(0, len(body), _CHUNK_BYTES)
-    ]
-    chunks = b''.join(b'%x\r\n%s\r\n' % (len(one), one) for one in pieces)
+    chunks = _chunk(body) if framing.startswith('chunks') else b''
     chunked = head + b'Transfer-Encoding: chunked\r\n\r\n' + chunks
     framed = {
         'a length': head + length + b'\r\n' + body,
@@ -246,6 +256,14 @@
     return framed[framing]
 
 
+def _chunk(body: bytes) -> bytes:
+    pieces = [
+        body[start : start + _CHUNK_BYTES]
+        for start in range(0, len(body), _CHUNK_BYTES)
+    ]
+    return b''.join(b'%x\r\n%s\r\n' % (len(one), one) for one in pieces)
+
+
 def _read_answer(sock: Any) -> CallerAnswer:
     received = b''
     is_closed = True
