An answer that nobody reads is given up after the idle time

Cause: a request's limit ends with the back end's answer; nothing limited the write of a complete one.

The option's number has one place.

--- a/features/caller_channels.feature
+++ b/features/caller_channels.feature
@@ -24,3 +24,18 @@
       | end                       | outcome           |
       | its time limit            | deadline-passed   |
       | the end of a planned stop | answer-incomplete |
+
+  # Guards against: answers and places that callers hold for ever by reading nothing.
+  Scenario: An answer that nobody reads is given up after the idle time
+    Given an entry whose lookups are larger than a connection holds
+    And connections may be idle for 1 second
+    When a caller reads nothing of a lookup
+    Then its connection is gone within 6 seconds, and not before 1 second
+    And the server has reported no failure of its own
+
+  # Guards against: the same limit on callers that read slowly, but do.
+  Scenario: An answer that is read slowly comes whole
+    Given an entry whose lookups are larger than a connection holds
+    And connections may be idle for 1 second
+    When a caller reads a lookup in pieces with pauses of 0.3 seconds
+    Then it gets the whole lookup, over more than 2 seconds
--- a/features/steps/caller_channels_steps.py
+++ b/features/steps/caller_channels_steps.py
@@ -2,6 +2,7 @@
 
 from subprocess import run
 from sys import executable
+from time import monotonic
 from unittest.mock import patch
 
 from behave import given, then, when
@@ -9,7 +10,7 @@
 from gevent import get_hub, sleep, spawn, spawn_later
 from gevent.socket import socket, socketpair
 
-from testbed.cut_answers import STREAM, CutEntry
+from testbed.cut_answers import LOOKUP, STREAM, CutEntry
 from testbed.processes import ROOT, poll_until
 from trestle_entry.caller_watch import CallerGoneError, cancel_when_gone
 
@@ -24,6 +25,13 @@
     b'id: %d\ndata: %b\n\n' % (number, b'x' * 900_000) for number in range(30)
 )
 SHORTLY_SECONDS = 0.05
+LARGE_RESULT = b'{"x":"%b"}' % b''.join(
+    b'%d,' % number for number in range(1_800_000)
+)
+LARGE = {
+    'streams': (STREAM, {STREAM: LARGE_EVENTS}),
+    'lookups': (LOOKUP, {LOOKUP: LARGE_RESULT}),
+}
 
 
 @then('a process that closes channels of callers while it is behind goes on')
@@ -87,13 +95,13 @@
     assert isinstance(context.request.exception, CallerGoneError)
 
 
-@given('an entry whose streams are larger than a connection holds')
-def step_large_streams(context: Context) -> None:
+@given('an entry whose {kind} are larger than a connection holds')
+def step_large(context: Context, kind: str) -> None:
     """Start an entry, and note what its server reports."""
     entry = CutEntry()
     context.add_cleanup(entry.stop)
-    entry.bodies[STREAM] = LARGE_EVENTS
-    entry.list_backends(STREAM, 'sound')
+    path, entry.bodies = LARGE[kind]
+    entry.list_backends(path, 'sound')
     context.entry = entry
     context.failures = []
     noted = patch.object(
@@ -103,6 +111,55 @@
     context.add_cleanup(noted.stop)
 
 
+@given('connections may be idle for {seconds:d} second')
+def step_idle(context: Context, seconds: int) -> None:
+    """Let a document say so."""
+    context.entry.limit_idle(seconds * 1000)
+
+
+@when('a caller reads nothing of a lookup')
+def step_unread_lookup(context: Context) -> None:
+    """Send a request, and wait until all of the answer is to be written."""
+    context.caller = context.entry.send(LOOKUP)
+    context.add_cleanup(context.caller.close)
+    poll_until(lambda: outcomes(context), LIMIT_SECONDS, 'the outcome')
+    context.began_at = monotonic()
+
+
+@then(
+    'its connection is gone within {most:d} seconds, and not before {least:d} '
+    'second'
+)
+def step_gone(context: Context, most: int, least: int) -> None:
+    """Wait until no connection is handled."""
+    poll_until(lambda: not context.entry.server.pool, most, 'the end')
+    seconds = monotonic() - context.began_at
+    assert seconds > least, seconds
+
+
+@when('a caller reads a lookup in pieces with pauses of {pause:g} seconds')
+def step_slowly(context: Context, pause: float) -> None:
+    """Read to the end of the body."""
+    caller = context.entry.send(LOOKUP)
+    context.add_cleanup(caller.close)
+    context.began_at = monotonic()
+    context.body_bytes = -1
+    received = bytearray()
+    while not received.endswith(LARGE_RESULT[-SHOWN:]):
+        sleep(pause)
+        more = caller.recv(READ_BYTES)
+        assert more, (len(received), bytes(received[-SHOWN:]))
+        received += more
+    context.body_bytes = len(received.partition(b'\r\n\r\n')[2])
+
+
+@then('it gets the whole lookup, over more than {seconds:d} seconds')
+def step_slow_whole(context: Context, seconds: int) -> None:
+    """Check the length, and that the limit has passed meanwhile."""
+    assert context.body_bytes == len(LARGE_RESULT), context.body_bytes
+    assert monotonic() - context.began_at > seconds
+
+
 @when('a caller reads nothing of a stream until {end}')
 def step_unread(context: Context, end: str) -> None:
     """Wait with the first read until the request has its outcome."""
--- a/packages/trestle-entry/src/trestle_entry/direct/backend_exchange.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/backend_exchange.py
@@ -26,6 +26,7 @@
 from trestle_core.addresses import Address
 from trestle_entry.direct.wire_types import Headers
 from trestle_entry.request_heads import is_sound_head
+from trestle_entry.socket_limits import limit_unread
 
 # A back end in another zone accepts a connection within a few milliseconds; a
 # lost SYN packet is retransmitted only after a second.
@@ -35,8 +36,6 @@
 UNACKNOWLEDGED_MS: Final = 700
 # Time between keep-alive probes of an idle connection.
 _PROBE_SECONDS: Final = 1
-# Not exported by gevent's socket module.
-_TCP_USER_TIMEOUT: Final = 18
 _BODILESS: Final = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 _READ_BYTES: Final = 65_536
 _FIRST_FINAL_STATUS: Final = 200
@@ -253,7 +252,7 @@
 
 def set_dead_peer_timeout(sock: socket) -> None:
     """Make the kernel close a connection whose peer stops acknowledging."""
-    sock.setsockopt(IPPROTO_TCP, _TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+    limit_unread(sock, UNACKNOWLEDGED_MS)
     # Keep-alive probes detect a dead peer while nothing is being sent.
     sock.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
     sock.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, _PROBE_SECONDS)
--- a/packages/trestle-entry/src/trestle_entry/direct/caller_server.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/caller_server.py
@@ -1,7 +1,8 @@
 """The HTTP server for callers of a direct entry.
 
 gevent's WSGI server with the limits of the current route table: the idle time
-of a connection, the time and size of a head, and the size of a body. Path and
+of a connection, also of one whose caller reads nothing of its answer, the time and
+size of a head, and the size of a body. Path and
 query are forwarded byte for byte, so they are taken from the request line and
 never from the decoded environment.
 """
@@ -95,6 +96,10 @@
             self.close_connection = True
         return environ
 
+    def unread_ms(self) -> int:
+        """Return the idle time of the current table."""
+        return int(self.server.limits().idle_ms)
+
     def is_last(self) -> bool:
         """Return whether the connection closes for a planned stop."""
         return bool(self.server.is_closing)
--- a/packages/trestle-entry/src/trestle_entry/socket_handler.py
+++ b/packages/trestle-entry/src/trestle_entry/socket_handler.py
@@ -3,8 +3,12 @@
 An answer without a length or chunks, as callers of HTTP/1.0 get streams, ends
 with its connection. One that breaks off is then reset: a close would make it
 look whole.
+
+A caller that takes nothing of an answer for some time loses its connection, since
+the answer and a place would be held for as long as it likes.
 """
 
+from errno import ETIMEDOUT
 from io import BytesIO
 from struct import pack
 from typing import Any, Final
@@ -12,6 +16,7 @@
 from gevent.pywsgi import WSGIHandler
 from gevent.socket import IPPROTO_TCP, SO_LINGER, SOL_SOCKET, TCP_NODELAY
 
+from trestle_core.route_table import DEFAULT_LIMITS
 from trestle_entry.request_bodies import BodyReader
 from trestle_entry.request_heads import (
     OLD_VERSION,
@@ -22,6 +27,7 @@
     read_fields,
     read_request_line,
 )
+from trestle_entry.socket_limits import limit_unread
 
 SOCKET_KEY: Final = 'kingcuptrestle.socket'
 # Lingering is on, for no time: closing resets the connection.
@@ -41,11 +47,19 @@
     # A `BodyReader`, in the place of the base class's `Input`.
     wsgi_input: Any
 
+    # Errors of a caller, not of the server.
+    ignored_socket_errors = (*WSGIHandler.ignored_socket_errors, ETIMEDOUT)
+
     def handle(self) -> None:
         """Disable Nagle's algorithm: the answer stream batches tokens itself."""
         self.socket.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+        limit_unread(self.socket, self.unread_ms())
         super().handle()
 
+    def unread_ms(self) -> int:
+        """Return how long a caller may take nothing of an answer, ms."""
+        return DEFAULT_LIMITS.idle_ms
+
     def read_request(self, raw_requestline: str) -> Any:
         """Read the head; raises `MalformedRequestError`, answered with 400."""
         line = read_request_line(raw_requestline)
--- a/testbed/cut_answers.py
+++ b/testbed/cut_answers.py
@@ -117,7 +117,15 @@
         routes = [
             {**route, 'timeoutMs': limit_ms} for route in document(1)['routes']
         ]
-        self.context.table = read_table(encode(document(1, routes=routes)))
+        self._publish(routes=routes)
+
+    def limit_idle(self, limit_ms: int) -> None:
+        """Set the idle time of connections, as a new document does."""
+        limits = {**document(1)['limits'], 'idleTimeoutMs': limit_ms}
+        self._publish(limits=limits)
+
+    def _publish(self, **changes: Any) -> None:
+        self.context.table = read_table(encode(document(1, **changes)))
 
     def list_backends(self, path: str, *names: str) -> None:
         """Start back ends for the route of a path, the first one preferred."""
