The product's own entry answers what still runs at the end of its drain

Change: the last second of the drain ends all waits; the limits of requests and of a stop are shared by both entries (stop_limits). What a record says of a failure has one place.

--- a/features/late_in_the_stop.feature
+++ b/features/late_in_the_stop.feature
@@ -35,3 +35,18 @@
       | /look/plain | 3.2     | 200    | 1    | served if it usually is done        |
       | /look/plain | 6.6     | 503    | 0    | refused shortly before the end      |
       | /book/plain | 30      | 503    | 0    | refused if it is not whole by then  |
+
+  # Guards against an answer of the server without an id, a code or a verdict, or a
+  # record of "not run", for what still runs when the product's own entry ends.
+  Scenario Outline: <what> that runs past the drain of the product's own entry
+    Given the product's own entry, where <what> never ends
+    When it is asked for <what> and stops as planned
+    Then the caller <gets>
+    And the record says "may-have-run" and "answer-incomplete"
+    And the entry has drained in time
+
+    Examples:
+      | what         | gets                                            |
+      | a completion | gets 502 with the verdict and its id            |
+      | a stream     | gets 200 and no end                             |
+      | a stubborn completion | gets 502 with the verdict and its id   |
--- a/packages/trestle-entry/src/trestle_entry/direct/caller_server.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/caller_server.py
@@ -124,11 +124,8 @@
             self.server.idle.discard(self)
 
     def handle_error(self, kind: Any, error: Any, trace: Any) -> None:
-        """Close the connection of an answer that cannot be completed.
-
-        A `Timeout` is the limit of a stream whose caller does not read.
-        """
-        if isinstance(error, CallerGoneError | AbortedAnswerError | Timeout):
+        """Close the connection of an answer that cannot be completed."""
+        if isinstance(error, CallerGoneError | AbortedAnswerError):
             self.reset_if_unframed()
             self.close_connection = True
             return
--- a/packages/trestle-entry/src/trestle_entry/direct/planned_stop.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/planned_stop.py
@@ -10,18 +10,15 @@
   failure that promises nothing. A stream that has begun is broken off.
 """
 
-from collections.abc import Iterator
-from contextlib import contextmanager
 from math import inf
 from time import monotonic
-from typing import Any, Final
-
-from gevent import Timeout, get_hub, getcurrent
+from typing import Final
 
 from trestle_core.errorcodes import DRAINING
 from trestle_core.errors import TrestleError
 from trestle_core.route_table import Route
 from trestle_entry.direct.replies import RefusedError
+from trestle_entry.stop_limits import StopLimits
 
 # Another entry takes the request at once.
 _RETRY_AFTER_SECONDS: Final = 0.05
@@ -30,19 +27,16 @@
 _TARGETS_LEFT: Final = 2
 _MIN_LEFT_SECONDS: Final = 1.0
 _MS_PER_SECOND: Final = 1000
-_AT_ONCE_SECONDS: Final = 0.001
 
 
-class PlannedStop:
+class PlannedStop(StopLimits):
     """Whether this entry stops, and the waits of its requests."""
 
     def __init__(self) -> None:
         """Start without a stop."""
+        super().__init__()
         # Monotonic seconds at which the remaining requests are ended.
         self.ends_at = inf
-        # Whether they have been ended.
-        self.is_over = False
-        self.waiting: dict[Timeout, Any] = {}
 
     def begin(self, ends_at: float) -> None:
         """Refuse from now on what might not be done at a time."""
@@ -64,35 +58,6 @@
             )
         return now + needed_seconds > self.ends_at
 
-    @contextmanager
-    def bounded(self, seconds: float) -> Iterator[Timeout]:
-        """Limit a block in time; the end of the stop ends it as well.
-
-        Yields the `Timeout` that is raised in either case.
-        """
-        if self.is_over:
-            seconds = _AT_ONCE_SECONDS
-        limit = Timeout(seconds)
-        self.waiting[limit] = getcurrent()
-        try:
-            with limit:
-                yield limit
-        finally:
-            self.waiting.pop(limit)
-
-    def end_requests(self) -> None:
-        """End all blocks that are limited, now and from now on."""
-        self.is_over = True
-        loop = get_hub().loop
-        for limit in list(self.waiting):
-            loop.run_callback(self._end, limit)
-
-    def _end(self, limit: Timeout) -> None:
-        """End one block, as a callback of the loop."""
-        waiting = self.waiting.get(limit)
-        if waiting is not None:
-            waiting.throw(limit)
-
 
 def draining(reason: str) -> TrestleError:
     """Return the refusal of a request by an entry that stops."""
--- a/packages/trestle-entry/src/trestle_entry/entry_app.py
+++ b/packages/trestle-entry/src/trestle_entry/entry_app.py
@@ -39,6 +39,8 @@
 
 _MS_PER_SECOND: Final = 1000
 _DRAIN_POLL_SECONDS: Final = 0.05
+# Left of the drain to answer what still runs.
+_ENDING_SECONDS: Final = 1.0
 
 _log = part_logger('entry')
 
@@ -61,7 +63,7 @@
     if settings.routing in LOAD_POLICIES:
         app.add_task(lambda: loads.poll(context))
     app.add(stop=context.links.close)
-    app.add(start=start_server, drain=_drain_hook(server), stop=server.stop)
+    app.add(start=start_server, drain=drain_hook(server), stop=server.stop)
     return app
 
 
@@ -105,19 +107,23 @@
     return policies[settings.routing]()
 
 
-def _drain_hook(server: HttpServer) -> Callable[[], None]:
+def drain_hook(server: HttpServer) -> Callable[[], None]:
     """Return the drain hook: turn readiness off, wait for started work.
 
-    New requests are accepted until the balancer has had time to notice.
+    New requests are accepted until the balancer has had time to notice. What
+    still runs at the end is answered.
     """
     settings = server.context.settings
 
     def drain() -> None:
-        deadline = monotonic() + settings.drain_ms / _MS_PER_SECOND
+        drain_seconds = settings.drain_ms / _MS_PER_SECOND
+        ending_seconds = min(_ENDING_SECONDS, drain_seconds / 2)
+        deadline = monotonic() + drain_seconds - ending_seconds
         server.drain_state.ready = False
         sleep(settings.drain_notice_ms / _MS_PER_SECOND)
         server.drain_state.draining = True
         while server.context.inflight.total and monotonic() < deadline:
             sleep(_DRAIN_POLL_SECONDS)
+        server.end_requests(ending_seconds)
 
     return drain
--- a/packages/trestle-entry/src/trestle_entry/http_server.py
+++ b/packages/trestle-entry/src/trestle_entry/http_server.py
@@ -5,12 +5,13 @@
 response carries a request id.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from hashlib import blake2b
+from time import monotonic
 from typing import Any, Final
 from uuid import uuid4
 
-from gevent import Timeout
+from gevent import Timeout, sleep
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIServer
 
@@ -25,7 +26,6 @@
 from trestle_core.errors import TrestleError
 from trestle_core.logs import part_logger
 from trestle_core.verdict import Verdict
-from trestle_entry.caller_watch import CallerGoneError
 from trestle_entry.entry_context import EntryContext
 from trestle_entry.http_types import (
     SERVICES_PATH,
@@ -47,12 +47,15 @@
     ready_handler,
     request_trace_handler,
 )
+from trestle_entry.request_records import ended_by_stop
 from trestle_entry.service_handlers import service_handler
 from trestle_entry.socket_handler import SOCKET_KEY, SocketHandler
+from trestle_entry.stop_limits import StopLimits
 
 _BODY_TIMEOUT_SECONDS: Final = 30
 _MAX_CONNECTIONS: Final = 10_000
 _CALLER_DIGEST_BYTES: Final = 6
+_END_POLL_SECONDS: Final = 0.05
 
 _log = part_logger('entry')
 
@@ -109,6 +112,7 @@
         """Prepare the listener; nothing is bound yet."""
         self.context = context
         self.drain_state = DrainState()
+        self.stop_limits = StopLimits()
         self.handlers = HandlerTable(context, self.drain_state)
         listen = resolve_address(context.settings.http_listen)
         self.server = WSGIServer(
@@ -126,6 +130,17 @@
         ip, port = self.server.socket.getsockname()[:2]
         return Address(ip, port)
 
+    def end_requests(self, seconds: float) -> None:
+        """Answer what still runs, for so long at most.
+
+        A wait may take the end for one of its own limits, so all are ended until
+        none is left.
+        """
+        flushed_at = monotonic() + seconds
+        while self.context.inflight.total and monotonic() < flushed_at:
+            self.stop_limits.end_requests()
+            sleep(_END_POLL_SECONDS)
+
     def stop(self) -> None:
         """Close the listener and the remaining connections."""
         self.server.stop(timeout=1)
@@ -137,17 +152,26 @@
     ) -> Iterable[bytes]:
         response = self._handle(environ)
         start_response(status_line(response.status), response.headers)
-        return response.body
+        if isinstance(response.body, list):
+            return response.body
+        return self._bounded(response.body)
+
+    def _bounded(self, body: Iterable[bytes]) -> Iterator[bytes]:
+        """Yield a stream; the end of a planned stop breaks it off."""
+        with self.stop_limits.bounded(None):
+            yield from body
 
     def _handle(self, environ: dict[str, Any]) -> HttpResponse:
         request_id = uuid4().hex
         try:
-            request, handler = self._accept(environ, request_id)
-            return handler(request)
-        except CallerGoneError as gone:
-            # The caller will not read the response.
-            return error_response(request_id, gone)
+            with self.stop_limits.bounded(None):
+                request, handler = self._accept(environ, request_id)
+                return handler(request)
+        except Timeout:
+            # Inner limits are handled where they are set.
+            return error_response(request_id, ended_by_stop())
         except TrestleError as error:
+            # A caller that is gone will not read the response.
             return error_response(request_id, error)
         except Exception:
             _log.exception('Request {} failed unexpectedly.', request_id)
--- a/packages/trestle-entry/src/trestle_entry/model_handlers.py
+++ b/packages/trestle-entry/src/trestle_entry/model_handlers.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack, closing
 
-from trestle_core.errors import TrestleError
+from gevent import Timeout
+
 from trestle_core.namedset import ModelRoute
 from trestle_core.verdict import Verdict
 from trestle_entry.admission import (
@@ -101,9 +102,7 @@
         )
         return _respond(context, http_request, completion, stack)
     except BaseException as error:
-        if isinstance(error, TrestleError):
-            record.code = error.code.code
-            record.verdict = error.verdict
+        record.note_failure(error)
         stack.close()
         raise
 
@@ -142,5 +141,7 @@
                 yield from response.body
         except CallerGoneError as gone:
             # The inner iterators have already cancelled the work.
-            record.code = gone.code.code
-            record.verdict = gone.verdict
+            record.note_failure(gone)
+        except Timeout as ended:
+            record.note_failure(ended)
+            raise
--- a/packages/trestle-entry/src/trestle_entry/openai_responses.py
+++ b/packages/trestle-entry/src/trestle_entry/openai_responses.py
@@ -81,8 +81,7 @@
         except CallerGoneError:
             raise
         except TrestleError as error:
-            completion.record.code = error.code.code
-            completion.record.verdict = error.verdict
+            completion.record.note_failure(error)
             yield _server_sent_event(error_body(error))
             return
     yield _finish_event(request, completion)
--- a/packages/trestle-entry/src/trestle_entry/request_records.py
+++ b/packages/trestle-entry/src/trestle_entry/request_records.py
@@ -8,6 +8,10 @@
 from time import monotonic
 from typing import Any, Final
 
+from gevent import Timeout
+
+from trestle_core.errorcodes import ANSWER_INCOMPLETE
+from trestle_core.errors import TrestleError
 from trestle_core.logs import part_logger
 from trestle_core.metrics import Metrics
 from trestle_core.verdict import Verdict
@@ -18,6 +22,15 @@
 _log = part_logger('request')
 
 
+def ended_by_stop() -> TrestleError:
+    """Return the failure of a request that a planned stop has ended."""
+    return TrestleError(
+        ANSWER_INCOMPLETE,
+        'This entry stops before the answer.',
+        Verdict.MAY_HAVE_RUN,
+    )
+
+
 class RequestRecord:
     """The trace of one request: its steps, verdict and token count."""
 
@@ -38,6 +51,17 @@
         """Add a step with the milliseconds since arrival."""
         self.steps.append({'at_ms': self.age_ms(), 'step': step, **details})
 
+    def note_failure(self, error: BaseException) -> None:
+        """Record why the request got no whole answer.
+
+        A `Timeout` is the end of a planned stop of this process.
+        """
+        if isinstance(error, Timeout):
+            error = ended_by_stop()
+        if isinstance(error, TrestleError):
+            self.code = error.code.code
+            self.verdict = error.verdict
+
     def age_ms(self) -> int:
         """Return the milliseconds since arrival."""
         return round((monotonic() - self.started) * _MS_PER_SECOND)
--- a/packages/trestle-entry/src/trestle_entry/service_handlers.py
+++ b/packages/trestle-entry/src/trestle_entry/service_handlers.py
@@ -12,6 +12,8 @@
 from typing import Final
 from uuid import uuid4
 
+from gevent import Timeout
+
 from trestle_core.errorcodes import NOT_FOUND
 from trestle_core.errors import TrestleError
 from trestle_core.namedset import Operation, ServiceRoute
@@ -57,9 +59,8 @@
         )
         try:
             response = _serve(context, http_request, request, record)
-        except TrestleError as error:
-            record.code = error.code.code
-            record.verdict = error.verdict
+        except (TrestleError, Timeout) as error:
+            record.note_failure(error)
             raise
         else:
             record.verdict = Verdict.RAN
--- a/packages/trestle-entry/src/trestle_entry/socket_handler.py
+++ b/packages/trestle-entry/src/trestle_entry/socket_handler.py
@@ -13,6 +13,7 @@
 from struct import pack
 from typing import Any, Final
 
+from gevent import Timeout
 from gevent.pywsgi import WSGIHandler
 from gevent.socket import IPPROTO_TCP, SO_LINGER, SOL_SOCKET, TCP_NODELAY
 
@@ -86,8 +87,15 @@
         self.response_headers = kept
 
     def handle_error(self, kind: Any, error: Any, trace: Any) -> None:
-        """Let an answer that was cut not look whole."""
+        """Let an answer that was cut not look whole.
+
+        A `Timeout` is the limit of a stream, or of a planned stop, and has its
+        line in the log; all else is a failure of the server.
+        """
         self.reset_if_unframed()
+        if isinstance(error, Timeout):
+            self.close_connection = True
+            return
         super().handle_error(kind, error, trace)
 
     def reset_if_unframed(self) -> None:
