A request that arrived during a standstill is read before a limit ends the wait

What callers saw: an entry that stood still past headerTimeoutMs answered 408 to a head that was there; one that stood still past the idle time closed a kept connection with a request on it.

Cause: after SIGSTOP and SIGCONT the loop's timers are due before it has looked at connections.

--- a/features/heads_in_pieces.feature
+++ b/features/heads_in_pieces.feature
@@ -28,3 +28,23 @@
       | request                                                          | body  |
       | POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello      | hello |
       | POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n | hello |
+
+  # Guards against a request that is answered 408, or whose connection is closed,
+  # though it arrived in time, since the process stood still past the limit.
+  Scenario Outline: <what> that arrives while the process stands still is read
+    Given a callers' server that notes what runs
+    And a head may take 0.3 seconds, and a connection be idle for 0.3
+    When <what> arrives while the process stands still for 0.6 seconds
+    Then it has run and is answered
+
+    Examples:
+      | what                |
+      | the end of a head   |
+      | a second request    |
+
+  # Guards against heads that take for ever, a byte at a time.
+  Scenario: A head that comes a byte at a time is still limited
+    Given a callers' server that notes what runs
+    And a head may take 0.3 seconds, and a connection be idle for 0.3
+    When a head comes a byte every 0.05 seconds
+    Then it is answered 408 within 1 second
--- a/features/steps/heads_in_pieces_steps.py
+++ b/features/steps/heads_in_pieces_steps.py
@@ -1,24 +1,31 @@
 """Steps on requests that arrive in two pieces, cut at each place."""
 
+from contextlib import suppress
+from os import getpid
 from re import findall
+from sys import executable
+from time import monotonic
 from typing import Any
 from unittest.mock import patch
 
-from behave import given, then
+from behave import given, then, when
 from behave.runner import Context
-from gevent import sleep
+from gevent import sleep, spawn
 from gevent.pool import Pool
 from gevent.socket import create_connection
+from gevent.subprocess import PIPE, Popen
 
 from features.steps.request_heads_steps import HIDDEN, LIMIT_SECONDS, octets
+from testbed.freezing_caller import FIRST, LAST
+from testbed.processes import ROOT
 from trestle_core.route_table import DEFAULT_LIMITS
 from trestle_entry.direct import caller_server
 
-FIRST = b'GET /first HTTP/1.1\r\nHost: h\r\n\r\n'
-LAST = b'GET /last HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n'
 # Time in which the first piece is read before the second one comes.
 PAUSE_SECONDS = 0.02
 CALLERS_AT_ONCE = 20
+# Bytes of a request that are there before the process stands still.
+BEGUN = {'the end of a head': 1, 'a second request': 0}
 FAR_MS = 600_000
 
 
@@ -92,3 +99,70 @@
     assert all(found == [b'200'] * 2 for found in outcomes), outcomes
     bodies = [found for target, found in context.ran if target == '/x']
     assert bodies == [body.encode()] * len(outcomes), bodies
+
+
+@given(
+    'a head may take {head:g} seconds, and a connection be idle for {idle:g}'
+)
+def step_short_limits(context: Context, head: float, idle: float) -> None:
+    """Let both pass soon."""
+    limits = DEFAULT_LIMITS._replace(
+        idle_ms=round(idle * 1000), header_ms=round(head * 1000)
+    )
+    patched = patch.object(caller_server, 'DEFAULT_LIMITS', limits)
+    patched.start()
+    context.add_cleanup(patched.stop)
+
+
+@when('{what} arrives while the process stands still for {seconds:g} seconds')
+def step_standstill(context: Context, what: str, seconds: float) -> None:
+    """Let the caller stop this process, which has the server, for a time."""
+    _, port = context.caller.getpeername()
+    numbers = (port, getpid(), BEGUN[what], seconds)
+    caller = Popen(
+        [executable, '-m', 'testbed.freezing_caller', *map(str, numbers)],
+        cwd=ROOT,
+        stdout=PIPE,
+    )
+    context.got, _ = caller.communicate(timeout=LIMIT_SECONDS)
+
+
+@then('it has run and is answered')
+def step_answered(context: Context) -> None:
+    """Check that it was read."""
+    assert context.got.startswith(b'HTTP/1.1 200 '), context.got
+    targets = [target for target, _ in context.ran]
+    assert targets == ['/first', '/last'], targets
+
+
+@when('a head comes a byte every {pause:g} seconds')
+def step_trickle(context: Context, pause: float) -> None:
+    """Send until the server has enough."""
+    caller = create_connection(context.caller.getpeername(), LIMIT_SECONDS)
+    context.add_cleanup(caller.close)
+    began_at = monotonic()
+
+    def trickle() -> None:
+        for place in range(len(LAST) - 1):
+            caller.sendall(LAST[place : place + 1])
+            sleep(pause)
+
+    sender = spawn(trickle)
+    context.got = read_one_head(caller)
+    context.seconds = monotonic() - began_at
+    sender.kill()
+
+
+def read_one_head(caller: Any) -> bytes:
+    """Read what comes before the connection ends."""
+    got = b''
+    with suppress(OSError):
+        got = read_to_end(caller)
+    return got
+
+
+@then('it is answered {status:d} within {seconds:d} second')
+def step_status_within(context: Context, status: int, seconds: int) -> None:
+    """Check the answer and its time."""
+    assert context.got.startswith(b'HTTP/1.1 %d ' % status), context.got
+    assert context.seconds < seconds, context.seconds
--- a/packages/trestle-entry/src/trestle_entry/direct/caller_server.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/caller_server.py
@@ -23,6 +23,7 @@
 from trestle_core.errors import TrestleError
 from trestle_core.route_table import DEFAULT_LIMITS, CallerLimits
 from trestle_entry.caller_watch import CallerGoneError, has_arrived
+from trestle_entry.direct.arrival_limit import ArrivalLimit
 from trestle_entry.direct.direct_context import DirectContext
 from trestle_entry.direct.dispatch import IncomingRequest, serve
 from trestle_entry.direct.planned_stop import draining
@@ -53,7 +54,7 @@
     """Handles one connection of a caller."""
 
     server: Any
-    head_timer: Timeout
+    head_limit: ArrivalLimit
     # The greenlet of the handler, set when it waits for a request.
     waiting_greenlet: Any
 
@@ -62,11 +63,13 @@
         limits = self.server.limits()
         if not self._wait_for_request(limits.idle_ms / _MS_PER_SECOND):
             return ''
-        self.head_timer = Timeout.start_new(limits.header_ms / _MS_PER_SECOND)
+        self.head_limit = ArrivalLimit(
+            self.socket, limits.header_ms / _MS_PER_SECOND
+        )
         try:
             return super().read_requestline()
         except Timeout as error:
-            if error is not self.head_timer:
+            if error is not self.head_limit.passed:
                 raise
             self.socket.sendall(_REQUEST_TIMEOUT_ANSWER[1])
             return ''
@@ -76,14 +79,14 @@
         try:
             return super().read_request(raw_requestline)
         finally:
-            self.head_timer.close()
+            self.head_limit.close()
 
     def handle_one_request(self) -> Any:
         """Handle one request; answer 408 if its head took too long."""
         try:
             return super().handle_one_request()
         except Timeout as error:
-            if error is not self.head_timer:
+            if error is not self.head_limit.passed:
                 raise
             return _REQUEST_TIMEOUT_ANSWER
 
@@ -108,13 +111,13 @@
         if self.server.is_closing_idle:
             # Serve a request that has already arrived, but wait for no other.
             seconds = min(seconds, _DRAIN_PEEK_SECONDS)
-        idle_limit = Timeout.start_new(seconds)
+        idle_limit = ArrivalLimit(self.socket, seconds)
         self.waiting_greenlet = getcurrent()
         self.server.idle.add(self)
         try:
             return bool(self.rfile.peek(1))
         except Timeout as error:
-            if error is not idle_limit:
+            if error is not idle_limit.passed:
                 raise
             return False
         except IdleEndedError:
