The soaks of stops and of full disks share their runs; hang-ups come at the start, too

A clean-up: one main, one report. The soak of stops now sends a hang-up as soon as the process no longer has the default for it (read from its status), no longer only when it is ready.

--- a/features/steps/stops_soak_steps.py
+++ b/features/steps/stops_soak_steps.py
@@ -21,7 +21,7 @@
     """Check that something happened."""
     report = context.report
     assert report.events['stop'], report.events
-    assert report.answers['200 whole'] > FEWEST_SERVED, report.answers
+    assert report.outcomes['200 whole'] > FEWEST_SERVED, report.outcomes
 
 
 @then('nothing was violated')
--- a/testbed/soak_disks.py
+++ b/testbed/soak_disks.py
@@ -12,23 +12,19 @@
 
 monkey.patch_all()
 
-from collections import Counter
-from dataclasses import dataclass, field
-from pathlib import Path
 from random import Random
 from resource import RLIM_INFINITY, RLIMIT_FSIZE, prlimit
 from shutil import rmtree
 from sys import exit as sys_exit
-from sys import stdout
-from tempfile import TemporaryDirectory
 from time import monotonic
-from typing import Annotated, Final
+from typing import Final
 
-from cappa import Arg, parse
+from cappa import parse
 from gevent import joinall, sleep, spawn
 
 from testbed.platform_fleet import PlatformFleet, document, in_force
 from testbed.processes import Processes, poll_until
+from testbed.soak_runs import SoakOptions, SoakReport, run_seeds
 
 CORES: Final = tuple(f'core-{number}' for number in range(1, 6))
 OPERATORS: Final = 6
@@ -43,15 +39,6 @@
 _LONGEST_FREEZE_SECONDS: Final = 2.0
 
 
-@dataclass
-class DiskReport:
-    """What was done, what operators got, and what was violated."""
-
-    events: Counter[str] = field(default_factory=Counter)
-    outcomes: Counter[str] = field(default_factory=Counter)
-    violations: list[str] = field(default_factory=list)
-
-
 class DiskSoak:
     """One run on a group of its own."""
 
@@ -60,14 +47,14 @@
         self.random = Random(seed)
         self.processes = processes
         self.fleet = PlatformFleet(processes)
-        self.report = DiskReport()
+        self.report = SoakReport()
         self.version = 0
         self.acknowledged = 0
         self.is_over = False
         for name in CORES:
             self.fleet.start(name, bootstrap=True)
 
-    def run(self, seconds: float) -> DiskReport:
+    def run(self, seconds: float) -> SoakReport:
         """Let disks fill up for a time, then judge."""
         poll_until(
             lambda: self._change(CORES[0]), LIMIT_SECONDS, 'a first change'
@@ -175,34 +162,14 @@
             )
 
 
-@dataclass
-class Options:
-    """Fill the disks of a group by turns, by seeds."""
-
-    seed: Annotated[int, Arg(long='--seed', help='seed of the first run')] = 1
-    runs: Annotated[int, Arg(long='--runs', help='seeds from there on')] = 1
-    seconds: Annotated[float, Arg(long='--seconds', help='of each run')] = 30
+def run_soak(processes: Processes, seed: int, seconds: float) -> SoakReport:
+    """Run the soak of a seed."""
+    return DiskSoak(processes, seed).run(seconds)
 
 
 def main() -> None:
     """Run the seeds; exit with 1 if one was violated."""
-    options = parse(Options)
-    is_violated = False
-    for seed in range(options.seed, options.seed + options.runs):
-        with TemporaryDirectory() as folder, Processes(Path(folder)) as started:
-            report = DiskSoak(started, seed).run(options.seconds)
-            if report.violations:
-                for process in started.started.values():
-                    stdout.write(f'--- {process.name}\n{process.log_tail()}\n')
-        is_violated = is_violated or bool(report.violations)
-        stdout.write(
-            f'seed {seed}: {len(report.violations)} violations, '
-            f'{dict(report.events)}, {dict(report.outcomes)}\n'
-        )
-        for violation in report.violations[:10]:
-            stdout.write(f'  {violation}\n')
-        stdout.flush()
-    sys_exit(is_violated)
+    sys_exit(not run_seeds(parse(SoakOptions), run_soak))
 
 
 if __name__ == '__main__':
--- a/testbed/soak_stops.py
+++ b/testbed/soak_stops.py
@@ -13,23 +13,21 @@
 monkey.patch_all()
 
 from collections import Counter
-from dataclasses import dataclass, field
 from itertools import count
 from pathlib import Path
 from random import Random
 from signal import SIGHUP, SIGTERM
 from sys import exit as sys_exit
-from sys import stdout
-from tempfile import TemporaryDirectory
 from time import monotonic
-from typing import Annotated, Final, NamedTuple
+from typing import Final, NamedTuple
 
-from cappa import Arg, parse
+from cappa import parse
 from gevent import Greenlet, joinall, killall, sleep, spawn
 
 from testbed.kept_channels import Heard, KeptChannel
 from testbed.platform_fleet import PlatformFleet, document
 from testbed.processes import Processes, poll_until
+from testbed.soak_runs import SoakOptions, SoakReport, run_seeds
 
 CORES: Final = tuple(f'core-{number}' for number in range(1, 6))
 ENTRIES: Final = ('front-1', 'front-2', 'front-3')
@@ -37,6 +35,7 @@
 GRACE_SECONDS: Final = 8.0
 LIMIT_SECONDS: Final = 30.0
 READY_SECONDS: Final = 0.3
+_START_POLL_SECONDS: Final = 0.02
 # Longest work of a back end, of a slow body and time limit of a route.
 _WORK_MS: Final = 2400
 _BODY_SECONDS: Final = 2.0
@@ -45,21 +44,13 @@
 # The platform's bound for a document to be in force.
 _APPLY_SECONDS: Final = 2.0
 _MS_PER_SECOND: Final = 1000
+_HEX_BASE: Final = 16
 _STREAMED: Final = 200
 _TIMED_OUT: Final = 504
 _PROMISES: Final = frozenset((408, 421, 429, 503))
 _PATHS: Final = ('/book/work-', '/look/work-', '/check/plain', '/grade/slow')
 
 
-@dataclass
-class SoakReport:
-    """What callers got, what was done, and what was violated."""
-
-    answers: Counter[str] = field(default_factory=Counter)
-    events: Counter[str] = field(default_factory=Counter)
-    violations: list[str] = field(default_factory=list)
-
-
 class Asked(NamedTuple):
     """A request, its entry, and what came some seconds after its body.
 
@@ -176,6 +167,8 @@
         self.fleet.start(name, bootstrap=False)
         until = monotonic() + LIMIT_SECONDS
         while not self.fleet.is_ready(name):
+            if name in self.starting and self._bears_hang_up(name):
+                self.starting.remove(name)
             if monotonic() > until:
                 self.report.violations.append(
                     f'{name} is not ready again after {LIMIT_SECONDS:.0f} s, '
@@ -183,8 +176,19 @@
                     f'{process_log(self.processes, name)}'
                 )
                 return
-            sleep(READY_SECONDS)
-        self.starting.remove(name)
+            sleep(_START_POLL_SECONDS)
+        self.starting.discard(name)
+
+    def _bears_hang_up(self, name: str) -> bool:
+        """Return whether a hang-up no longer ends a process by default."""
+        pid = self.processes.started[name].popen.pid
+        status = Path(f'/proc/{pid}/status').read_text(encoding='ascii')
+        masks = [
+            int(line.split()[1], _HEX_BASE)
+            for line in status.splitlines()
+            if line.startswith(('SigIgn:', 'SigCgt:'))
+        ]
+        return any(mask >> (SIGHUP - 1) & 1 for mask in masks)
 
     def _call_until(self, until: float) -> None:
         while monotonic() < until:
@@ -197,7 +201,7 @@
                     (self.fleet.ip(name), self.fleet.port + 7)
                 )
             except OSError:
-                self.report.answers['no connection'] += 1
+                self.report.outcomes['no connection'] += 1
                 sleep(READY_SECONDS)
                 continue
             while channel.is_open and monotonic() < until:
@@ -227,7 +231,7 @@
             Asked(request_id, name, path, heard, seconds, limit_ms)
         )
         whole = 'whole' if heard.is_whole else 'cut'
-        self.report.answers[f'{heard.status} {whole}'] += 1
+        self.report.outcomes[f'{heard.status} {whole}'] += 1
 
     def _shortest_limit(self, began: float) -> int:
         """Return the shortest limit in force since a request began, ms."""
@@ -284,31 +288,9 @@
     return StopSoak(processes, seed).run(seconds)
 
 
-@dataclass
-class Options:
-    """Stop entries as planned, with callers of one seed."""
-
-    seed: Annotated[int, Arg(long='--seed', help='seed of the first run')] = 1
-    runs: Annotated[int, Arg(long='--runs', help='seeds from there on')] = 1
-    seconds: Annotated[float, Arg(long='--seconds', help='of each run')] = 25
-
-
 def main() -> None:
     """Run the seeds; exit with 1 if one was violated."""
-    options = parse(Options)
-    is_violated = False
-    for seed in range(options.seed, options.seed + options.runs):
-        with TemporaryDirectory() as folder, Processes(Path(folder)) as started:
-            report = run_soak(started, seed, options.seconds)
-        is_violated = is_violated or bool(report.violations)
-        stdout.write(
-            f'seed {seed}: {len(report.violations)} violations, '
-            f'{dict(report.events)}, {dict(report.answers)}\n'
-        )
-        for violation in report.violations[:10]:
-            stdout.write(f'  {violation}\n')
-        stdout.flush()
-    sys_exit(is_violated)
+    sys_exit(not run_seeds(parse(SoakOptions), run_soak))
 
 
 if __name__ == '__main__':
