A freed permit goes to the most urgent of those that wait

Cause: refused requests wait outside of the queue's order; all wake when a permit is freed, and the first four to wake took the free turns.

Change: while such requests wait, turns are given after all that wake together have queued.

--- a/features/policy.feature
+++ b/features/policy.feature
@@ -14,6 +14,13 @@
     Then every answer is whole and its caller's own
     And the clerk has all answers before the trader has 24
 
+  # Guards against permits that go to whoever wakes first, by which a heavy caller
+  # with many waiting requests keeps another one from its share.
+  Scenario: A permit that is freed goes to the most urgent of those that wait
+    Given 28 requests that a full endpoint has refused, and 4 more urgent ones
+    When a permit is freed 32 times, in 5 rounds of such requests
+    Then the urgent ones are served before 4 others, in every round
+
   Scenario: A request that cannot meet its deadline is refused at once
     Given a Medena system with 1 reader and 1 desk under load
     And a caller has read 8 certificates of 2000 tokens
--- a/packages/trestle-entry/src/trestle_entry/request_queue.py
+++ b/packages/trestle-entry/src/trestle_entry/request_queue.py
@@ -3,7 +3,9 @@
 The order is earliest deadline first. The deadlines of a caller that uses more
 than its share are postponed by the excess: start-time fair queueing, measured
 in seconds of engine work. Only `MAX_REQUESTING` requests contact endpoints at
-a time, so the load on a busy fleet does not grow with the queue.
+a time, so the load on a busy fleet does not grow with the queue. Requests that
+endpoints refused wake together when a permit is freed; turns are given when all
+of them have queued again, in their order and not in that of their waking.
 
 Invariants: the queue is bounded. A request leaves it when its turn comes, at
 its deadline, or when its caller disconnects; a turn that it held or was given
@@ -15,6 +17,7 @@
 from time import monotonic
 from typing import Final, NamedTuple
 
+from gevent import get_hub
 from gevent.event import Event
 
 from trestle_core.errorcodes import DEADLINE_UNREACHABLE, OVERLOADED
@@ -74,6 +77,9 @@
         self.shares = FairShares()
         self.waiting: list[QueuedRequest] = []
         self.requesting = 0
+        # Requests that endpoints refused and that wait to ask again.
+        self.pausing = 0
+        self.gives_turns_soon = False
         self.arrival_numbers = count()
         self.permit_freed = Event()
         self.grant_interval_seconds = 0.0
@@ -89,10 +95,12 @@
         Raises `overloaded` when the queue is full, and
         `deadline-unreachable` when the deadline passes or would pass first.
         """
-        if self.has_free_turn():
+        is_free = self.has_free_turn()
+        if is_free and not self.pausing:
             self.requesting += 1
             return
-        self._check_limits(effective_deadline, deadline)
+        if not is_free:
+            self._check_limits(effective_deadline, deadline)
         if not self.waiting:
             # Idle time before the queue forms must not count as an interval.
             self.last_grant_at = monotonic()
@@ -100,6 +108,7 @@
             effective_deadline, next(self.arrival_numbers), Event()
         )
         heappush(self.waiting, queued)
+        self._give_turns_soon()
         has_turn = False
         try:
             has_turn = bool(
@@ -114,6 +123,16 @@
     def leave(self) -> None:
         """End a turn and give it to the next request."""
         self.requesting -= 1
+        self._give_turns()
+
+    def _give_turns_soon(self) -> None:
+        """Give turns once all requests that wake now have queued."""
+        if not self.gives_turns_soon:
+            self.gives_turns_soon = True
+            get_hub().loop.run_callback(self._give_turns)
+
+    def _give_turns(self) -> None:
+        self.gives_turns_soon = False
         while self.waiting and self.requesting < MAX_REQUESTING:
             queued = heappop(self.waiting)
             self.requesting += 1
@@ -139,8 +158,12 @@
 
     def pause(self, seconds: float) -> None:
         """Wait until a permit is freed, at most `seconds`."""
-        self.permit_freed.clear()
-        self.permit_freed.wait(seconds)
+        self.pausing += 1
+        try:
+            self.permit_freed.clear()
+            self.permit_freed.wait(seconds)
+        finally:
+            self.pausing -= 1
 
     def _check_limits(self, effective_deadline: float, deadline: float) -> None:
         if len(self.waiting) >= self.limit:
