Entries are killed in the middle of streams, not before their first event

'Streams of a version that has left' (known red) has been traced to the same moment before. The steps now wait until every stream has reached its engine, and 0.75 s more; what is asked for is the same.

--- a/features/steps/stream_take_ups_steps.py
+++ b/features/steps/stream_take_ups_steps.py
@@ -15,6 +15,10 @@
 from testbed.platform_replica import EVENTS
 from trestle_control.backend_list import READ_INTERVAL_SECONDS
 
+# From the arrival of a slow stream at its engine: two of its events are on their way,
+# which it sends 0.3 s apart.
+MIDDLE_SECONDS = 0.75
+
 
 class BegunStream(NamedTuple):
     """A stream of a caller: its first try, and the version that began it."""
@@ -102,7 +106,11 @@
         f's-{number}': spawn(stream, fleet, entries[0], f's-{number}')
         for number in range(streams)
     }
-    sleep(0.9)
+    fleet.wait_for(
+        lambda: all(software_of(fleet, request_id) for request_id in tasks),
+        'every stream has reached an engine',
+    )
+    sleep(MIDDLE_SECONDS)
     for entry in entries:
         context.processes.started[entry].kill()
     context.begun = [
