--- a/features/steps/dependencies_steps.py
+++ b/features/steps/dependencies_steps.py
@@ -10,7 +10,7 @@
 from behave.runner import Context
 from msgspec.json import decode
 
-from trestle_platform import dependencies
+from trestle_core import dependencies
 
 PACKAGE = 'package.py'
 LEFTOVER = 'of-another-kind.so'
--- a/packages/trestle-control/src/trestle_control/backend_list.py
+++ b/packages/trestle-control/src/trestle_control/backend_list.py
@@ -4,9 +4,8 @@
 fleet. A change goes through the log, so every entry receives the changes in
 order and keeps the list while the platform or the leader is unavailable. What
 a leader read is committed in its own term only: a host that was frozen between
-the two would undo what its successor has read since. A
-failed read changes nothing; the entries then detect on their own which back
-ends respond.
+the two would undo what its successor has read since. A failed read changes
+nothing; the entries then detect on their own which back ends respond.
 """
 
 from collections.abc import Callable
--- a/platform/src/trestle_platform/dependencies.py
+++ b/packages/trestle-core/src/trestle_core/dependencies.py
@@ -15,7 +15,9 @@
 from sysconfig import get_config_var
 from typing import Final
 
-OLDEST_PYTHON: Final = (3, 11)
+_OLDEST_PYTHON: Final = (3, 11)
+# As messages name it.
+NEEDED_PYTHON: Final = 'Python 3.11 or newer'
 _STAMP_NAME: Final = '.made-for'
 _PIP: Final = ('-m', 'pip', 'install', '-q', '--disable-pip-version-check')
 
@@ -28,7 +30,7 @@
 
 def has_supported_python() -> bool:
     """Return whether this Python can run the system."""
-    return sys.version_info >= OLDEST_PYTHON
+    return sys.version_info >= _OLDEST_PYTHON
 
 
 def prepare(
@@ -62,11 +64,10 @@
 
 def explain_failed_import(error: ImportError) -> str:
     """Return one line on packages that cannot be imported, with the mend."""
-    oldest = '.'.join(str(part) for part in OLDEST_PYTHON)
     return (
         f'The packages cannot be imported by this Python, {python_kind()}: '
         f'{error}. Run the build command of deploy/system.toml again, with the '
-        f'Python that starts the programs ({oldest} or newer).'
+        f'Python that starts the programs ({NEEDED_PYTHON}).'
     )
 
 
--- a/packages/trestle-entry/src/trestle_entry/direct/caller_server.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/caller_server.py
@@ -1,10 +1,10 @@
 """The HTTP server for callers of a direct entry.
 
 gevent's WSGI server with the limits of the current route table: the idle time
-of a connection, also of one whose caller reads nothing of its answer, the time and
-size of a head, and the size of a body. Path and
-query are forwarded byte for byte, so they are taken from the request line and
-never from the decoded environment.
+of a connection, also of one whose caller reads nothing of its answer, the time
+and size of a head, and the size of a body. Path and query are forwarded byte for
+byte, so they are taken from the request line and never from the decoded
+environment.
 """
 
 from collections.abc import Iterable
--- a/packages/trestle-entry/src/trestle_entry/request_queue.py
+++ b/packages/trestle-entry/src/trestle_entry/request_queue.py
@@ -86,7 +86,7 @@
         self.last_grant_at = monotonic()
 
     def has_free_turn(self) -> bool:
-        """Return whether a request may contact endpoints without waiting."""
+        """Return whether a turn is free and nobody waits for one."""
         return not self.waiting and self.requesting < MAX_REQUESTING
 
     def enter(self, effective_deadline: float, deadline: float) -> None:
--- a/testbed/cut_answers.py
+++ b/testbed/cut_answers.py
@@ -13,10 +13,10 @@
 from gevent.socket import SO_LINGER, SOL_SOCKET, create_connection, socket
 from msgspec.json import encode
 
+from testbed.direct_fixtures import make_direct_settings
 from testbed.platform_fleet import document
 from testbed.platform_replica import read_headers
 from trestle_core.metrics import Metrics
-from trestle_core.settings import DirectSettings
 from trestle_entry.direct.caller_server import CallerServer
 from trestle_entry.direct.direct_context import DirectContext
 from trestle_links.direct_messages import Backend
@@ -87,15 +87,7 @@
 
     def __init__(self) -> None:
         """Start the entry without back ends."""
-        settings = DirectSettings(
-            host='e1',
-            zone='z1',
-            key_file='',
-            control=['127.0.0.1:1'],
-            http_listen='127.0.0.1:0',
-            retry_share=1,
-            retry_extra=1_000_000,
-        )
+        settings = make_direct_settings(retry_share=1, retry_extra=1_000_000)
         self.context = DirectContext(
             settings, caller_wire(), backend_wire(), Metrics()
         )
--- a/testbed/direct_fixtures.py
+++ b/testbed/direct_fixtures.py
@@ -14,11 +14,17 @@
     It has no route table; `wire` decodes requests, and may be missing where
     none is decoded.
     """
-    settings = DirectSettings(
-        host='e1',
-        zone='z',
-        key_file='',
-        control=['127.0.0.1:1'],
-        http_listen='127.0.0.1:0',
-    )
-    return CallerServer(DirectContext(settings, wire, wire, Metrics()))
+    context = DirectContext(make_direct_settings(), wire, wire, Metrics())
+    return CallerServer(context)
+
+
+def make_direct_settings(**changes: Any) -> DirectSettings:
+    """Return settings of an entry on a free port, without control hosts."""
+    usual: dict[str, Any] = {
+        'host': 'e1',
+        'zone': 'z1',
+        'key_file': '',
+        'control': ['127.0.0.1:1'],
+        'http_listen': '127.0.0.1:0',
+    }
+    return DirectSettings(**{**usual, **changes})
