Customers, their keys, and the usage that one host reports

Reports of usage never came.

Cause: nothing on the direct path knew keys, customers or duties; documents in which two customers share a key were acknowledged.

Change: customers in the route table, by digest of the key; the entry denies unknown keys only when its routes are confirmed to be the newest; back ends get the customer's name and no key on every send. Entries count what began to run by customer and window; the leader records a window in the log and reports it with its term as number. True time is the median of the hosts' clocks.

Ruled out: a lookup at control for each unknown key (made-up keys would load it), reports by entries, a lease beside the leader's term.

--- a/features/foreign_manifest.feature
+++ b/features/foreign_manifest.feature
@@ -22,6 +22,13 @@
       | an unknown service beside a split   |
       | control bytes in a name             |
       | two documents                       |
+      | customers that share a key          |
+      | a customer without a name           |
+      | a customer whose name is a line     |
+      | two customers of one name           |
+      | an empty key                        |
+      | a key that is a number              |
+      | a customer without keys at all      |
 
   Scenario: A usable manifest is published
     When an operator sends a manifest with nothing odd
--- a/features/steps/foreign_figures_steps.py
+++ b/features/steps/foreign_figures_steps.py
@@ -27,6 +27,7 @@
 from trestle_links.direct_messages import Backend, Placement
 from trestle_links.link import Identity, Link
 from trestle_links.link_server import LinkServer
+from trestle_links.load_messages import FollowLoads
 from trestle_links.stream_messages import FindStream
 from trestle_links.watch_messages import StateReply
 from trestle_platform import engine_orders
@@ -223,7 +224,7 @@
     """Record the report and pack the push."""
     table = LoadTable(Mock(is_leader=True))
     change: Any = decode_message(context.packed)
-    table.record(Follower('entry-1', Mock()), change)
+    table.record(Follower(FollowLoads('entry-1', []), Mock()), change)
     encode_message(table._changed_delta())  # noqa: SLF001
 
 
--- a/features/steps/foreign_manifest_steps.py
+++ b/features/steps/foreign_manifest_steps.py
@@ -23,6 +23,19 @@
 }"""
 DIGITS = b'9' * 300
 NESTED = b'[' * 100_000 + b']' * 100_000
+ODD_CUSTOMERS = {
+    'customers that share a key': (
+        b'{"name": "a", "apiKeys": ["k"]}, {"name": "b", "apiKeys": ["k"]}'
+    ),
+    'a customer without a name': b'{"name": "", "apiKeys": ["k"]}',
+    'a customer whose name is a line': b'{"name": "a\\n", "apiKeys": ["k"]}',
+    'two customers of one name': (
+        b'{"name": "a", "apiKeys": ["k"]}, {"name": "a", "apiKeys": ["l"]}'
+    ),
+    'an empty key': b'{"name": "a", "apiKeys": ["k", ""]}',
+    'a key that is a number': b'{"name": "a", "apiKeys": [7]}',
+    'a customer without keys at all': b'{"name": "a"}',
+}
 # What is replaced in the sound manifest, and by what.
 ODD = {
     'nothing odd': (b'"n"', b'"m"'),
@@ -43,6 +56,10 @@
     ),
     'control bytes in a name': (b'"r"', b'"\x01"'),
     'two documents': (SOUND, SOUND * 2),
+    **{
+        odd: (b'"note": "n"', b'"tenants": [%b]' % customers)
+        for odd, customers in ODD_CUSTOMERS.items()
+    },
 }
 
 
--- a/packages/trestle-control/src/trestle_control/apply.py
+++ b/packages/trestle-control/src/trestle_control/apply.py
@@ -35,6 +35,7 @@
 from trestle_control.order_commands import issue_order, report_order
 from trestle_control.set_commands import publish_set
 from trestle_control.state import ControlState
+from trestle_control.usage_commands import confirm_usage, record_usage
 from trestle_core.errorcodes import BAD_REQUEST, INTERNAL
 from trestle_core.logs import part_logger
 from trestle_links.claim_messages import (
@@ -61,6 +62,7 @@
     WithdrawEndpoint,
 )
 from trestle_links.suspect_messages import DropSuspect, HoldSuspect
+from trestle_links.usage_messages import ConfirmUsage, RecordUsage
 
 ApplyFunction = Callable[[ControlState, Any, AuditTrail], Message]
 
@@ -99,6 +101,8 @@
     AdvanceClock: advance_clock,
     PublishDocument: publish_document,
     ListBackends: list_backends,
+    RecordUsage: record_usage,
+    ConfirmUsage: confirm_usage,
 }
 
 
--- a/packages/trestle-control/src/trestle_control/direct_roles.py
+++ b/packages/trestle-control/src/trestle_control/direct_roles.py
@@ -21,7 +21,7 @@
 from gevent import sleep
 
 from trestle_control.apply import ControlStateMachine
-from trestle_control.leader_terms import CONFIRM_SECONDS, confirm_term
+from trestle_control.leader_terms import confirm_term, previous_lease_seconds
 from trestle_control.load_table import LoadTable
 from trestle_control.named_services import every_service
 from trestle_control.replica_api import ReplicaApi
@@ -133,7 +133,9 @@
         """Order the changes that the pools need, if this host leads."""
         self.loads.notices.follow(self.state_machine.state.backends)
         lead = self.replica.lead
-        if lead.seconds <= self._previous_lease_seconds(lead.term):
+        if lead.seconds <= previous_lease_seconds(
+            lead.term, self.lease_seconds
+        ):
             return
         pools = self._pools()
         self._forget_pools_except(pools)
@@ -152,10 +154,6 @@
             self.requested_changes.pop(pool, None)
             self.usual_orders.pop(pool, None)
 
-    def _previous_lease_seconds(self, term: int) -> float:
-        # The first leader has no predecessor.
-        return 0.0 if term <= 1 else self.lease_seconds + CONFIRM_SECONDS
-
     def _pools(self) -> dict[EnginePool, list[Backend]]:
         pools: dict[EnginePool, list[Backend]] = {}
         for backend in self.state_machine.state.backends:
--- a/packages/trestle-control/src/trestle_control/leader_terms.py
+++ b/packages/trestle-control/src/trestle_control/leader_terms.py
@@ -15,6 +15,14 @@
 CONFIRM_SECONDS: Final = 0.5
 
 
+def previous_lease_seconds(term: int, lease_seconds: float) -> float:
+    """Return for how long a leader waits for the acts of the one before it.
+
+    The first leader has no predecessor.
+    """
+    return 0.0 if term <= 1 else lease_seconds + CONFIRM_SECONDS
+
+
 def confirm_term(replica: ReplicaApi, term: int) -> None:
     """Return if this host has just led in a term.
 
--- a/packages/trestle-control/src/trestle_control/load_table.py
+++ b/packages/trestle-control/src/trestle_control/load_table.py
@@ -22,9 +22,11 @@
 from trestle_control.load_totals import LoadTotals
 from trestle_control.placement_log import PlacementLog
 from trestle_control.replica_api import ReplicaApi
+from trestle_control.usage_table import UsageTable
 from trestle_core.errorcodes import BAD_FRAME
 from trestle_core.errors import TrestleError
 from trestle_core.logs import part_logger
+from trestle_links.agreed_clock import MedianClock
 from trestle_links.codec import encode_message
 from trestle_links.connection import Channel
 from trestle_links.crash_evidence import CrashEvidence
@@ -73,9 +75,10 @@
 class Follower:
     """The stream to one entry; `applied` is its last change in the sums."""
 
-    def __init__(self, host: str, channel: Channel) -> None:
+    def __init__(self, opening: FollowLoads, channel: Channel) -> None:
         """Start with the loads that opened the stream."""
-        self.host = host
+        self.host = opening.host
+        self.process = f'{opening.host}/{opening.incarnation}'
         self.channel = channel
         self.applied = 0
 
@@ -111,6 +114,8 @@
         self.changing_since: dict[str, float] = {}
         self.changed = Event()
         self.notices = BackendNotices(self.changed)
+        self.usage = UsageTable()
+        self.clock = MedianClock()
 
     def handlers(self) -> Handlers:
         """Return the link handlers."""
@@ -136,7 +141,7 @@
             raise NotLeaderError(self.replica.leader_address)
         _check_loads(opening.loads)
         self._drop(opening.host)
-        follower = Follower(opening.host, channel)
+        follower = Follower(opening, channel)
         self.followers[opening.host] = follower
         self.totals.apply(opening.host, opening.loads)
         self.changed.set()
@@ -192,6 +197,9 @@
         self.notices.note_leaving(change.leaving, f'{host} tells')
         for begun in change.streams:
             self.streams.note_begun(_checked(begun), monotonic())
+        self.usage.note(follower.process, change.usage)
+        if change.unix_ms:
+            self.clock.note(host, change.unix_ms)
         for fit_sums in change.fits:
             self._pool(fit_sums)
 
@@ -215,6 +223,7 @@
     def _drop(self, host: str) -> None:
         if self.followers.pop(host, None):
             self.totals.drop(host)
+            self.clock.drop(host)
             self.changed.set()
 
     def _end_stream(self, host: str) -> None:
@@ -258,6 +267,8 @@
             limits=self.limits.take_changed(),
             sends=self.limits.take_sends(),
             leaving=self.notices.take_news(),
+            unix_ms=self.clock.unix_ms(),
+            usage_recorded=self.usage.recorded,
         )
 
     def _complete_delta(self) -> LoadDelta:
@@ -276,6 +287,8 @@
             limits=self.limits.all_limits(),
             sends=[],
             leaving=self.notices.leaving.notices(),
+            unix_ms=self.clock.unix_ms(),
+            usage_recorded=self.usage.recorded,
         )
 
     def _changed_speeds(self) -> list[FittedSpeed]:
--- a/packages/trestle-control/src/trestle_control/state.py
+++ b/packages/trestle-control/src/trestle_control/state.py
@@ -83,6 +83,9 @@
     document_version: int = 0
     document: bytes = b''
     backends: list[Backend] = []
+    usage_recorded: int = 0
+    usage_confirmed: int = 0
+    usage_waiting: dict[int, dict[str, int]] = {}
 
 
 class ControlState:
@@ -115,6 +118,11 @@
         self.document_version = 0
         self.document = b''
         self.backends: list[Backend] = []
+        # The last window of usage that is recorded, the last one that the
+        # platform has accepted, and the counts of those that wait for it.
+        self.usage_recorded = 0
+        self.usage_confirmed = 0
+        self.usage_waiting: dict[int, dict[str, int]] = {}
 
     @property
     def current_set(self) -> SetRecord | None:
--- a/packages/trestle-core/src/trestle_core/errorcodes.py
+++ b/packages/trestle-core/src/trestle_core/errorcodes.py
@@ -59,6 +59,9 @@
 DRAINING: Final = _in_doubt('draining', 503, 'The process is draining.')
 
 # Refusals: nothing was started.
+UNKNOWN_KEY: Final = _refusal(
+    'unknown-key', 401, 'The request has no key of a customer.'
+)
 WRONG_METHOD: Final = _refusal('wrong-method', 405, 'Method not allowed.')
 KEY_CONFLICT: Final = _refusal(
     'key-conflict', 409, 'The key stands for another request body.'
--- a/packages/trestle-core/src/trestle_core/route_table.py
+++ b/packages/trestle-core/src/trestle_core/route_table.py
@@ -10,6 +10,7 @@
 from enum import Enum
 from typing import Final, NamedTuple
 
+from trestle_core.customers import CustomerTable
 from trestle_core.errorcodes import INVALID_SET
 from trestle_core.errors import TrestleError
 
@@ -63,7 +64,10 @@
 
 
 class Route(NamedTuple):
-    """One route; times in ms. `priority` 0 is the most urgent."""
+    """One route; times in ms. `priority` 0 is the most urgent.
+
+    Requests of a public route need no key of a customer.
+    """
 
     name: str
     host: str
@@ -76,6 +80,7 @@
     max_attempts: int
     resumable: bool
     shares: tuple[Share, ...]
+    is_public: bool = False
 
     @property
     def is_idempotent(self) -> bool:
@@ -106,11 +111,16 @@
         routes: list[Route],
         services: dict[str, Service],
         limits: CallerLimits,
+        customers: CustomerTable | None = None,
     ) -> None:
-        """Check and index the routes; raises `TrestleError`."""
+        """Check and index the routes; raises `TrestleError`.
+
+        Without a table of customers, requests need no key.
+        """
         self.version = version
         self.services = services
         self.limits = limits
+        self.customers = customers
         self.by_host: dict[str, dict[str, Route]] = {}
         for route in routes:
             _check_route(route, services)
--- a/packages/trestle-core/src/trestle_core/settings.py
+++ b/packages/trestle-core/src/trestle_core/settings.py
@@ -136,6 +136,9 @@
         Milliseconds, Meta(description='time that the retry limits span, ms')
     ] = 10_000
     drain_notice_ms: DrainNotice = 3000
+    usage_window_ms: Annotated[
+        int, Meta(ge=0, description='window of counted usage, ms; 0: none')
+    ] = 0
 
 
 class MemberSettings(Struct, frozen=True, forbid_unknown_fields=True):
@@ -200,6 +203,16 @@
     answer_limit_bytes: Annotated[
         int, Meta(ge=1024, description='largest recorded answer, bytes')
     ] = 65_536
+    lease_ms: Annotated[
+        Milliseconds,
+        Meta(description='time between acts of two holders of a duty, ms'),
+    ] = 3000
+    usage_window_ms: Annotated[
+        int, Meta(ge=0, description='window of a usage report, ms; 0: none')
+    ] = 0
+    duty_calls_per_s: Annotated[
+        float, Meta(gt=0, description='calls a second for a duty')
+    ] = 10.0
     role_policy: Annotated[
         Literal['plan', 'never', 'threshold'],
         Meta(description='how engine roles are changed'),
--- a/packages/trestle-entry/src/trestle_entry/direct/direct_app.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/direct_app.py
@@ -136,6 +136,7 @@
 
     control.on_document.append(apply_document)
     control.on_stamp.append(apply_document)
+    control.on_stamp.append(context.note_confirmed)
     control.on_backends.append(apply_backends)
 
 
--- a/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
@@ -4,6 +4,8 @@
 from random import Random
 from typing import Final, NamedTuple
 
+from gevent.event import Event
+
 from trestle_core.metrics import Metrics
 from trestle_core.route_table import Route, RouteTable, Service
 from trestle_core.settings import DirectSettings
@@ -59,9 +61,14 @@
         self.backend_wire = backend_wire
         self.metrics = metrics
         self.table: RouteTable | None = None
+        # Set, and replaced, whenever control confirms how new the table is.
+        self.routes_confirmed = Event()
+        # Requests that wait for that.
+        self.waiting_for_routes = 0
         self.fleet = FleetView()
         self.pool = ConnectionPool(metrics)
         self.loads = EngineLoads(settings.host)
+        self.loads.usage.window_ms = settings.usage_window_ms
         self.crash_guard = CrashGuard(settings.host, self.loads.reports)
         # Back ends that are being asked whether they have crashed.
         self.probed: set[str] = set()
@@ -82,9 +89,16 @@
         """
         return self.list_age_seconds() <= _MAX_LIST_AGE_SECONDS
 
+    def note_confirmed(self) -> None:
+        """Wake the requests that wait for a confirmation of the routes."""
+        confirmed = self.routes_confirmed
+        self.routes_confirmed = Event()
+        confirmed.set()
+
     def apply_settings(self, settings: DirectSettings) -> None:
         """Apply the settings that may change in a running process."""
         self.settings = settings
+        self.loads.usage.window_ms = settings.usage_window_ms
         for limits in self.retry_limits.values():
             limits.share = settings.retry_share
             limits.extra = settings.retry_extra
--- a/packages/trestle-entry/src/trestle_entry/direct/dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/dispatch.py
@@ -7,9 +7,15 @@
 from trestle_core.errorcodes import INTERNAL, STALE_NODE, UNKNOWN_ROUTE
 from trestle_core.errors import TrestleError
 from trestle_core.logs import part_logger
-from trestle_core.route_table import pick_share
+from trestle_core.route_table import Route, RouteTable, pick_share
 from trestle_core.verdict import Verdict
 from trestle_entry.caller_watch import CallerGoneError, cancel_when_gone
+from trestle_entry.direct.customer_check import (
+    UnconfirmedKeyError,
+    find_customer,
+    wait_for_newest_routes,
+    with_customer,
+)
 from trestle_entry.direct.direct_context import DirectContext, RouteMatch
 from trestle_entry.direct.model_relay import serve_model
 from trestle_entry.direct.plain_dispatch import serve_plain
@@ -74,7 +80,7 @@
         incoming.socket,
     )
     trace.request_id = request.request_id
-    route_match = _match(context, request, trace)
+    request, route_match = _match(context, request, trace)
     route_deadline = (
         request.arrived_at + route_match.route.timeout_ms / _MS_PER_SECOND
     )
@@ -89,10 +95,33 @@
 
 def _match(
     context: DirectContext, request: CallerRequest, trace: RequestTrace
-) -> RouteMatch:
+) -> tuple[CallerRequest, RouteMatch]:
+    """Return the request with its customer, and where it goes."""
+    try:
+        return _match_now(context, request, trace)
+    except UnconfirmedKeyError:
+        wait_for_newest_routes(context, request)
+    return _match_now(context, request, trace)
+
+
+def _match_now(
+    context: DirectContext, request: CallerRequest, trace: RequestTrace
+) -> tuple[CallerRequest, RouteMatch]:
     table = context.table
     if table is None:
         raise RefusedError(STALE_NODE, 'no route table has been received yet')
+    route = _find_route(table, request, trace)
+    if table.customers is not None:
+        customer = find_customer(context, table, route, request)
+        if customer:
+            trace.fields['customer'] = customer.name
+        request = with_customer(context, request, customer)
+    return request, _choose_service(context, table, route, request, trace)
+
+
+def _find_route(
+    table: RouteTable, request: CallerRequest, trace: RequestTrace
+) -> Route:
     path = request.target.partition('?')[0]
     route = table.find(request.host, path)
     if route is None:
@@ -101,6 +130,16 @@
     trace.fields['version'] = table.version
     trace.fields['target_ms'] = route.target_ms
     trace.fields['gap_ms'] = route.gap_ms
+    return route
+
+
+def _choose_service(
+    context: DirectContext,
+    table: RouteTable,
+    route: Route,
+    request: CallerRequest,
+    trace: RequestTrace,
+) -> RouteMatch:
     if is_take_up(request, route):
         origin = find_origin(context, request, route, trace)
         service = table.services[origin.service]
--- a/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
@@ -17,7 +17,9 @@
 from trestle_entry.direct.own_streams import OwnStreams
 from trestle_entry.direct.rate_limits import RateLimits
 from trestle_entry.direct.shared_loads import SharedLoads
+from trestle_entry.direct.usage_counts import UsageCounts
 from trestle_entry.direct.wire_types import ModelDemand
+from trestle_links.agreed_clock import wall_clock_ms
 from trestle_links.codec import decode_message
 from trestle_links.direct_messages import Backend, EngineMemory, Placement
 from trestle_links.load_messages import (
@@ -45,6 +47,7 @@
         self.reports = EntryReports(self.own.changed)
         self.rate_limits = RateLimits(self.own.changed)
         self.streams = OwnStreams(self.own.changed)
+        self.usage = UsageCounts()
         # The entries that share the fleet, this one included.
         self.entry_count = 1
 
@@ -150,6 +153,7 @@
         self.shared.start_stream(loads)
         self.rate_limits.start_stream()
         self.streams.report_all()
+        self.usage.report_all()
         return loads
 
     def take_change(self, number: int) -> LoadChange:
@@ -167,6 +171,8 @@
             self.rate_limits.take_sends(number),
             self.streams.take_unreported(),
             self.reports.take_leaving(),
+            self.usage.take_unreported(),
+            wall_clock_ms(),
         )
         self.shared.note_sent(number, change.loads)
         return change
@@ -188,6 +194,9 @@
         self.entry_count = max(1, delta.entries)
         self.speeds.transfer_slowness.take(delta.transfer_slowness)
         self.speeds.follow(delta.speeds)
+        if delta.unix_ms:
+            self.usage.clock.follow(delta.unix_ms)
+        self.usage.forget_through(delta.usage_recorded)
         self._apply_memories(delta.memories)
         for placement in delta.placements:
             cache = self.caches.setdefault(placement.instance, CachedParts())
--- a/packages/trestle-entry/src/trestle_entry/direct/load_stream.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/load_stream.py
@@ -79,7 +79,9 @@
     if not leader:
         raise LinkDownError('no leader is known', sent=False)
     loads = context.loads
-    opening = FollowLoads(loads.host, loads.open_stream())
+    opening = FollowLoads(
+        loads.host, loads.open_stream(), loads.usage.incarnation
+    )
     channel = links.link_to(leader).open(opening)
     context.crash_guard.report_all()
     context.report_leaving()
--- a/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
@@ -180,7 +180,7 @@
         instance,
         remaining_ms(run.request.deadline),
         kv_source=handle.source if handle else '',
-        priority=run.route.priority,
+        priority=run.priority,
         resume_from=run.events.last_id,
     )
     try:
--- a/packages/trestle-entry/src/trestle_entry/direct/model_run.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_run.py
@@ -83,6 +83,7 @@
 
         And how long the KV transfer of the prompt took.
         """
+        self.note_begun(self.context.loads.usage.clock.unix_ms())
         if self.software is None:
             self.software = self._software_of(engine)
             self._note_origin()
--- a/packages/trestle-entry/src/trestle_entry/direct/plain_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/plain_dispatch.py
@@ -8,6 +8,8 @@
 from functools import partial
 from typing import Final
 
+from gevent import Timeout
+
 from trestle_core.errorcodes import (
     DEADLINE_UNREACHABLE,
     OVERLOADED,
@@ -19,6 +21,7 @@
     read_answer,
     remaining_ms,
 )
+from trestle_entry.direct.backend_exchange import BrokenAnswerError
 from trestle_entry.direct.direct_context import DirectContext, RouteMatch
 from trestle_entry.direct.promises import check_promise
 from trestle_entry.direct.replies import DirectReply, RefusedError
@@ -88,14 +91,22 @@
     context = run.context
     options = SendOptions(backend.instance, remaining_ms(run.request.deadline))
     run.trace.add('send', backend.instance)
+    sent_ms = context.loads.usage.clock.unix_ms()
     with context.loads.own.track_request(backend.instance):
-        opened = open_answer(
-            context,
-            run.request,
-            backend,
-            options,
-            at_most_once=not run.route.is_idempotent,
-        )
+        try:
+            opened = open_answer(
+                context,
+                run.request,
+                backend,
+                options,
+                at_most_once=not run.route.is_idempotent,
+            )
+        except (BrokenAnswerError, Timeout):
+            # It may have begun.
+            run.note_begun(sent_ms)
+            raise
+        if not opened.head.is_declined:
+            run.note_begun(sent_ms)
         return read_answer(context, opened)
 
 
--- a/packages/trestle-entry/src/trestle_entry/direct/prompt_prefill.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/prompt_prefill.py
@@ -141,7 +141,7 @@
         remaining_ms(run.request.deadline),
         is_prefill=True,
         fetch_from=fetch_from,
-        priority=run.route.priority,
+        priority=run.priority,
     )
     opened = open_answer(
         run.context, run.request, engine, options, at_most_once=False
--- a/packages/trestle-entry/src/trestle_entry/direct/replies.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/replies.py
@@ -10,6 +10,7 @@
 from trestle_core.verdict import Verdict
 from trestle_entry.direct.wire_types import (
     BAD_GATEWAY,
+    UNAUTHORIZED,
     UNAVAILABLE,
     CallerWire,
     Headers,
@@ -65,6 +66,8 @@
     if status == UNAVAILABLE:
         seconds = getattr(error, 'retry_after', DEFAULT_RETRY_AFTER_SECONDS)
         headers.append(wire.retry_after(seconds))
+    if status == UNAUTHORIZED:
+        headers.append(('WWW-Authenticate', 'Bearer'))
     body = encode({'code': error.code.code, 'message': error.message})
     headers.append(('Content-Type', 'application/json'))
     headers.append(('Content-Length', str(len(body))))
--- a/packages/trestle-entry/src/trestle_entry/direct/request_run.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/request_run.py
@@ -57,12 +57,22 @@
         self.avoided: set[str] = set()
         # The back end at which a place is held for this request, or empty.
         self.held_at = ''
+        # Whether the request is counted as one that began to run.
+        self.is_counted = False
 
     @property
     def verdict(self) -> Verdict:
         """The verdict if the request failed now."""
         return Verdict.MAY_HAVE_RUN if self.runs else Verdict.NOT_RUN
 
+    @property
+    def priority(self) -> int:
+        """The urgency; that of the customer goes before the route's."""
+        customer = self.request.customer
+        if customer is None or customer.priority is None:
+            return self.route.priority
+        return customer.priority
+
     @property
     def remaining_ms(self) -> float:
         """The time until the deadline, ms; negative after it."""
@@ -131,6 +141,15 @@
             rate_limits.take(instance)
         self.held_at = instance
 
+    def note_begun(self, unix_ms: int) -> None:
+        """Count the request of a customer that began to run, once."""
+        customer = self.request.customer
+        if customer is None or self.is_counted:
+            return
+        self.is_counted = True
+        self.context.metrics.count('customer_requests', customer.name)
+        self.context.loads.usage.note_begun(customer.name, unix_ms)
+
     def note_interrupted(self, instance: str, reason: str) -> None:
         """Record that a back end broke off its answer to this request."""
         context = self.context
--- /dev/null
+++ b/packages/trestle-entry/src/trestle_entry/direct/usage_counts.py
@@ -0,0 +1,66 @@
+"""Counts the requests of each customer that began to run, by window of time.
+
+The counts are those since the start of this process, so that one that is told
+twice, or to a new leader, changes nothing.
+"""
+
+from collections import defaultdict
+from secrets import token_hex
+from typing import Final
+
+from trestle_links.agreed_clock import FollowedClock
+from trestle_links.usage_messages import CustomerUsage
+
+_INCARNATION_BYTES: Final = 8
+# Older windows are given up if no leader records them.
+_MAX_WINDOWS: Final = 240
+
+
+class UsageCounts:
+    """The counts of the windows that are not recorded yet."""
+
+    def __init__(self) -> None:
+        """Start without a window; nothing is counted until one is set."""
+        # Tells this process from others that its host starts.
+        self.incarnation = token_hex(_INCARNATION_BYTES)
+        self.clock = FollowedClock()
+        self.window_ms = 0
+        self.counts: dict[int, defaultdict[str, int]] = {}
+        self.unreported: set[tuple[int, str]] = set()
+
+    def note_begun(self, customer: str, unix_ms: int) -> None:
+        """Count a request that began at a time."""
+        if not self.window_ms:
+            return
+        window = unix_ms // self.window_ms
+        self.counts.setdefault(window, defaultdict(int))[customer] += 1
+        self.unreported.add((window, customer))
+        if len(self.counts) > _MAX_WINDOWS:
+            self._forget(min(self.counts))
+
+    def report_all(self) -> None:
+        """Tell all counts again, to a leader that may be new."""
+        self.unreported = {
+            (window, customer)
+            for window, by_customer in self.counts.items()
+            for customer in by_customer
+        }
+
+    def take_unreported(self) -> list[CustomerUsage]:
+        """Return the counts that have changed since the last call."""
+        taken = [
+            CustomerUsage(window, customer, self.counts[window][customer])
+            for window, customer in sorted(self.unreported)
+        ]
+        self.unreported.clear()
+        return taken
+
+    def forget_through(self, recorded: int) -> None:
+        """Drop the windows up to the last one that is recorded."""
+        for window in tuple(self.counts):
+            if window <= recorded:
+                self._forget(window)
+
+    def _forget(self, window: int) -> None:
+        for customer in self.counts.pop(window):
+            self.unreported.discard((window, customer))
--- a/packages/trestle-entry/src/trestle_entry/direct/wire_types.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/wire_types.py
@@ -8,11 +8,14 @@
 from math import inf
 from typing import Any, Final, NamedTuple
 
+from trestle_core.customers import Customer, PresentedKey
+
 Headers = list[tuple[str, str]]
 
 # HTTP status codes that the system itself sends or distinguishes.
 OK: Final = 200
 MULTIPLE_CHOICES: Final = 300
+UNAUTHORIZED: Final = 401
 MISDIRECTED: Final = 421
 SERVER_ERROR: Final = 500
 BAD_GATEWAY: Final = 502
@@ -43,6 +46,7 @@
     `resume_from` the last event that it has, and in `resumed_request` the attempt
     that brought it the first one. Times are in monotonic seconds: after `deadline`
     no answer is wanted, after `waits_until` the caller itself stops waiting.
+    `customer` is known once the entry has found whose `key` it is.
     """
 
     request_id: str
@@ -58,6 +62,8 @@
     socket: Any
     resumed_request: str = ''
     waits_until: float = 0.0
+    key: PresentedKey = PresentedKey()
+    customer: Customer | None = None
 
 
 class SendOptions(NamedTuple):
@@ -105,12 +111,14 @@
     """The protocol between a platform's callers and the entry.
 
     `read_request` takes method, raw target, headers, body and the socket;
-    it raises `TrestleError` if the head is invalid.
+    it raises `TrestleError` if the head is invalid. `without_credentials`
+    drops from headers what tells or claims whose a request is.
     """
 
     read_request: Callable[[str, str, Headers, bytes, Any], CallerRequest]
     own_headers: Callable[[str], Headers]
     retry_after: Callable[[float], tuple[str, str]]
+    without_credentials: Callable[[Headers], Headers]
 
 
 class BackendWire(NamedTuple):
--- a/packages/trestle-links/src/trestle_links/load_messages.py
+++ b/packages/trestle-links/src/trestle_links/load_messages.py
@@ -12,6 +12,7 @@
 from trestle_links.crash_messages import CrashNotice, ServedTrait
 from trestle_links.direct_messages import Boot, EngineMemory, Placement
 from trestle_links.stream_messages import BegunStreams
+from trestle_links.usage_messages import CustomerUsage
 
 # Larger figures are not loads; a message with them is malformed.
 MAX_LOAD_FIGURE: Final = 1_000_000_000
@@ -92,10 +93,14 @@
 
 @message(148)
 class FollowLoads(NamedTuple):
-    """Open the stream; `loads` are all loads of the entry on `host`."""
+    """Open the stream; `loads` are all loads of the entry on `host`.
+
+    `incarnation` tells its process from others of the host.
+    """
 
     host: str
     loads: list[BackendLoad]
+    incarnation: str = ''
 
 
 @message(149)
@@ -104,7 +109,8 @@
 
     `number` counts the changes of a stream from 1. `transfer_slowness` has the
     ratios of actual to predicted times of KV transfers by engine. `streams` are
-    those that engines are about to begin.
+    those that engines are about to begin. `unix_ms` is the time of day of the
+    entry's host, 0 if an earlier version of this system sent the change.
     """
 
     number: int
@@ -119,6 +125,8 @@
     sends: list[SendCount]
     streams: list[BegunStreams] = []
     leaving: list[LeaveNotice] = []
+    usage: list[CustomerUsage] = []
+    unix_ms: int = 0
 
 
 @message(151)
@@ -129,6 +137,8 @@
     replace what is known of an engine's cache, before the placements.
     `changing` lists the engines whose role is being changed. `sends` have those
     since the push before, of the receiving entry those up to `applied`.
+    `unix_ms` is the true time, 0 if unknown, and `usage_recorded` the last
+    window of usage that is recorded.
     """
 
     entries: int
@@ -144,6 +154,8 @@
     limits: list[NamedLimit]
     sends: list[SendCount]
     leaving: list[LeaveNotice] = []
+    unix_ms: int = 0
+    usage_recorded: int = 0
 
 
 @message(150)
--- a/testbed/load_streams.py
+++ b/testbed/load_streams.py
@@ -54,7 +54,9 @@
         self.is_first = True
         opening = loads.open_stream()
         self.handler: Greenlet[..., Any] = spawn(
-            table.follow, FollowLoads(loads.host, opening), self.channel
+            table.follow,
+            FollowLoads(loads.host, opening, loads.usage.incarnation),
+            self.channel,
         )
         run_others()
         self.first = self.take_pushes()
--- a/testbed/platform_fleet.py
+++ b/testbed/platform_fleet.py
@@ -45,6 +45,15 @@
     whole: bool
 
 
+class ToldUsage(NamedTuple):
+    """A report of usage that the platform got."""
+
+    window: int
+    counts: dict[str, int]
+    holder: str
+    fence: int
+
+
 class ReservedNet(NamedTuple):
     """A loopback network; fleets of any process keep off it.
 
@@ -68,8 +77,11 @@
         self.replicas: list[PlatformReplica] = []
         self.leaving: set[str] = set()
         self.extra_entries: list[Any] = []
+        # With a window, usage has to be reported.
+        self.usage_window_s = 0
+        self.usage_reports: list[ToldUsage] = []
         self.list_server = WSGIServer(
-            ('127.0.0.1', 0), self._list, log=None, error_log=None
+            ('127.0.0.1', 0), self._answer, log=None, error_log=None
         )
         self.list_server.start()
 
@@ -181,7 +193,27 @@
         for replica in self.replicas:
             replica.server.stop()
 
-    def _list(self, _environ: Any, start_response: Any) -> list[bytes]:
+    def _answer(self, environ: dict[str, Any], start_response: Any) -> Any:
+        if environ['PATH_INFO'] == '/usage':
+            return self._take_usage(environ, start_response)
+        return self._list(start_response)
+
+    def _take_usage(
+        self, environ: dict[str, Any], start_response: Any
+    ) -> list[bytes]:
+        body = decode(environ['wsgi.input'].read())
+        self.usage_reports.append(
+            ToldUsage(
+                body['windowSeq'],
+                body['counts'],
+                environ['HTTP_KINGCUPTRESTLE_DUTY_HOLDER'],
+                int(environ['HTTP_KINGCUPTRESTLE_FENCING_TOKEN']),
+            )
+        )
+        start_response('200 OK', [('Content-Length', '0')])
+        return []
+
+    def _list(self, start_response: Any) -> list[bytes]:
         entries: list[Any] = [
             {
                 'id': replica.instance,
@@ -221,7 +253,11 @@
             'seeds': [f'{seed}:{self.port + 9}' for seed in seeds],
             'bootstrap': bootstrap,
             'dataDir': str(self.data_folder(name)) if is_core else None,
-            'cloud': {'addr': f'127.0.0.1:{self.list_server.server_port}'},
+            'bounds': {'usageWindowS': self.usage_window_s},
+            'cloud': {
+                'addr': f'127.0.0.1:{self.list_server.server_port}',
+                'duties': ['metering'] if self.usage_window_s else [],
+            },
             'unknownField': 1,
         }
         path = self.processes.folder / f'{name}.json'
