Room that is short is shared between customers by need

Seen: nothing told whose request was refused; an entry admitted whoever came first, so a crowd of one customer took the room of all.

Change: the leader computes from what began and what was refused, by customer and over all entries, who asks for more than a share by need, and tells entries of 48 at most. These fill nine tenths of the room, and less if they get more than their share. Nobody is refused while the queues are short.

Ruled out (tried): room by multiples of the mean.

--- a/packages/trestle-control/src/trestle_control/load_table.py
+++ b/packages/trestle-control/src/trestle_control/load_table.py
@@ -269,6 +269,7 @@
             leaving=self.notices.take_news(),
             unix_ms=self.clock.unix_ms(),
             usage_recorded=self.usage.recorded,
+            shares=self.usage.take_shares(monotonic()),
         )
 
     def _complete_delta(self) -> LoadDelta:
@@ -289,6 +290,7 @@
             leaving=self.notices.leaving.notices(),
             unix_ms=self.clock.unix_ms(),
             usage_recorded=self.usage.recorded,
+            shares=self.usage.shares(),
         )
 
     def _changed_speeds(self) -> list[FittedSpeed]:
--- a/packages/trestle-core/src/trestle_core/settings.py
+++ b/packages/trestle-core/src/trestle_core/settings.py
@@ -138,7 +138,7 @@
     drain_notice_ms: DrainNotice = 3000
     usage_window_ms: Annotated[
         int, Meta(ge=0, description='window of counted usage, ms; 0: none')
-    ] = 0
+    ] = 5000
 
 
 class MemberSettings(Struct, frozen=True, forbid_unknown_fields=True):
--- a/packages/trestle-entry/src/trestle_entry/direct/admission.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/admission.py
@@ -10,8 +10,6 @@
 
 from typing import Final, NamedTuple
 
-# Share of the objective that the predicted time may take.
-_MAX_SHARE: Final = 1.0
 _MIN_RETRY_AFTER_SECONDS: Final = 0.05
 _MAX_RETRY_AFTER_SECONDS: Final = 2.0
 _MS_PER_SECOND: Final = 1000
@@ -21,7 +19,8 @@
     """The predicted times of a request, its objective and deadline; ms.
 
     `wait_ms` is the work ahead of it, `common_ms` what a request of common
-    size takes besides the wait.
+    size takes besides the wait. `room_part` is the part of the objective that
+    the queues may take for its customer.
     """
 
     wait_ms: float
@@ -29,6 +28,7 @@
     first_token_ms: float
     target_ms: float
     remaining_ms: float
+    room_part: float = 1.0
 
 
 class Refusal(NamedTuple):
@@ -60,4 +60,4 @@
     """Return by how much the queue is too long; negative if it is not."""
     own_ms = prediction.first_token_ms - prediction.wait_ms
     needed_ms = prediction.wait_ms + min(own_ms, prediction.common_ms)
-    return needed_ms - prediction.target_ms * _MAX_SHARE
+    return needed_ms - prediction.target_ms * prediction.room_part
--- a/packages/trestle-entry/src/trestle_entry/direct/dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/dispatch.py
@@ -4,7 +4,12 @@
 from time import monotonic
 from typing import Any, Final, NamedTuple
 
-from trestle_core.errorcodes import INTERNAL, STALE_NODE, UNKNOWN_ROUTE
+from trestle_core.errorcodes import (
+    INTERNAL,
+    OVERLOADED,
+    STALE_NODE,
+    UNKNOWN_ROUTE,
+)
 from trestle_core.errors import TrestleError
 from trestle_core.logs import part_logger
 from trestle_core.route_table import Route, RouteTable, pick_share
@@ -56,6 +61,7 @@
         raise
     except TrestleError as error:
         trace.fields['reason'] = error.message
+        _note_refused(context, trace, error)
         context.log.write(trace, error.code.code, error.verdict.value)
         return error_answer(context.caller_wire, trace.request_id, error)
     except Exception:
@@ -93,6 +99,15 @@
         return serve_plain(context, request, route_match, trace)
 
 
+def _note_refused(
+    context: DirectContext, trace: RequestTrace, error: TrestleError
+) -> None:
+    customer = trace.fields.get('customer')
+    if customer and error.code == OVERLOADED:
+        context.metrics.count('customer_refusals', customer)
+        context.loads.usage.note_refused(customer)
+
+
 def _match(
     context: DirectContext, request: CallerRequest, trace: RequestTrace
 ) -> tuple[CallerRequest, RouteMatch]:
--- a/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
@@ -11,6 +11,7 @@
 from trestle_core.errorcodes import BAD_FRAME
 from trestle_core.errors import TrestleError
 from trestle_entry.direct.cached_parts import CachedParts
+from trestle_entry.direct.customer_shares import CustomerShares
 from trestle_entry.direct.engine_speeds import EngineSpeeds, PrefillCall
 from trestle_entry.direct.entry_reports import EntryReports
 from trestle_entry.direct.own_loads import OwnLoads
@@ -48,6 +49,7 @@
         self.rate_limits = RateLimits(self.own.changed)
         self.streams = OwnStreams(self.own.changed)
         self.usage = UsageCounts()
+        self.shares = CustomerShares()
         # The entries that share the fleet, this one included.
         self.entry_count = 1
 
@@ -197,6 +199,8 @@
         if delta.unix_ms:
             self.usage.clock.follow(delta.unix_ms)
         self.usage.forget_through(delta.usage_recorded)
+        if delta.shares is not None:
+            self.shares.follow(delta.shares)
         self._apply_memories(delta.memories)
         for placement in delta.placements:
             cache = self.caches.setdefault(placement.instance, CachedParts())
--- a/packages/trestle-entry/src/trestle_entry/direct/plain_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/plain_dispatch.py
@@ -128,7 +128,8 @@
     chosen = min(candidates, key=lambda backend: _cost(run, backend))
     running = context.loads.running_at(chosen.instance)
     slots = max(_MIN_SLOTS, chosen.slots)
-    if running >= slots * _QUEUE_FACTOR and not run.runs:
+    room = slots * _QUEUE_FACTOR * run.room_part
+    if running >= room and not run.runs:
         raise RefusedError(
             OVERLOADED,
             f'{running:.0f} requests at a back end with {slots} slots',
--- a/packages/trestle-entry/src/trestle_entry/direct/request_run.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/request_run.py
@@ -73,6 +73,11 @@
             return self.route.priority
         return customer.priority
 
+    @property
+    def room_part(self) -> float:
+        """The part of the room that the request's customer may fill."""
+        return self.context.loads.shares.room_of(self.request.customer)
+
     @property
     def remaining_ms(self) -> float:
         """The time until the deadline, ms; negative after it."""
--- a/packages/trestle-entry/src/trestle_entry/direct/run_planning.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/run_planning.py
@@ -88,6 +88,7 @@
         plan.first_token_ms,
         run.route.target_ms,
         run.remaining_ms,
+        run.room_part,
     )
     run.trace.fields['predicted_ms'] = round(plan.first_token_ms)
     age_ms = min(run.context.loads.shared.age_ms, _MAX_LOGGED_AGE_MS)
--- a/packages/trestle-links/src/trestle_links/load_messages.py
+++ b/packages/trestle-links/src/trestle_links/load_messages.py
@@ -12,7 +12,7 @@
 from trestle_links.crash_messages import CrashNotice, ServedTrait
 from trestle_links.direct_messages import Boot, EngineMemory, Placement
 from trestle_links.stream_messages import BegunStreams
-from trestle_links.usage_messages import CustomerUsage
+from trestle_links.usage_messages import CustomerShare, CustomerUsage
 
 # Larger figures are not loads; a message with them is malformed.
 MAX_LOAD_FIGURE: Final = 1_000_000_000
@@ -138,7 +138,8 @@
     `changing` lists the engines whose role is being changed. `sends` have those
     since the push before, of the receiving entry those up to `applied`.
     `unix_ms` is the true time, 0 if unknown, and `usage_recorded` the last
-    window of usage that is recorded.
+    window of usage that is recorded. `shares` are those of the customers with
+    the most, None unless they have changed.
     """
 
     entries: int
@@ -156,6 +157,7 @@
     leaving: list[LeaveNotice] = []
     unix_ms: int = 0
     usage_recorded: int = 0
+    shares: list[CustomerShare] | None = None
 
 
 @message(150)
--- a/packages/trestle-links/src/trestle_links/usage_messages.py
+++ b/packages/trestle-links/src/trestle_links/usage_messages.py
@@ -13,11 +13,22 @@
 
 
 class CustomerUsage(NamedTuple):
-    """Requests of a customer that began in a window, so far."""
+    """Requests of a customer that began in a window so far, or were refused."""
 
     window: int
     customer: str
     requests: int
+    refused: int = 0
+
+
+class CustomerShare(NamedTuple):
+    """A customer that asks for more than its fair share.
+
+    `ratio` is what it gets, as a multiple of the share.
+    """
+
+    customer: str
+    ratio: float
 
 
 @message(154)
