--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -51,7 +51,13 @@
 @given('a platform with 5 control hosts, 2 entries, 2 services and 3 engines')
 def step_platform(context: Context) -> None:
     """Start everything at once."""
+    start_platform(context)
+
+
+def start_platform(context: Context, usage_window_s: int = 0) -> None:
+    """Start everything at once; with a window, usage has to be reported."""
     fleet = PlatformFleet(context.processes)
+    fleet.usage_window_s = usage_window_s
     context.fleet = fleet
     context.number = 0
     context.add_cleanup(fleet.stop)
--- a/features/steps/usage_steps.py
+++ b/features/steps/usage_steps.py
@@ -7,10 +7,13 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from features.steps.platform_path_steps import CORES, ENTRIES, fleet_of
+from features.steps.platform_path_steps import (
+    ENTRIES,
+    fleet_of,
+    start_platform,
+)
 from testbed.duty_model import PROTOCOL, VARIANTS, explore
 from testbed.load_streams import EntryStream
-from testbed.platform_fleet import PlatformFleet
 from testbed.usage_reports import DutyHost
 from trestle_control import usage_duty
 from trestle_control.apply import ControlStateMachine
@@ -290,14 +293,7 @@
 @given('a platform that takes reports of usage every second')
 def step_platform(context: Context) -> None:
     """Start everything, with a short window."""
-    fleet = PlatformFleet(context.processes)
-    fleet.usage_window_s = 1
-    context.fleet = fleet
-    context.number = 0
-    context.add_cleanup(fleet.stop)
-    fleet.add_usual_replicas()
-    for name in (*CORES, *ENTRIES):
-        fleet.start(name, bootstrap=True)
+    start_platform(context, usage_window_s=1)
 
 
 @when('{count:d} calls with the key "{key}" are served')
