--- a/features/steps/usage_steps.py
+++ b/features/steps/usage_steps.py
@@ -12,7 +12,6 @@
     fleet_of,
     start_platform,
 )
-from testbed.duty_model import PROTOCOL, VARIANTS, explore
 from testbed.load_streams import EntryStream
 from testbed.usage_reports import DutyHost
 from trestle_control import usage_duty
@@ -264,32 +263,6 @@
         assert waiting[-1] == machine.state.usage_recorded
 
 
-@when('the duty model explores the protocol')
-def step_protocol(context: Context) -> None:
-    """Visit every state."""
-    context.result = explore(PROTOCOL)
-
-
-@when('the duty model explores the variant "{variant}"')
-def step_variant(context: Context, variant: str) -> None:
-    """Visit states up to the first violation."""
-    assert variant in VARIANTS
-    context.result = explore(variant)
-
-
-@then('it breaks no rule in more than {states:d} states')
-def step_holds(context: Context, states: int) -> None:
-    """Check that it found nothing, and looked at much."""
-    assert not context.result.violation, context.result
-    assert context.result.states > states, context.result
-
-
-@then('it finds "{violation}"')
-def step_found(context: Context, violation: str) -> None:
-    """Check what broke."""
-    assert context.result.violation == violation, context.result
-
-
 @given('a platform that takes reports of usage every second')
 def step_platform(context: Context) -> None:
     """Start everything, with a short window."""
@@ -316,8 +289,8 @@
 def step_kill_holder(context: Context) -> None:
     """Wait for a report and kill who sent it."""
     fleet = fleet_of(context)
-    fleet.wait_for(lambda: bool(fleet.usage_reports), 'a report')
-    context.processes.started[fleet.usage_reports[-1].holder].kill()
+    fleet.wait_for(lambda: bool(fleet.usage_desk.reports), 'a report')
+    context.processes.started[fleet.usage_desk.reports[-1].holder].kill()
 
 
 @then('the platform has been told of {count:d} requests of {customer} in all')
@@ -328,18 +301,18 @@
     def told() -> int:
         by_window = {
             report.window: report.counts.get(customer, 0)
-            for report in fleet.usage_reports
+            for report in fleet.usage_desk.reports
         }
         return sum(by_window.values())
 
     fleet.wait_for(lambda: told() >= count, f'{count} reported requests')
-    assert told() == count, fleet.usage_reports
+    assert told() == count, fleet.usage_desk.reports
 
 
 @then('no window has two figures, and the numbers of the holders only grow')
 def step_sound(context: Context) -> None:
     """Check all reports in the order in which they came."""
-    reports = fleet_of(context).usage_reports
+    reports = fleet_of(context).usage_desk.reports
     figures = defaultdict(set)
     holders = defaultdict(set)
     for report in reports:
--- a/testbed/platform_fleet.py
+++ b/testbed/platform_fleet.py
@@ -19,6 +19,7 @@
 
 from testbed.platform_replica import PlatformReplica, read_headers
 from testbed.processes import Processes, poll_until
+from testbed.usage_desk import UsageDesk
 
 LIMIT_SECONDS: Final = 20.0
 SERVICES: Final = ('desk', 'llm')
@@ -45,15 +46,6 @@
     whole: bool
 
 
-class ToldUsage(NamedTuple):
-    """A report of usage that the platform got."""
-
-    window: int
-    counts: dict[str, int]
-    holder: str
-    fence: int
-
-
 class ReservedNet(NamedTuple):
     """A loopback network; fleets of any process keep off it.
 
@@ -79,7 +71,7 @@
         self.extra_entries: list[Any] = []
         # With a window, usage has to be reported.
         self.usage_window_s = 0
-        self.usage_reports: list[ToldUsage] = []
+        self.usage_desk = UsageDesk()
         self.list_server = WSGIServer(
             ('127.0.0.1', 0), self._answer, log=None, error_log=None
         )
@@ -195,24 +187,9 @@
 
     def _answer(self, environ: dict[str, Any], start_response: Any) -> Any:
         if environ['PATH_INFO'] == '/usage':
-            return self._take_usage(environ, start_response)
+            return self.usage_desk.take(environ, start_response)
         return self._list(start_response)
 
-    def _take_usage(
-        self, environ: dict[str, Any], start_response: Any
-    ) -> list[bytes]:
-        body = decode(environ['wsgi.input'].read())
-        self.usage_reports.append(
-            ToldUsage(
-                body['windowSeq'],
-                body['counts'],
-                environ['HTTP_KINGCUPTRESTLE_DUTY_HOLDER'],
-                int(environ['HTTP_KINGCUPTRESTLE_FENCING_TOKEN']),
-            )
-        )
-        start_response('200 OK', [('Content-Length', '0')])
-        return []
-
     def _list(self, start_response: Any) -> list[bytes]:
         entries: list[Any] = [
             {
