Asks of an entry that starts wait for the answers of a host that is behind

Suspected cause, not proved: entries ask control 20 times a second until their first fresh stamp, on three hosts for 270 entries, whether or not earlier asks are answered.

Change: 50 ms after an answer, and 200 ms as before while one is due. Tested in entry_start.feature.

--- a/features/entry_start.feature
+++ b/features/entry_start.feature
@@ -39,3 +39,17 @@
       | half of its text    |
       | no address          |
       | an address in words |
+
+  # Guards against: hundreds of entries that start together and ask a control host
+  # which is behind with its answers twenty times a second each.
+  Scenario Outline: How soon an entry asks again whether its routes are the newest
+    Given an entry that follows a control host which replays its log
+    When it has sent <asks> asks of which <stamps> have been answered
+    Then it asks again after <pause> ms
+
+    Examples:
+      | asks | stamps | pause |
+      | 1    | 0      | 50    |
+      | 3    | 2      | 50    |
+      | 2    | 0      | 200   |
+      | 5    | 1      | 200   |
--- a/features/steps/entry_start_steps.py
+++ b/features/steps/entry_start_steps.py
@@ -16,12 +16,15 @@
 from trestle_core.metrics import Metrics
 from trestle_entry.direct.caller_server import CallerServer
 from trestle_entry.direct.direct_context import DirectContext
+from trestle_links import control_client
+from trestle_links.watch_messages import Stamp
 from trestle_platform import early_listener
 from trestle_platform.caller_http import caller_wire
 from trestle_platform.manifest import read_table
 
 START_SECONDS = 5.0
 LIMIT_SECONDS = 10.0
+OLD_MS = 60_000
 ODD_FILES = {
     'nothing': b'',
     'half of its text': b'{"listen": {"front": "127.0.',
@@ -135,3 +138,21 @@
 def step_no_socket(_context: Context) -> None:
     """Check the start of this process."""
     assert early_listener.take_start().listener is None
+
+
+@when('it has sent {asks:d} asks of which {stamps:d} have been answered')
+def step_asks(context: Context, asks: int, stamps: int) -> None:
+    """Answer the first ones, with stamps too old to count."""
+    freshness = context.client.freshness
+    for number in range(asks):
+        freshness.note_ask(number)
+    for number in range(stamps):
+        freshness.take(Stamp(number, 9, OLD_MS, 0))
+    assert not freshness.was_ever_fresh
+
+
+@then('it asks again after {pause:d} ms')
+def step_pause(context: Context, pause: int) -> None:
+    """Check the time until the next ask."""
+    seconds = control_client._ask_pause(context.client)  # noqa: SLF001
+    assert round(seconds * 1000) == pause, seconds
--- a/packages/trestle-links/src/trestle_links/control_client.py
+++ b/packages/trestle-links/src/trestle_links/control_client.py
@@ -284,7 +284,9 @@
     stamp_seconds = client.watcher.stamp_seconds
     if client.is_fresh():
         return stamp_seconds
-    if client.freshness.was_ever_fresh:
+    freshness = client.freshness
+    if freshness.was_ever_fresh or freshness.unanswered > 1:
+        # A host that is behind with its answers gets no more asks than usual.
         return min(_RETRY_SECONDS, stamp_seconds)
     return min(_FIRST_ASK_SECONDS, stamp_seconds)
 
--- a/packages/trestle-links/src/trestle_links/freshness.py
+++ b/packages/trestle-links/src/trestle_links/freshness.py
@@ -36,6 +36,11 @@
         """Whether a stamp has counted since the start."""
         return self.fresh_at > -inf
 
+    @property
+    def unanswered(self) -> int:
+        """How many asks of this stream have no stamp yet."""
+        return len(self.asked)
+
     def begin_stream(self) -> None:
         """Forget the asks of an earlier stream: their stamps never come."""
         self.asked.clear()
