--- a/features/engine_speeds.feature
+++ b/features/engine_speeds.feature
@@ -63,33 +63,3 @@
       | times |
       | 6     |
       | 0.25  |
-
-  # Guards against: a ratio that each entry learns alone from a few calls, and
-  # that one which has just started does not know at all.
-  Scenario: What all entries see of an engine is told to each of them
-    Given 20 entries that tell a leader of their calls
-    When each has made 3 prefills, and engine "slow" took 2.4 times as long as the others
-    Then each entry predicts engine "slow" 1.8 to 2.6 times as slow as the others
-    And an entry that starts anew knows it, too
-
-  # Guards against: moments of slowness that are taken for what an engine is.
-  Scenario: An engine that is slow now and then keeps the ratio of its pool
-    Given an engine whose calls take 1 times as long, and one in seven 2.5 times
-    When 100 of its calls have ended
-    Then its ratio is from 0.9 to 1.25
-
-  # Guards against: a paused host that spoils what is known of an engine.
-  Scenario: One odd call moves a ratio by a bounded step
-    Given an engine whose calls take 1 times as long, and one in seven 1.0 times
-    When 40 of its calls have ended
-    And one call takes 500 times as long
-    Then its ratio is from 0.9 to 1.25
-
-  # Guards against: the slowest engine that is turned to prefill, because it is
-  # idle, when one more is needed.
-  Scenario: An engine that is to prefill is chosen by its speed
-    Given a leader with 9 engines of which 3 read
-    And its engines "e3" to "e5" are 3 times as slow as the others
-    When it looks at them for 8 seconds
-    Then it has ordered 3 engines to read, each with the term as fence
-    And none of the slow ones is among them
--- a/packages/trestle-control/src/trestle_control/direct_roles.py
+++ b/packages/trestle-control/src/trestle_control/direct_roles.py
@@ -30,7 +30,6 @@
 from trestle_core.logs import part_logger
 from trestle_core.metrics import Metrics
 from trestle_links.direct_messages import DECODE, PREFILL, Backend
-from trestle_links.engine_ratios import speed_class
 from trestle_links.load_messages import BackendLoad
 
 POLL_SECONDS: Final = 0.5
@@ -132,11 +131,7 @@
 
     def poll(self) -> None:
         """Order the changes that the pools need, if this host leads."""
-        backends = self.state_machine.state.backends
-        self.loads.notices.follow(backends)
-        self.loads.prefill_ratios.keep_only(
-            {backend.instance for backend in backends}
-        )
+        self.loads.notices.follow(self.state_machine.state.backends)
         lead = self.replica.lead
         if lead.seconds <= previous_lease_seconds(
             lead.term, self.lease_seconds
@@ -196,11 +191,6 @@
         for engine in self._engines_to_change(engines, roles, role)[:count]:
             self._order_role(engine, role, term)
 
-    def _may_change(self, engine: Backend) -> bool:
-        is_pending = engine.instance in self.pending
-        resting = self.loads.notices.resting
-        return not is_pending and not resting.seconds(engine.instance)
-
     def _pool_load(
         self, pool: EnginePool, engines: list[Backend], roles: dict[str, str]
     ) -> PoolLoad:
@@ -265,15 +255,13 @@
         candidates = [
             engine
             for engine in engines
-            if roles[engine.instance] != role and self._may_change(engine)
+            if roles[engine.instance] != role
+            and engine.instance not in self.pending
+            and not self.loads.notices.resting.seconds(engine.instance)
         ]
-        ratios = self.loads.prefill_ratios.ratios
-        sign = 1 if role == PREFILL else -1
-        # Those that suit the role by their speed first, then the least loaded,
-        # then the zone with the most candidates.
+        # Least-loaded engines first, then the zone with the most candidates.
         candidates.sort(
             key=lambda engine: (
-                sign * speed_class(ratios.ratio_of(engine.instance)),
                 running.get(engine.instance, 0),
                 -_count_in_zone(candidates, engine.zone),
             )
--- a/packages/trestle-control/src/trestle_control/load_table.py
+++ b/packages/trestle-control/src/trestle_control/load_table.py
@@ -21,7 +21,6 @@
 from trestle_control.limit_table import LimitTable
 from trestle_control.load_totals import LoadTotals
 from trestle_control.placement_log import PlacementLog
-from trestle_control.ratio_table import RatioTable
 from trestle_control.replica_api import ReplicaApi
 from trestle_control.usage_table import UsageTable
 from trestle_core.errorcodes import BAD_FRAME
@@ -116,7 +115,6 @@
         self.changed = Event()
         self.notices = BackendNotices(self.changed)
         self.usage = UsageTable()
-        self.prefill_ratios = RatioTable()
         self.clock = MedianClock()
 
     def handlers(self) -> Handlers:
@@ -199,15 +197,11 @@
         self.notices.note_leaving(change.leaving, f'{host} tells')
         for begun in change.streams:
             self.streams.note_begun(_checked(begun), monotonic())
-        self._record_customers(follower, change)
-        self.prefill_ratios.record(change.prefill_ratios)
-        for fit_sums in change.fits:
-            self._pool(fit_sums)
-
-    def _record_customers(self, follower: Follower, change: LoadChange) -> None:
         self.usage.note(follower.process, change.usage)
         if change.unix_ms:
-            self.clock.note(follower.host, change.unix_ms)
+            self.clock.note(host, change.unix_ms)
+        for fit_sums in change.fits:
+            self._pool(fit_sums)
 
     def running_requests(self) -> dict[str, int]:
         """Return the running requests by back end, over all entries."""
@@ -276,7 +270,6 @@
             unix_ms=self.clock.unix_ms(),
             usage_recorded=self.usage.recorded,
             shares=self.usage.take_shares(monotonic()),
-            prefill_ratios=self.prefill_ratios.take_changed(),
         )
 
     def _complete_delta(self) -> LoadDelta:
@@ -298,7 +291,6 @@
             unix_ms=self.clock.unix_ms(),
             usage_recorded=self.usage.recorded,
             shares=self.usage.shares(),
-            prefill_ratios=self.prefill_ratios.told,
         )
 
     def _changed_speeds(self) -> list[FittedSpeed]:
--- a/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
@@ -175,7 +175,6 @@
             self.reports.take_leaving(),
             self.usage.take_unreported(),
             wall_clock_ms(),
-            self.speeds.take_ratio_samples(),
         )
         self.shared.note_sent(number, change.loads)
         return change
@@ -197,7 +196,6 @@
         self.entry_count = max(1, delta.entries)
         self.speeds.transfer_slowness.take(delta.transfer_slowness)
         self.speeds.follow(delta.speeds)
-        self.speeds.told_ratios.update(delta.prefill_ratios)
         if delta.unix_ms:
             self.usage.clock.follow(delta.unix_ms)
         self.usage.forget_through(delta.usage_recorded)
--- a/packages/trestle-entry/src/trestle_entry/direct/engine_speeds.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/engine_speeds.py
@@ -13,7 +13,6 @@
 
 from typing import Final, NamedTuple
 
-from trestle_links.engine_ratios import EngineRatios, RatioSample
 from trestle_links.engine_slowness import SlownessTable
 from trestle_links.linear_fit import (
     COMMON_TOKENS,
@@ -28,10 +27,12 @@
 TRANSFER_GUESS: Final = Line(25.0, 1.0)
 # Link time of a transfer of common size, ms.
 _COMMON_LINK_MS: Final = 5.0
+# Weight of one call in the estimated slowness of an engine.
+_SLOWNESS_WEIGHT: Final = 0.2
 # Weight of one request in the mean of the planned ones.
 _PLANNED_WEIGHT: Final = 0.03
-# Ratios that are told at once.
-_MAX_SAMPLES: Final = 100
+_MIN_SLOWNESS: Final = 0.3
+_MAX_SLOWNESS: Final = 12.0
 _LEAST_MS: Final = 0.1
 
 
@@ -56,11 +57,7 @@
         """Start with the guesses."""
         self.prefill_fits: dict[str, LinearFit] = {}
         self.transfer_fits: dict[str, LinearFit] = {}
-        # Ratios of engines to their pools: as the leader tells, and as the calls
-        # of this entry show.
-        self.told_ratios: dict[str, float] = {}
-        self.own_ratios = EngineRatios()
-        self.ratio_samples: list[RatioSample] = []
+        self.prefill_slowness: dict[str, float] = {}
         # Mean time of the requests that were planned, without their waits.
         self.planned_ms: dict[str, float] = {}
         # How slow KV transfers to each engine are.
@@ -86,8 +83,7 @@
 
     def prefill_slowness_of(self, instance: str) -> float:
         """Return the ratio of an engine's prefill times to the average."""
-        told = self.told_ratios.get(instance)
-        return self.own_ratios.ratio_of(instance) if told is None else told
+        return self.prefill_slowness.get(instance, 1.0)
 
     def transfer_ms(self, service: str, link_ms: float) -> float:
         """Return the time of a KV transfer that keeps the link busy so long."""
@@ -99,11 +95,14 @@
         """Learn from a prefill that ended `took_ms` after it was sent."""
         units = call.prompts_ahead + 1
         tokens = call.tokens_ahead + call.tokens
+        slowness = self.prefill_slowness_of(call.instance)
         fit = self._prefill_fit(call.service)
         predicted_ms = max(_LEAST_MS, fit.line.at(units, tokens))
         fit.note(units, tokens, took_ms, 1 / units)
-        sample = RatioSample(call.instance, took_ms / predicted_ms, 1 / units)
-        self._note_ratio(call.service, sample)
+        ratio = min(_MAX_SLOWNESS, max(_MIN_SLOWNESS, took_ms / predicted_ms))
+        self.prefill_slowness[call.instance] = slowness + _SLOWNESS_WEIGHT * (
+            ratio - slowness
+        )
 
     def note_planned(self, service: str, own_ms: float) -> float:
         """Add the time of a planned request without its wait.
@@ -137,9 +136,8 @@
 
     def keep_only(self, instances: set[str]) -> None:
         """Drop what is known of all other engines."""
-        for instance in set(self.told_ratios) - instances:
-            self.told_ratios.pop(instance)
-        self.own_ratios.forget_all_but(instances)
+        for instance in set(self.prefill_slowness) - instances:
+            self.prefill_slowness.pop(instance)
         for instance in set(self.transfer_slowness.estimates) - instances:
             self.transfer_slowness.forget(instance)
 
@@ -152,12 +150,6 @@
                 taken.append(FitSums(service, calls, list(sums)))
         return taken
 
-    def take_ratio_samples(self) -> list[RatioSample]:
-        """Return the ratios of the prefills since the last call."""
-        taken = self.ratio_samples[-_MAX_SAMPLES:]
-        self.ratio_samples = []
-        return taken
-
     def take_transfer_samples(self) -> dict[str, float]:
         """Return the slowness of the transfers since the last call."""
         taken = self.transfer_samples
@@ -175,11 +167,5 @@
         for fit in self.prefill_fits.values():
             fit.unfollow()
 
-    def _note_ratio(self, service: str, sample: RatioSample) -> None:
-        self.own_ratios.note(sample)
-        # To the few calls of one entry its line fits too closely.
-        if self._prefill_fit(service).is_following:
-            self.ratio_samples.append(sample)
-
     def _prefill_fit(self, service: str) -> LinearFit:
         return self.prefill_fits.setdefault(service, prefill_fit())
--- a/packages/trestle-links/src/trestle_links/load_messages.py
+++ b/packages/trestle-links/src/trestle_links/load_messages.py
@@ -11,7 +11,6 @@
 from trestle_links.codec import message
 from trestle_links.crash_messages import CrashNotice, ServedTrait
 from trestle_links.direct_messages import Boot, EngineMemory, Placement
-from trestle_links.engine_ratios import RatioSample
 from trestle_links.stream_messages import BegunStreams
 from trestle_links.usage_messages import CustomerShare, CustomerUsage
 
@@ -112,7 +111,6 @@
     ratios of actual to predicted times of KV transfers by engine. `streams` are
     those that engines are about to begin. `unix_ms` is the time of day of the
     entry's host, 0 if an earlier version of this system sent the change.
-    `prefill_ratios` are those of prefills that have ended.
     """
 
     number: int
@@ -129,7 +127,6 @@
     leaving: list[LeaveNotice] = []
     usage: list[CustomerUsage] = []
     unix_ms: int = 0
-    prefill_ratios: list[RatioSample] = []
 
 
 @message(151)
@@ -142,8 +139,7 @@
     since the push before, of the receiving entry those up to `applied`.
     `unix_ms` is the true time, 0 if unknown, and `usage_recorded` the last
     window of usage that is recorded. `shares` are those of the customers with
-    the most, None unless they have changed. `prefill_ratios` are those of
-    engines to their pools, where they have changed.
+    the most, None unless they have changed.
     """
 
     entries: int
@@ -162,7 +158,6 @@
     unix_ms: int = 0
     usage_recorded: int = 0
     shares: list[CustomerShare] | None = None
-    prefill_ratios: dict[str, float] = {}
 
 
 @message(150)
