--- /dev/null
+++ b/review/lib-2/replica.py
@@ -0,0 +1,120 @@
+"""A back end: IP:PORT INSTANCE WORK_SECONDS [STAGE].
+
+A plain service without a stage, else an engine. Told `trailers` or `chunks` on
+standard input, it is in trouble: the body of its next answer has no end. It is
+a chunked one, of chunks of one byte, or with trailer lines behind the last
+chunk. The back end writes until the caller closes. `for-good trailers` and
+`for-good chunks` are the same for all further answers.
+"""
+
+import asyncio
+import json
+import sys
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent))
+
+from harness import PREFIX, read_message, whole  # noqa: E402
+
+# Below the 1,000 Mbit/s of a machine's link.
+BYTES_PER_S = 100_000_000
+ENDLESS = {
+    'trailers': (
+        b'b\r\n{"lots":12}\r\n0\r\n',
+        b'X-Kingcup: 0123456789abcdef\r\n' * 2048,
+    ),
+    'chunks': (b'', b'1\r\n \r\n' * 10_000),
+}
+state = {'trouble': '', 'for-good': False}
+
+
+async def serve(reader, writer, instance, work, stage):
+    try:
+        while request := await read_message(reader):
+            headers = {PREFIX + 'Request-Id': request.get('Request-Id')}
+            target = request.get('Target-Instance')
+            if target and target != instance:
+                headers[PREFIX + 'Not-Executed'] = '1'
+                writer.write(whole(421, headers))
+                continue
+            headers[PREFIX + 'Server-Seal'] = 'seal.' + request.get('Request-Id')
+            page = own_page(request, stage)
+            if page is None:
+                await asyncio.sleep(work)
+            trouble = state['trouble']
+            if trouble:
+                if not state['for-good']:
+                    state['trouble'] = ''
+                print(f'endless answer to {request.first}', flush=True)
+                await write_endless(writer, headers, trouble)
+                return
+            writer.write(whole(200, headers, page or b'{"lots":12}'))
+            await writer.drain()
+    except (OSError, asyncio.IncompleteReadError):
+        pass
+    finally:
+        writer.close()
+
+
+def own_page(request, stage):
+    """Return what an engine says of itself, None for another request."""
+    if not stage:
+        return None
+    path = request.target.partition('?')[0]
+    pages = {
+        '/report': {
+            'stage': stage, 'models': [], 'busy': False, 'seq': 0, 'queued': 0,
+            'running': 0, 'kvUsed': 0, 'kvTotal': 90000, 'kvHandles': 0,
+        },
+        '/kv-list': {'epoch': 'e1', 'next': 1, 'held': []},
+        '/kv-events': {'epoch': 'e1', 'next': 1, 'lost': False, 'events': []},
+    }
+    page = pages.get(path)
+    return None if page is None else json.dumps(page).encode()
+
+
+async def write_endless(writer, headers, trouble):
+    first, piece = ENDLESS[trouble]
+    lines = ['HTTP/1.1 200 OK', 'Transfer-Encoding: chunked']
+    lines += [f'{name}: {text}' for name, text in headers.items()]
+    writer.write('\r\n'.join([*lines, '', '']).encode() + first)
+    began = time.monotonic()
+    sent = 0
+    while True:
+        writer.write(piece)
+        await writer.drain()
+        sent += len(piece)
+        ahead = sent / BYTES_PER_S - (time.monotonic() - began)
+        await asyncio.sleep(max(0, ahead))
+
+
+async def main():
+    listen, instance, work, *stage = sys.argv[1:]
+    ip, _, port = listen.partition(':')
+    server = await asyncio.start_server(
+        lambda reader, writer: serve(
+            reader, writer, instance, float(work), ''.join(stage)
+        ),
+        ip, int(port),
+    )
+    print(f'{ip}:{server.sockets[0].getsockname()[1]}', flush=True)
+    loop = asyncio.get_running_loop()
+
+    def told():
+        line = sys.stdin.readline()
+        if not line:
+            loop.stop()
+            return
+        *for_good, state['trouble'] = line.split()
+        state['for-good'] = bool(for_good)
+
+    loop.add_reader(sys.stdin, told)
+    await server.serve_forever()
+
+
+try:
+    asyncio.run(main())
+except RuntimeError:
+    # The case has ended.
+    pass
