--- a/review/6/case.py
+++ b/review/6/case.py
@@ -54,7 +54,7 @@
     cloud = Cloud()
     deployment.cloud = await cloud.start(ip)
     for number in range(1, REPLICAS + 1):
-        replica = Replica(ip, f'i-desk{number}', WORK_S)
+        replica = Replica(deployment, ip, f'i-desk{number}', WORK_S)
         deployment.replicas.append(replica)
         cloud.entries.append(replica.entry('order-desk', 6, number))
     deployment.start_all()
--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -195,13 +195,14 @@
 class Replica:
     """A stand-in back end in a process of its own."""
 
-    def __init__(self, ip, instance, work_seconds, stage=''):
+    def __init__(self, deployment, ip, instance, work_seconds, stage=''):
         program = Path(__file__).resolve().parent / 'replica.py'
         self.instance = instance
         self.stage = stage
+        self.log = Path(deployment.folder.name) / f'{instance}.log'
         self.process = subprocess.Popen(
             [sys.executable, '-B', str(program), f'{ip}:0', instance,
-             str(work_seconds), *([stage] if stage else [])],
+             str(work_seconds), str(self.log), *([stage] if stage else [])],
             stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True,
         )
         self.address = self.process.stdout.readline().strip()
@@ -220,6 +221,10 @@
             entry['models'] = [{'name': 'm', 'version': 1, 'adapters': []}]
         return entry
 
+    def ran(self):
+        """Return the ids of the requests that it has run."""
+        return self.log.read_text().split()
+
     def tell(self, text):
         self.process.stdin.write(text + '\n')
         self.process.stdin.flush()
--- a/review/lib-2/replica.py
+++ b/review/lib-2/replica.py
@@ -1,4 +1,6 @@
-"""A back end: IP:PORT INSTANCE WORK_SECONDS [STAGE].
+"""A back end: IP:PORT INSTANCE WORK_SECONDS LOG_FILE [STAGE].
+
+It writes the ids of the requests that it runs to the log file.
 
 A plain service without a stage, else an engine. Told `trailers` or `chunks` on
 standard input, it is in trouble: the body of its next answer has no end. It is
@@ -29,7 +31,7 @@
 state = {'trouble': '', 'for-good': False}
 
 
-async def serve(reader, writer, instance, work, stage):
+async def serve(reader, writer, instance, work, stage, log):
     try:
         while request := await read_message(reader):
             headers = {PREFIX + 'Request-Id': request.get('Request-Id')}
@@ -41,6 +43,7 @@
             headers[PREFIX + 'Server-Seal'] = 'seal.' + request.get('Request-Id')
             page = own_page(request, stage)
             if page is None:
+                log.write(request.get('Request-Id') + '\n')
                 await asyncio.sleep(work)
             trouble = state['trouble']
             if trouble:
@@ -90,11 +93,12 @@
 
 
 async def main():
-    listen, instance, work, *stage = sys.argv[1:]
+    listen, instance, work, log_file, *stage = sys.argv[1:]
+    log = open(log_file, 'w', buffering=1)
     ip, _, port = listen.partition(':')
     server = await asyncio.start_server(
         lambda reader, writer: serve(
-            reader, writer, instance, float(work), ''.join(stage)
+            reader, writer, instance, float(work), ''.join(stage), log
         ),
         ip, int(port),
     )
