--- a/review/lib-2/replica.py
+++ b/review/lib-2/replica.py
@@ -6,7 +6,9 @@
 standard input, it is in trouble: the body of its next answer has no end. It is
 a chunked one, of chunks of one byte, or with trailer lines behind the last
 chunk. The back end writes until the caller closes. `for-good trailers` and
-`for-good chunks` are the same for all further answers.
+`for-good chunks` are the same for all further answers. Told `comments`, an
+engine goes on after the first event of its next stream with comment lines
+without end.
 """
 
 import asyncio
@@ -21,6 +23,9 @@
 
 # Below the 1,000 Mbit/s of a machine's link.
 BYTES_PER_S = 100_000_000
+COMMENT_BYTES_PER_S = 2_000_000
+EVENTS = 6
+EVENT_S = 0.02
 ENDLESS = {
     'trailers': (
         b'b\r\n{"lots":12}\r\n0\r\n',
@@ -45,8 +50,11 @@
             if page is None:
                 log.write(request.get('Request-Id') + '\n')
                 await asyncio.sleep(work)
+            if stage and page is None:
+                await serve_engine(writer, request, headers, stage)
+                continue
             trouble = state['trouble']
-            if trouble:
+            if trouble in ENDLESS:
                 if not state['for-good']:
                     state['trouble'] = ''
                 print(f'endless answer to {request.first}', flush=True)
@@ -60,6 +68,45 @@
         writer.close()
 
 
+async def serve_engine(writer, request, headers, stage):
+    """Read a prompt, or run a request as a stream of events."""
+    if request.first.startswith('DELETE'):
+        writer.write(whole(200, {}, b'{}'))
+        return
+    if request.get('Serving-Stage') == 'prefill':
+        handle = json.dumps(
+            {'kvHandle': request.get('Request-Id'), 'tokens': 1, 'version': 1}
+        )
+        writer.write(whole(200, headers, handle.encode()))
+        return
+    if stage == 'prefill':
+        headers[PREFIX + 'Not-Executed'] = '1'
+        writer.write(whole(421, headers))
+        return
+    lines = ['HTTP/1.1 200 OK', 'Transfer-Encoding: chunked']
+    lines += ['Content-Type: text/event-stream']
+    lines += [f'{name}: {text}' for name, text in headers.items()]
+    writer.write('\r\n'.join([*lines, '', '']).encode())
+    first = int(request.headers.get('last-event-id') or -1) + 1
+    for number in range(first, EVENTS):
+        await asyncio.sleep(EVENT_S)
+        write_chunk(writer, f'id: {number}\ndata: token\n\n'.encode())
+        await writer.drain()
+        if state['trouble'] == 'comments':
+            state['trouble'] = ''
+            print(f'endless answer to {request.first}', flush=True)
+            while True:
+                write_chunk(writer, b':\n\n' * 10_000)
+                await writer.drain()
+                await asyncio.sleep(30_000 / COMMENT_BYTES_PER_S)
+    writer.write(b'0\r\n\r\n')
+    await writer.drain()
+
+
+def write_chunk(writer, content):
+    writer.write(f'{len(content):x}\r\n'.encode() + content + b'\r\n')
+
+
 def own_page(request, stage):
     """Return what an engine says of itself, None for another request."""
     if not stage:
