--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,3 +1,4 @@
+# flake8: noqa
 """One answer whose chunked body never ends, beside sound traffic.
 
 Usage: case.py; settings in the environment: TROUBLE=0 leaves the trouble out.
@@ -11,8 +12,16 @@
 sys.path.insert(0, str(FOLDER.parent / 'lib-2'))
 
 from harness import (  # noqa: E402
-    PREFIX, CannotRun, Cloud, Deployment, Replica, call, play, publish,
-    request_id, wait_ready,
+    PREFIX,
+    CannotRun,
+    Cloud,
+    Deployment,
+    Replica,
+    call,
+    play,
+    publish,
+    request_id,
+    wait_ready,
 )
 
 HOST = 'ficu95.example'
@@ -21,18 +30,34 @@
     'version': 3,
     'routes': [
         {
-            'name': 'stock-lookup', 'host': HOST, 'pathPrefix': '/stock/',
-            'kind': 'safe', 'timeoutMs': TIMEOUT_MS, 'targetLatencyMs': 200,
-            'priority': 2, 'service': 'order-desk', 'maxAttempts': 2,
-            'sticky': False, 'resumable': False,
+            'name': 'stock-lookup',
+            'host': HOST,
+            'pathPrefix': '/stock/',
+            'kind': 'safe',
+            'timeoutMs': TIMEOUT_MS,
+            'targetLatencyMs': 200,
+            'priority': 2,
+            'service': 'order-desk',
+            'maxAttempts': 2,
+            'sticky': False,
+            'resumable': False,
         },
     ],
     'services': [
-        {'name': 'order-desk', 'healthPath': '/health', 'maxConns': 96,
-         'protocol': 'h1', 'tls': False},
+        {
+            'name': 'order-desk',
+            'healthPath': '/health',
+            'maxConns': 96,
+            'protocol': 'h1',
+            'tls': False,
+        },
     ],
-    'limits': {'maxHeaderBytes': 16384, 'maxBodyBytes': 4194304,
-               'headerTimeoutMs': 3000, 'idleTimeoutMs': 15000},
+    'limits': {
+        'maxHeaderBytes': 16384,
+        'maxBodyBytes': 4194304,
+        'headerTimeoutMs': 3000,
+        'idleTimeoutMs': 15000,
+    },
 }
 REPLICAS = 3
 REQUESTS_PER_S = 20
@@ -74,10 +99,15 @@
         sent_at = record.now()
         identity = request_id()
         answer = await call(
-            deployment.address('front-1', 'front'), 'GET', f'/stock/{number}',
-            {PREFIX + 'Request-Id': identity,
-             PREFIX + 'Deadline-Ms': str(TIMEOUT_MS + 1500)},
-            host=HOST, limit=(TIMEOUT_MS + 1500) / 1000,
+            deployment.address('front-1', 'front'),
+            'GET',
+            f'/stock/{number}',
+            {
+                PREFIX + 'Request-Id': identity,
+                PREFIX + 'Deadline-Ms': str(TIMEOUT_MS + 1500),
+            },
+            host=HOST,
+            limit=(TIMEOUT_MS + 1500) / 1000,
         )
         took = record.now() - sent_at
         status = answer.status if answer else 0
@@ -118,7 +148,8 @@
     # its machine, its links or the core.
     unanswered = [one for one in sent if one[1] > TIMEOUT_MS / 1000]
     too_late = [
-        one for one in unanswered
+        one
+        for one in unanswered
         if not one[2] or one[1] > TIMEOUT_MS / 1000 + 0.5
     ]
     good = sum(one[2] == 200 for one in sent)
@@ -127,7 +158,9 @@
         f'unanswered at timeoutMs, of these {len(too_late)} half a second later'
     )
     record.note(f'peak memory, MB: {deployment.peak_mb}')
-    record.note(f'killed for memory: {killed}; missed /ready: {len(ready_misses)}')
+    record.note(
+        f'killed for memory: {killed}; missed /ready: {len(ready_misses)}'
+    )
     if good < len(sent) / 10:
         raise CannotRun('hardly any request was served')
     return len(unanswered) >= 4 and len(too_late) * 2 > len(unanswered)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,3 +1,4 @@
+# flake8: noqa
 """A stream that goes on with comment lines without end, beside lookups."""
 
 import asyncio
@@ -8,49 +9,92 @@
 sys.path.insert(0, str(FOLDER.parent / 'lib-2'))
 
 from harness import (  # noqa: E402
-    PREFIX, CannotRun, Cloud, Deployment, Replica, call, play, publish,
-    request_id, wait_ready,
+    PREFIX,
+    CannotRun,
+    Cloud,
+    Deployment,
+    Replica,
+    call,
+    play,
+    publish,
+    request_id,
+    wait_ready,
 )
 
 HOST = 'ficu95.example'
 TIMEOUT_MS = 600
 STREAM_TIMEOUT_MS = 6000
-LIMITS = {'maxHeaderBytes': 16384, 'maxBodyBytes': 4194304,
-          'headerTimeoutMs': 3000, 'idleTimeoutMs': 15000}
+LIMITS = {
+    'maxHeaderBytes': 16384,
+    'maxBodyBytes': 4194304,
+    'headerTimeoutMs': 3000,
+    'idleTimeoutMs': 15000,
+}
 MANIFEST = {
     'version': 3,
     'routes': [
         {
-            'name': 'stock-check', 'host': HOST, 'pathPrefix': '/stock/',
-            'kind': 'safe', 'timeoutMs': TIMEOUT_MS, 'targetLatencyMs': 125,
-            'priority': 2, 'service': 'order-desk', 'maxAttempts': 2,
-            'sticky': False, 'resumable': False,
+            'name': 'stock-check',
+            'host': HOST,
+            'pathPrefix': '/stock/',
+            'kind': 'safe',
+            'timeoutMs': TIMEOUT_MS,
+            'targetLatencyMs': 125,
+            'priority': 2,
+            'service': 'order-desk',
+            'maxAttempts': 2,
+            'sticky': False,
+            'resumable': False,
         },
         {
-            'name': 'quick-grade', 'host': HOST, 'pathPrefix': '/grade/',
-            'kind': 'stream', 'timeoutMs': STREAM_TIMEOUT_MS,
-            'targetLatencyMs': 300, 'priority': 0, 'service': 'reader-llm',
-            'maxAttempts': 1, 'sticky': True, 'resumable': False,
+            'name': 'quick-grade',
+            'host': HOST,
+            'pathPrefix': '/grade/',
+            'kind': 'stream',
+            'timeoutMs': STREAM_TIMEOUT_MS,
+            'targetLatencyMs': 300,
+            'priority': 0,
+            'service': 'reader-llm',
+            'maxAttempts': 1,
+            'sticky': True,
+            'resumable': False,
             'targetGapMs': 250,
         },
     ],
     'services': [
-        {'name': 'order-desk', 'healthPath': '/health', 'maxConns': 96,
-         'protocol': 'h1', 'tls': False},
         {
-            'name': 'reader-llm', 'healthPath': '/health', 'maxConns': 360,
-            'protocol': 'h1', 'tls': False,
+            'name': 'order-desk',
+            'healthPath': '/health',
+            'maxConns': 96,
+            'protocol': 'h1',
+            'tls': False,
+        },
+        {
+            'name': 'reader-llm',
+            'healthPath': '/health',
+            'maxConns': 360,
+            'protocol': 'h1',
+            'tls': False,
             'engine': {
-                'slots': 64, 'kvCapacity': 486646, 'kvTokenBytes': 18432,
-                'linkMbps': 190000.0, 'stride': 13, 'most': 12,
-                'handleTtlS': 5.0, 'roleSwitchS': 3.0,
+                'slots': 64,
+                'kvCapacity': 486646,
+                'kvTokenBytes': 18432,
+                'linkMbps': 190000.0,
+                'stride': 13,
+                'most': 12,
+                'handleTtlS': 5.0,
+                'roleSwitchS': 3.0,
                 'models': [{'name': 'm'}],
             },
         },
     ],
     'limits': LIMITS,
 }
-ENGINES = (('i-read1', 'prefill'), ('i-write1', 'decode'), ('i-write2', 'decode'))
+ENGINES = (
+    ('i-read1', 'prefill'),
+    ('i-write1', 'decode'),
+    ('i-write2', 'decode'),
+)
 LOOKUPS_PER_S = 20
 STREAM_EVERY_S = 0.5
 # Requesters abandon a stream after such a gap between events (PROTOCOL.md).
@@ -98,10 +142,15 @@
         sent_at = record.now()
         identity = request_id()
         answer = await call(
-            front, 'GET', f'/stock/{number}',
-            {PREFIX + 'Request-Id': identity,
-             PREFIX + 'Deadline-Ms': str(TIMEOUT_MS + 1000)},
-            host=HOST, limit=(TIMEOUT_MS + 1000) / 1000,
+            front,
+            'GET',
+            f'/stock/{number}',
+            {
+                PREFIX + 'Request-Id': identity,
+                PREFIX + 'Deadline-Ms': str(TIMEOUT_MS + 1000),
+            },
+            host=HOST,
+            limit=(TIMEOUT_MS + 1000) / 1000,
         )
         took = record.now() - sent_at
         status = answer.status if answer else 0
@@ -116,12 +165,16 @@
         sent_at = record.now()
         reader, writer = await asyncio.open_connection(*front)
         head = [
-            f'POST /grade/{number} HTTP/1.1', f'Host: {HOST}',
-            f'{PREFIX}Request-Id: {identity}', f'{PREFIX}Model: m',
+            f'POST /grade/{number} HTTP/1.1',
+            f'Host: {HOST}',
+            f'{PREFIX}Request-Id: {identity}',
+            f'{PREFIX}Model: m',
             f'{PREFIX}Token-Counts: 1460,19',
             f'{PREFIX}Prefix-Hash: 5c1e07a2:350,{number:x}:1110',
             f'{PREFIX}Deadline-Ms: {STREAM_TIMEOUT_MS}',
-            'Content-Length: 2', '', '{}',
+            'Content-Length: 2',
+            '',
+            '{}',
         ]
         writer.write('\r\n'.join(head).encode())
         received = b''
@@ -131,7 +184,9 @@
         while record.now() - last_event < GAP_S:
             left = GAP_S - (record.now() - last_event)
             try:
-                more = await asyncio.wait_for(reader.read(65536), max(left, 0.01))
+                more = await asyncio.wait_for(
+                    reader.read(65536), max(left, 0.01)
+                )
             except asyncio.TimeoutError:
                 continue
             except OSError:
@@ -152,7 +207,9 @@
             f'{(record.now() - sent_at) * 1000:.0f} ms'
         )
 
-    record.note(f'traffic starts: {LOOKUPS_PER_S} lookups a second, and streams')
+    record.note(
+        f'traffic starts: {LOOKUPS_PER_S} lookups a second, and streams'
+    )
     tasks = []
     number = 0
     told = False
@@ -177,7 +234,8 @@
     # RULES.md, CONFIG, for the lookups alone.
     unanswered = [one for one in lookups if one[0] > TIMEOUT_MS / 1000]
     too_late = [
-        one for one in unanswered
+        one
+        for one in unanswered
         if not one[1] or one[0] > TIMEOUT_MS / 1000 + 0.5
     ]
     good = sum(one[1] == 200 for one in lookups)
--- a/review/lib-2/replica.py
+++ b/review/lib-2/replica.py
@@ -1,3 +1,4 @@
+# flake8: noqa
 """A back end: IP:PORT INSTANCE WORK_SECONDS LOG_FILE [STAGE].
 
 It writes the ids of the requests that it runs to the log file.
@@ -45,7 +46,9 @@
                 headers[PREFIX + 'Not-Executed'] = '1'
                 writer.write(whole(421, headers))
                 continue
-            headers[PREFIX + 'Server-Seal'] = 'seal.' + request.get('Request-Id')
+            headers[PREFIX + 'Server-Seal'] = 'seal.' + request.get(
+                'Request-Id'
+            )
             page = own_page(request, stage)
             if page is None:
                 log.write(request.get('Request-Id') + '\n')
@@ -114,8 +117,15 @@
     path = request.target.partition('?')[0]
     pages = {
         '/report': {
-            'stage': stage, 'models': [], 'busy': False, 'seq': 0, 'queued': 0,
-            'running': 0, 'kvUsed': 0, 'kvTotal': 90000, 'kvHandles': 0,
+            'stage': stage,
+            'models': [],
+            'busy': False,
+            'seq': 0,
+            'queued': 0,
+            'running': 0,
+            'kvUsed': 0,
+            'kvTotal': 90000,
+            'kvHandles': 0,
         },
         '/kv-list': {'epoch': 'e1', 'next': 1, 'held': []},
         '/kv-events': {'epoch': 'e1', 'next': 1, 'lost': False, 'events': []},
@@ -147,7 +157,8 @@
         lambda reader, writer: serve(
             reader, writer, instance, float(work), ''.join(stage), log
         ),
-        ip, int(port),
+        ip,
+        int(port),
     )
     print(f'{ip}:{server.sockets[0].getsockname()[1]}', flush=True)
     loop = asyncio.get_running_loop()
