--- a/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
@@ -133,6 +133,17 @@
         """Return whether the retry limits of a service allow a resend."""
         return self.limits_for(service).allows(self.loads.entry_count)
 
+    def describe_limits(self, service: str) -> dict[str, float]:
+        """Return what the retry limits of a service hold, for a log line."""
+        limits = self.limits_for(service)
+        entry_count = self.loads.entry_count
+        return {
+            'used': limits.used(),
+            'allowed': round(limits.allowance(entry_count), 1),
+            'requests': len(limits.requests),
+            'entries': entry_count,
+        }
+
     def return_resend(self, service: str) -> None:
         """Take back a resend that reached no back end."""
         self.limits_for(service).give_back()
--- a/packages/trestle-entry/src/trestle_entry/direct/dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/dispatch.py
@@ -35,6 +35,8 @@
 from trestle_entry.direct.wire_types import CallerRequest, Headers
 
 _MS_PER_SECOND: Final = 1000
+# Logged for routes that were never confirmed.
+_MAX_LOGGED_AGE_MS: Final = 1_000_000
 
 _log = part_logger('entry')
 
@@ -132,6 +134,8 @@
     context: DirectContext, request: CallerRequest, trace: RequestTrace
 ) -> tuple[CallerRequest, RouteMatch]:
     table = _table(context, request)
+    age_ms = context.list_age_seconds() * _MS_PER_SECOND
+    trace.fields['routes_age_ms'] = round(min(age_ms, _MAX_LOGGED_AGE_MS))
     route = _find_route(table, request, trace)
     if table.customers is not None:
         customer = find_customer(context, table.customers, route, request)
@@ -160,10 +164,10 @@
 ) -> Route:
     path = request.target.partition('?')[0]
     route = table.find(request.host, path)
+    trace.fields['version'] = table.version
     if route is None:
         raise TrestleError(UNKNOWN_ROUTE, f'no route at {path}')
     trace.fields['route'] = route.name
-    trace.fields['version'] = table.version
     trace.fields['target_ms'] = route.target_ms
     trace.fields['gap_ms'] = route.gap_ms
     return route
--- a/packages/trestle-entry/src/trestle_entry/direct/request_sends.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/request_sends.py
@@ -88,6 +88,9 @@
     if run.sends >= MAX_SENDS:
         raise make_failure(run, RETRY_BUDGET, 'the limit of sends is reached')
     if not run.context.take_resend(run.service.name):
+        run.trace.fields['resend_limits'] = run.context.describe_limits(
+            run.service.name
+        )
         raise make_failure(run, RETRY_BUDGET, 'the retry limits are reached')
 
 
--- a/packages/trestle-entry/src/trestle_entry/direct/retry_limits.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/retry_limits.py
@@ -30,14 +30,21 @@
         """Count a request of a caller."""
         self.requests.append(monotonic())
 
-    def allows(self, entry_count: int) -> bool:
-        """Return whether one more resend stays within the limits."""
-        now = monotonic()
-        _drop_before(self.requests, now - self.window_seconds)
-        _drop_before(self.resends, now - self.window_seconds)
+    def allowance(self, entry_count: int) -> float:
+        """Return the resends that this entry may make in the window."""
+        _drop_before(self.requests, monotonic() - self.window_seconds)
         allowed = len(self.requests) * self.share
         allowed += self.extra / max(1, entry_count)
-        return len(self.resends) + 1 <= allowed * _USED_SHARE
+        return allowed * _USED_SHARE
+
+    def used(self) -> int:
+        """Return the resends that this entry has made in the window."""
+        _drop_before(self.resends, monotonic() - self.window_seconds)
+        return len(self.resends)
+
+    def allows(self, entry_count: int) -> bool:
+        """Return whether one more resend stays within the limits."""
+        return self.used() + 1 <= self.allowance(entry_count)
 
     def take(self, entry_count: int) -> bool:
         """Count a resend if the limits allow it; return whether they do."""
