Retry limits count what arrives at back ends

Cause: resends were counted by kind of call. A first prefill call was free whatever became of it, and so was a first decode call behind declined prefill calls; at the back end only an accepted first prefill call is. Class: one limit, counted in two places, neither of which counts what the limit is about.

Now each call of a request counts once, before it is sent, in one place (arrivals); what reached nobody or was the free prefill is taken back. A resend that a prefill behind a declined one takes is given back when it is accepted.

resend_limits.feature: before, the row of two declined reads counted 1 of 2. The step of direct_connects that makes a request broken off once set one of two counters; it now makes the arrival as well.

--- /dev/null
+++ b/features/resend_limits.feature
@@ -0,0 +1,23 @@
+Feature: The limits of resends hold as back ends count arrivals
+
+  # Guards against calls that reach a back end and that no limit counts.
+  Scenario Outline: Each arrival beyond the first of a request counts as a resend
+    Given a model request on 3 engines that read and 3 that write, with 9 resends left
+    When its reads are <reads> and its sends are <sends>
+    Then <resends> resends were taken, as many as arrivals beyond the first
+
+    Examples:
+      | reads              | sends              | resends |
+      | done               | done               | 0       |
+      | declined, done     | done               | 1       |
+      | declined, declined | done               | 2       |
+      | done               | declined, done     | 1       |
+      | done               | declined, declined, done | 2 |
+      | declined, done     | declined, done     | 2       |
+      | failed, done       | done               | 1       |
+
+  # Guards against a read that is declined when no arrival is left for its send.
+  Scenario: A declined read is not followed by an arrival over the limits
+    Given a model request on 3 engines that read and 3 that write, with 0 resends left
+    When its reads are declined, done and its sends are done
+    Then it is refused as not run after 1 arrival
--- a/features/steps/direct_connects_steps.py
+++ b/features/steps/direct_connects_steps.py
@@ -124,6 +124,7 @@
 )
 def step_broken(context: Context, resends: int) -> None:
     context.run = make_run(resends, attempts=2)
+    context.run.arrivals.begin()
     context.run.sends = 1
     context.run.runs = 1
 
--- a/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
@@ -145,7 +145,7 @@
         }
 
     def return_resend(self, service: str) -> None:
-        """Take back a resend that reached no back end."""
+        """Take back a resend that did not count after all."""
         self.limits_for(service).give_back()
         self.metrics.count('resends', 'returned')
 
--- a/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
@@ -34,7 +34,6 @@
 from trestle_entry.direct.request_sends import (
     broken_answer_error,
     check_not_blocked,
-    check_resend,
     note_broken,
     send_once,
     within_deadline,
@@ -82,7 +81,7 @@
         check_not_blocked(run)
         plan = plan_run(run, admit=admit)
         admit = False
-        handle = _prefill(run, plan)
+        handle = prefill_prompt(run, plan)
         if _must_prefill_again(run, plan, handle):
             continue
         if handle:
@@ -93,13 +92,6 @@
             return opened
 
 
-def _prefill(run: ModelRun, plan: Plan) -> KvHandle | None:
-    """Prefill the prompt if it is planned so; a second call is a resend."""
-    if plan.prefill_engine and run.prefills:
-        check_resend(run)
-    return prefill_prompt(run, plan)
-
-
 def _must_prefill_again(
     run: ModelRun, plan: Plan, handle: KvHandle | None
 ) -> bool:
--- a/packages/trestle-entry/src/trestle_entry/direct/prompt_prefill.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/prompt_prefill.py
@@ -57,11 +57,13 @@
 def prefill_prompt(run: ModelRun, plan: Plan) -> KvHandle | None:
     """Prefill the prompt; return None if the planned engine did not.
 
-    Raises `gevent.Timeout` only for the caller's deadline.
+    Raises `TrestleError` if the retry limits allow no further call, and
+    `gevent.Timeout` only for the caller's deadline.
     """
     engine = plan.prefill_engine
     if engine is None:
         return None
+    run.arrivals.begin()
     run.trace.add(
         'read',
         f'{engine.instance}: {engine.software or "no version"}, '
@@ -82,6 +84,7 @@
         _avoid_engine(run, engine, 'no answer in time')
     except NotSentError as error:
         run.prefills -= 1
+        run.arrivals.cancel()
         run.context.loads.rate_limits.give_back(engine.instance)
         run.note_not_sent(engine.instance, error)
     except BrokenAnswerError as error:
@@ -111,6 +114,7 @@
     if answer.head.status != OK:
         _note_prefill_failed(run, engine, answer.head)
         return None
+    run.arrivals.note_prefilled()
     took_ms = (monotonic() - started_at) * _MS_PER_SECOND
     loads.speeds.note_prefill(call, took_ms - plan.work.copy_ms)
     loads.note_cached(engine.instance, run.demand, kv_cache_tokens(run))
--- a/packages/trestle-entry/src/trestle_entry/direct/request_sends.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/request_sends.py
@@ -18,7 +18,6 @@
     DRAINING,
     NO_ENDPOINT,
     OVERLOADED,
-    RETRY_BUDGET,
 )
 from trestle_core.errors import TrestleError
 from trestle_core.verdict import Verdict
@@ -27,11 +26,7 @@
     NotSentError,
 )
 from trestle_entry.direct.replies import DEFAULT_RETRY_AFTER_SECONDS
-from trestle_entry.direct.request_run import (
-    MAX_SENDS,
-    RequestRun,
-    make_failure,
-)
+from trestle_entry.direct.request_run import RequestRun, make_failure
 
 _MIN_TIMEOUT_SECONDS: Final = 0.001
 # Longest time over which refused callers are spread.
@@ -83,17 +78,6 @@
     )
 
 
-def check_resend(run: RequestRun) -> None:
-    """Count a resend; raises `TrestleError` if none is allowed."""
-    if run.sends >= MAX_SENDS:
-        raise make_failure(run, RETRY_BUDGET, 'the limit of sends is reached')
-    if not run.context.take_resend(run.service.name):
-        run.trace.fields['resend_limits'] = run.context.describe_limits(
-            run.service.name
-        )
-        raise make_failure(run, RETRY_BUDGET, 'the retry limits are reached')
-
-
 def send_once(
     run: RequestRun, instance: str, send: Callable[[], Sent]
 ) -> Sent | None:
@@ -103,9 +87,7 @@
     run and must not run again, and the `Timeout` of the deadline.
     """
     check_not_blocked(run)
-    is_resend = run.sends > 0
-    if is_resend:
-        check_resend(run)
+    run.arrivals.begin()
     run.sends += 1
     run.hold_place(instance)
     # From here on the request counts as sent.
@@ -115,8 +97,7 @@
     except NotSentError as error:
         run.sends -= 1
         run.context.loads.rate_limits.give_back(instance)
-        if is_resend:
-            run.context.return_resend(run.service.name)
+        run.arrivals.cancel()
         run.note_not_sent(instance, error)
     except BrokenAnswerError as error:
         run.runs += 1
