A process that starts has no fixed part of the retry limits for a window

Cause: each process keeps its part of the fleet's limit from its own memory, and begins empty. What the one before it used in the same window is forgotten here and still counted at the back ends. Class: a limit of the fleet kept in the memory of processes that end.

Now an entry that starts has the share of its own requests at once, and its part of the fixed number when a window has passed since its start. What the process before it may have used is within that part, so together they stay below the limit without any message. The very first start of the system (the setting first_start; the platform's bootstrap) has nobody before it.

Fixtures that test other matters start long ago.

--- a/features/resend_limits.feature
+++ b/features/resend_limits.feature
@@ -21,3 +21,15 @@
     Given a model request on 3 engines that read and 3 that write, with 0 resends left
     When its reads are declined, done and its sends are done
     Then it is refused as not run after 1 arrival
+
+  # Guards against a process that starts with the whole part of the one before it.
+  Scenario: Entries that are killed and start again stay within the limits
+    Given 4 entries that share 0.2 resends a request and 52 more
+    When each gets 50 requests, tries 500 resends and is killed, 3 times within a window
+    Then together they resent at most 172 times
+
+  # Guards against a fixed part that is lost for good by a restart.
+  Scenario: An entry that has run for a window has its part of the limits
+    Given 4 entries that share 0.2 resends a request and 52 more
+    When each has run for a window and tries 500 resends
+    Then together they resent at least 24 times
--- a/features/steps/direct_rules_steps.py
+++ b/features/steps/direct_rules_steps.py
@@ -1,5 +1,6 @@
 """Steps on decisions of a direct entry and of the leader, without a network."""
 
+from math import inf
 from random import Random
 from typing import Any
 
@@ -117,7 +118,9 @@
     context: Context, entries: int, share: float, extra: int
 ) -> None:
     """Make the limits of each entry."""
-    context.entries = [RetryLimits(share, extra, 10.0) for _ in range(entries)]
+    context.entries = [
+        RetryLimits(share, extra, 10.0, started_at=-inf) for _ in range(entries)
+    ]
 
 
 @when('each gets {requests:d} requests and tries {resends:d} resends')
--- a/features/steps/resend_limits_steps.py
+++ b/features/steps/resend_limits_steps.py
@@ -9,16 +9,34 @@
 from testbed.direct_runs import DEMAND, make_context, make_match, make_request
 from trestle_core.errors import TrestleError
 from trestle_core.verdict import Verdict
-from trestle_entry.direct import model_dispatch, prompt_prefill
+from trestle_entry.direct import (
+    model_dispatch,
+    prompt_prefill,
+    retry_limits,
+)
 from trestle_entry.direct.backend_calls import CompleteAnswer, OpenAnswer
 from trestle_entry.direct.model_run import ModelRun
 from trestle_entry.direct.request_log import RequestTrace
+from trestle_entry.direct.retry_limits import RetryLimits
 from trestle_entry.direct.wire_types import AnswerHead
 
+WINDOW_SECONDS = 10.0
 DECLINED = 503
 FAILED = 500
 
 
+class Clock:
+    """A steady clock that a test moves."""
+
+    def __init__(self) -> None:
+        """Start long after the epoch."""
+        self.now = 1000.0
+
+    def __call__(self) -> float:
+        """Return the time in seconds."""
+        return self.now
+
+
 def head_of(word: str) -> AnswerHead:
     """Return the head of an answer: done, declined or failed."""
     status = {'done': 200, 'declined': DECLINED, 'failed': FAILED}[word]
@@ -110,3 +128,60 @@
     assert context.error.code.code == 'retry-budget', context.error
     assert context.error.verdict is Verdict.NOT_RUN
     assert len(context.arrivals) == arrivals, context.arrivals
+
+
+def resend_all(
+    context: Context, limits: RetryLimits, requests: int, resends: int
+) -> None:
+    """Count what the limits of one process allow."""
+    for _ in range(requests):
+        limits.note_request()
+    entries = len(context.entries)
+    context.resent += sum(limits.take(entries) for _ in range(resends))
+
+
+@when(
+    'each gets {requests:d} requests, tries {resends:d} resends and is killed, '
+    '{times:d} times within a window'
+)
+def step_killed(
+    context: Context, requests: int, resends: int, times: int
+) -> None:
+    """Let a new process follow each one that is killed."""
+    context.resent = 0
+    clock = Clock()
+    with patch.object(retry_limits, 'monotonic', clock):
+        for _ in range(times):
+            for old in context.entries:
+                limits = RetryLimits(
+                    old.share, old.extra, WINDOW_SECONDS, clock.now
+                )
+                resend_all(context, limits, requests, resends)
+            clock.now += WINDOW_SECONDS / (times + 1)
+
+
+@when('each has run for a window and tries {resends:d} resends')
+def step_has_run(context: Context, resends: int) -> None:
+    """Let a window pass since the start."""
+    context.resent = 0
+    clock = Clock()
+    with patch.object(retry_limits, 'monotonic', clock):
+        started = [
+            RetryLimits(old.share, old.extra, WINDOW_SECONDS, clock.now)
+            for old in context.entries
+        ]
+        clock.now += WINDOW_SECONDS
+        for limits in started:
+            resend_all(context, limits, 0, resends)
+
+
+@then('together they resent at most {most:d} times')
+def step_at_most(context: Context, most: int) -> None:
+    """Check the sum against the limit of the fleet."""
+    assert context.resent <= most, context.resent
+
+
+@then('together they resent at least {least:d} times')
+def step_at_least(context: Context, least: int) -> None:
+    """Check that the limit is used."""
+    assert context.resent >= least, context.resent
--- a/packages/trestle-core/src/trestle_core/settings.py
+++ b/packages/trestle-core/src/trestle_core/settings.py
@@ -146,6 +146,10 @@
     retry_window_ms: Annotated[
         Milliseconds, Meta(description='time that the retry limits span, ms')
     ] = 10_000
+    first_start: Annotated[
+        bool,
+        Meta(description='the system starts for the first time, in this run'),
+    ] = False
     drain_notice_ms: DrainNotice = 3000
     usage_window_ms: Annotated[
         int, Meta(ge=0, description='window of counted usage, ms; 0: none')
--- a/packages/trestle-entry/src/trestle_entry/direct/direct_app.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/direct_app.py
@@ -81,6 +81,8 @@
     context = DirectContext(
         settings, platform.caller_wire, platform.backend_wire, metrics
     )
+    if not settings.first_start:
+        _log.info('The fixed part of the retry limits begins in a window.')
     context.starts_until = monotonic() + _START_SECONDS
     server = CallerServer(context, listener)
     app = Application(
--- a/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from math import inf
 from random import Random
+from time import monotonic
 from typing import Final, NamedTuple
 
 from gevent.event import Event
@@ -65,6 +66,8 @@
         self.table: RouteTable | None = None
         self.has_table = Event()
         self.has_loads = Event()
+        # Nothing was sent to back ends from here before, monotonic seconds.
+        self.started_at = -inf if settings.first_start else monotonic()
         # Until then, requests wait for what an entry has to know.
         self.starts_until = -inf
         # Set, and replaced, whenever control confirms how new the table is.
@@ -125,6 +128,7 @@
                 settings.retry_share,
                 settings.retry_extra,
                 settings.retry_window_ms / _MS_PER_SECOND,
+                self.started_at,
             )
             self.retry_limits[service] = limits
         return limits
--- a/packages/trestle-entry/src/trestle_entry/direct/retry_limits.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/retry_limits.py
@@ -4,6 +4,10 @@
 number, over a sliding window. Every entry uses the share of its own requests
 and an equal part of the fixed number, so that together they stay below the
 budget however the load is distributed.
+
+The process before this one may have used its part in the window before the
+start, and the back ends remember that. So an entry that starts has the share
+of its own requests, and the fixed part only after a window.
 """
 
 from collections import deque
@@ -18,11 +22,18 @@
 class RetryLimits:
     """Requests and resends of one service in a sliding window."""
 
-    def __init__(self, share: float, extra: int, window_seconds: float) -> None:
-        """Set the limits of the whole fleet."""
+    def __init__(
+        self, share: float, extra: int, window_seconds: float, started_at: float
+    ) -> None:
+        """Set the limits of the whole fleet.
+
+        Other processes of this host may have sent until `started_at`, in
+        monotonic seconds.
+        """
         self.share = share
         self.extra = extra
         self.window_seconds = window_seconds
+        self.started_at = started_at
         self.requests: deque[float] = deque()
         self.resends: deque[float] = deque()
 
@@ -32,9 +43,11 @@
 
     def allowance(self, entry_count: int) -> float:
         """Return the resends that this entry may make in the window."""
-        _drop_before(self.requests, monotonic() - self.window_seconds)
+        oldest = monotonic() - self.window_seconds
+        _drop_before(self.requests, oldest)
         allowed = len(self.requests) * self.share
-        allowed += self.extra / max(1, entry_count)
+        if self.started_at <= oldest:
+            allowed += self.extra / max(1, entry_count)
         return allowed * _USED_SHARE
 
     def used(self) -> int:
--- a/testbed/customer_entry.py
+++ b/testbed/customer_entry.py
@@ -1,5 +1,6 @@
 """A direct entry with customers, and one back end, inside a test."""
 
+from math import inf
 from time import monotonic
 from typing import Any, Final
 
@@ -57,6 +58,8 @@
             backend_wire(),
             Metrics(),
         )
+        # Longer ago than a window of the retry limits.
+        self.context.started_at = -inf
         table = read_table(customer_document(1, *customers))
         self.context.take_table(table)
         self.context.fleet.replace_list(
--- a/testbed/cut_answers.py
+++ b/testbed/cut_answers.py
@@ -6,6 +6,7 @@
 
 import re
 from contextlib import suppress
+from math import inf
 from typing import Any, Final, NamedTuple
 
 from gevent import sleep
@@ -91,6 +92,8 @@
         self.context = DirectContext(
             settings, caller_wire(), backend_wire(), Metrics()
         )
+        # Longer ago than a window of the retry limits.
+        self.context.started_at = -inf
         self.limit_calls(_LIMIT_MS)
         self.server = CallerServer(self.context)
         self.server.start()
--- a/testbed/direct_runs.py
+++ b/testbed/direct_runs.py
@@ -1,5 +1,6 @@
 """Requests at a direct entry that has no network."""
 
+from math import inf
 from time import monotonic
 from typing import Any, Final
 
@@ -43,6 +44,8 @@
     )
     wire: Any = None
     context = DirectContext(settings, wire, wire, Metrics())
+    # Longer ago than a window of the limits.
+    context.started_at = -inf
     context.fleet.replace_list(
         [
             Backend(name, 'llm', '127.0.0.1:1', 'z', False, role, 64)
