The fixed part of the retry limits is shared by all entries of the last minute

Callers saw nothing that is traced to this; read in the code, and shown by its test only. An entry divided the fixed number by what the leader had told last. A new leader knows one follower, then two; an entry that is cut off and still sends is not counted by the others; before the first push it was one.

Now the largest number of the last minute counts, and without any there is no fixed part. The same number divides rate limits out of touch.

--- a/features/resend_limits.feature
+++ b/features/resend_limits.feature
@@ -33,3 +33,16 @@
     Given 4 entries that share 0.2 resends a request and 52 more
     When each has run for a window and tries 500 resends
     Then together they resent at least 24 times
+
+  # Guards against a fixed part that grows while a new leader meets the entries.
+  Scenario: A new leader that knows few entries does not raise their parts
+    Given an entry that shared the limits with 19 others
+    When a new leader tells it of 1, 2 and 5 entries
+    Then its part of 100 more resends stays at 5 or less
+    And a window later its part is that of 5 entries
+
+  # Guards against an entry that takes the part of all before it knows of any.
+  Scenario: An entry that was told of no others has no fixed part
+    Given 4 entries that share 0.2 resends a request and 52 more
+    When each has run for a window, knows no number of entries and tries 500 resends
+    Then together they resent at most 0 times
--- a/features/steps/resend_limits_steps.py
+++ b/features/steps/resend_limits_steps.py
@@ -10,6 +10,7 @@
 from trestle_core.errors import TrestleError
 from trestle_core.verdict import Verdict
 from trestle_entry.direct import (
+    entry_counts,
     model_dispatch,
     prompt_prefill,
     retry_limits,
@@ -136,7 +137,7 @@
     """Count what the limits of one process allow."""
     for _ in range(requests):
         limits.note_request()
-    entries = len(context.entries)
+    entries = getattr(context, 'known_entries', len(context.entries))
     context.resent += sum(limits.take(entries) for _ in range(resends))
 
 
@@ -175,6 +176,16 @@
             resend_all(context, limits, 0, resends)
 
 
+@when(
+    'each has run for a window, knows no number of entries and tries '
+    '{resends:d} resends'
+)
+def step_knows_none(context: Context, resends: int) -> None:
+    """Let a window pass without a leader."""
+    context.known_entries = entry_counts.EntryCounts(WINDOW_SECONDS).most()
+    step_has_run(context, resends)
+
+
 @then('together they resent at most {most:d} times')
 def step_at_most(context: Context, most: int) -> None:
     """Check the sum against the limit of the fleet."""
@@ -185,3 +196,42 @@
 def step_at_least(context: Context, least: int) -> None:
     """Check that the limit is used."""
     assert context.resent >= least, context.resent
+
+
+@given('an entry that shared the limits with {others:d} others')
+def step_shared(context: Context, others: int) -> None:
+    """Tell an entry how many there are."""
+    context.clock = Clock()
+    context.counts = entry_counts.EntryCounts(WINDOW_SECONDS)
+    with patch.object(entry_counts, 'monotonic', context.clock):
+        context.counts.note(others + 1)
+
+
+@when('a new leader tells it of {first:d}, {second:d} and {third:d} entries')
+def step_new_leader(
+    context: Context, first: int, second: int, third: int
+) -> None:
+    """Let a leader meet the entries one after the other."""
+    with patch.object(entry_counts, 'monotonic', context.clock):
+        for count in (first, second, third):
+            context.clock.now += 0.1
+            context.counts.note(count)
+
+
+def part_of(context: Context, extra: int) -> float:
+    """Return the part of a fixed number of resends."""
+    with patch.object(entry_counts, 'monotonic', context.clock):
+        return extra / float(context.counts.most())
+
+
+@then('its part of {extra:d} more resends stays at {most:d} or less')
+def step_part(context: Context, extra: int, most: int) -> None:
+    """Check the part beside the new leader."""
+    assert part_of(context, extra) <= most
+
+
+@then('a window later its part is that of {count:d} entries')
+def step_part_later(context: Context, count: int) -> None:
+    """Check that entries that are gone are forgotten."""
+    context.clock.now += WINDOW_SECONDS
+    assert part_of(context, count) == 1
--- a/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
@@ -13,6 +13,7 @@
 from trestle_entry.direct.cached_parts import CachedParts
 from trestle_entry.direct.customer_shares import CustomerShares
 from trestle_entry.direct.engine_speeds import EngineSpeeds, PrefillCall
+from trestle_entry.direct.entry_counts import EntryCounts
 from trestle_entry.direct.entry_reports import EntryReports
 from trestle_entry.direct.own_loads import OwnLoads
 from trestle_entry.direct.own_streams import OwnStreams
@@ -32,6 +33,8 @@
 
 # A decode engine prefills at half the speed of a prefill engine.
 DECODE_PREFILL_SLOWDOWN: Final = 2.0
+# An entry that a leader counts no more may still send for some time, cut off.
+_ENTRY_MEMORY_SECONDS: Final = 60.0
 _MS_PER_SECOND: Final = 1000
 
 
@@ -50,8 +53,12 @@
         self.streams = OwnStreams(self.own.changed)
         self.usage = UsageCounts()
         self.shares = CustomerShares()
-        # The entries that share the fleet, this one included.
-        self.entry_count = 1
+        self.entry_counts = EntryCounts(_ENTRY_MEMORY_SECONDS)
+
+    @property
+    def entry_count(self) -> int:
+        """The entries that share the fleet, this one included; 0 if unknown."""
+        return self.entry_counts.most()
 
     def wait_ms(self, engine: Backend) -> float:
         """Return the time until an engine could start on a new prompt.
@@ -193,7 +200,7 @@
 
     def apply_delta(self, delta: LoadDelta) -> None:
         """Apply what changed at engines; `shared` has the sums already."""
-        self.entry_count = max(1, delta.entries)
+        self.entry_counts.note(delta.entries)
         self.speeds.transfer_slowness.take(delta.transfer_slowness)
         self.speeds.follow(delta.speeds)
         if delta.unix_ms:
--- a/packages/trestle-entry/src/trestle_entry/direct/retry_limits.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/retry_limits.py
@@ -42,12 +42,15 @@
         self.requests.append(monotonic())
 
     def allowance(self, entry_count: int) -> float:
-        """Return the resends that this entry may make in the window."""
+        """Return the resends that this entry may make in the window.
+
+        While the number of entries is not known (0), it has no fixed part.
+        """
         oldest = monotonic() - self.window_seconds
         _drop_before(self.requests, oldest)
         allowed = len(self.requests) * self.share
-        if self.started_at <= oldest:
-            allowed += self.extra / max(1, entry_count)
+        if entry_count and self.started_at <= oldest:
+            allowed += self.extra / entry_count
         return allowed * _USED_SHARE
 
     def used(self) -> int:
--- a/testbed/customer_entry.py
+++ b/testbed/customer_entry.py
@@ -60,6 +60,7 @@
         )
         # Longer ago than a window of the retry limits.
         self.context.started_at = -inf
+        self.context.loads.entry_counts.note(1)
         table = read_table(customer_document(1, *customers))
         self.context.take_table(table)
         self.context.fleet.replace_list(
--- a/testbed/cut_answers.py
+++ b/testbed/cut_answers.py
@@ -94,6 +94,7 @@
         )
         # Longer ago than a window of the retry limits.
         self.context.started_at = -inf
+        self.context.loads.entry_counts.note(1)
         self.limit_calls(_LIMIT_MS)
         self.server = CallerServer(self.context)
         self.server.start()
--- a/testbed/direct_runs.py
+++ b/testbed/direct_runs.py
@@ -46,6 +46,7 @@
     context = DirectContext(settings, wire, wire, Metrics())
     # Longer ago than a window of the limits.
     context.started_at = -inf
+    context.loads.entry_counts.note(1)
     context.fleet.replace_list(
         [
             Backend(name, 'llm', '127.0.0.1:1', 'z', False, role, 64)
