A back end that sends without a pause does not keep others from running

Cause: a receive that finds bytes does not wait, so a greenlet that receives and parses goes on for as long as bytes are there. Class: cooperative work without a bound on one turn. Now each 32 KB of one connection are followed by a wait of 0.1 ms; a wait of no time was tried and let the others run every 50 ms only. This holds for all that is read from back ends, the calls of control hosts too.

--- a/packages/trestle-entry/src/trestle_entry/direct/backend_exchange.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/backend_exchange.py
@@ -11,6 +11,7 @@
 from http.client import HTTPException
 from typing import Final
 
+from gevent import sleep
 from gevent.socket import (
     IPPROTO_TCP,
     SO_KEEPALIVE,
@@ -37,7 +38,12 @@
 # Time between keep-alive probes of an idle connection.
 _PROBE_SECONDS: Final = 1
 _BODILESS: Final = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
-_READ_BYTES: Final = 65_536
+_READ_BYTES: Final = 16_384
+# Bytes after which other greenlets and time limits get their turn, whether or not
+# more have arrived.
+_TURN_BYTES: Final = 32_768
+# A wait of no time lets callbacks run, but not always sockets and timers.
+_TURN_SECONDS: Final = 0.0001
 _FIRST_FINAL_STATUS: Final = 200
 _FIRST_FAILED_STATUS: Final = 300
 # An answer comes once more soon after its request, if at all.
@@ -160,6 +166,8 @@
         self.instance = instance
         self.idle_since = 0.0
         self.idle_seconds = 0.0
+        # Received since other greenlets had their turn.
+        self.turn_bytes = 0
         # Whether an answer came once more.
         self.has_repeated = False
         # Requests that were answered on this connection, the latest ones.
@@ -243,11 +251,20 @@
         return received
 
     def _receive_or_end(self) -> bytes:
-        """Receive once, nothing at the end of the connection."""
+        """Receive once, nothing at the end of the connection.
+
+        A receive that finds bytes does not wait, so a back end that sends
+        without a pause would keep all other greenlets from running.
+        """
+        if self.turn_bytes >= _TURN_BYTES:
+            self.turn_bytes = 0
+            sleep(_TURN_SECONDS)
         try:
-            return self.sock.recv(_READ_BYTES)
+            received = self.sock.recv(_READ_BYTES)
         except OSError as error:
             raise BrokenAnswerError(str(error)) from error
+        self.turn_bytes += len(received)
+        return received
 
 
 def set_dead_peer_timeout(sock: socket) -> None:
