The framing of a back end's answer has a bound: trailers, extensions, tiny chunks

Cause: head and body were bounded, what frames the body was not. Now sizes and extensions of chunks and trailers may take 128 KB and twice the bytes of the body. A body of many one-byte chunks is broken off, too; a sound stream of tokens frames each event once, a fourth of its bytes.

--- a/features/direct_rules.feature
+++ b/features/direct_rules.feature
@@ -213,3 +213,6 @@
       | interim answers | 1 |
       | a body      | 20    |
       | an event    | 3     |
+      | trailers    | 1     |
+      | tiny chunks | 1     |
+      | chunk extensions | 1 |
--- a/features/steps/kept_connections_steps.py
+++ b/features/steps/kept_connections_steps.py
@@ -26,11 +26,15 @@
 }
 OWN = b'HTTP/1.1 201 Made\r\nContent-Length: 3\r\n\r\nown'
 INTERIM = b'HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n'
+CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 ENDLESS = {
     'a head': (b'HTTP/1.1 200 OK\r\n', b'X-Pad: ' + b'x' * 1000 + b'\r\n'),
     'a head line': (b'HTTP/1.1 200 OK\r\nX-Pad: ', b'x' * 1000),
     'interim answers': (b'', INTERIM),
     'a body': (b'HTTP/1.1 200 OK\r\n\r\n', b'x' * 65_536),
+    'trailers': (CHUNKED + b'0\r\n', b'X-Trailer: more\r\n'),
+    'tiny chunks': (CHUNKED, b'1\r\nx\r\n' * 100),
+    'chunk extensions': (CHUNKED + b'1', b';extension=more' * 100),
 }
 MEGABYTE = 1_000_000
 
--- a/packages/trestle-entry/src/trestle_entry/direct/backend_exchange.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/backend_exchange.py
@@ -51,6 +51,10 @@
 # Far more than back ends send; each request may take so much memory.
 _MAX_HEAD_BYTES: Final = 131_072
 _MAX_BODY_BYTES: Final = 16_777_216
+# Bytes of framing (sizes and extensions of chunks, trailers) that an answer may
+# have, and those for each byte of its body.
+_MAX_FRAMING_BYTES: Final = 131_072
+_FRAMING_PER_BODY_BYTE: Final = 2
 # A longer earlier answer is not worth passing over.
 _MAX_PASSED_BYTES: Final = 1_048_576
 _CLOSED: Final = 'the connection was closed'
@@ -83,7 +87,9 @@
         self.has_trailing_bytes = False
         # What was received until the head was complete.
         self.received = b''
-        self.has_body = False
+        # Received behind the head, and the part of it that is body.
+        self.framed_bytes = 0
+        self.body_bytes = 0
 
     @property
     def has_final_head(self) -> bool:
@@ -100,7 +106,9 @@
 
     def feed_bytes(self, received: bytes) -> None:
         """Parse received bytes; raises `BrokenAnswerError` if malformed."""
-        if not self.has_final_head:
+        if self.has_final_head:
+            self.framed_bytes += len(received)
+        else:
             self.received += received
         try:
             self.feed(received)
@@ -137,9 +145,13 @@
             raise BrokenAnswerError('the head of the answer does not end')
         if len(self._body_buffer) > _MAX_BODY_BYTES:
             raise BrokenAnswerError('the body of the answer does not end')
+        framing_bytes = self.framed_bytes - self.body_bytes
+        allowed = self.body_bytes * _FRAMING_PER_BODY_BYTE
+        if framing_bytes > _MAX_FRAMING_BYTES + allowed:
+            raise BrokenAnswerError('the framing of the answer does not end')
 
     def _on_body(self, buf: bytearray) -> None:
-        self.has_body = True
+        self.body_bytes += len(buf)
         super()._on_body(buf)
 
     def _on_headers_complete(self) -> int | bool | None:
@@ -211,7 +223,7 @@
             raise BrokenAnswerError(_CLOSED)
         # A success that ends with its connection, where nothing of it came,
         # looks the same as one whose back end stopped behind the head.
-        if answer.status < _FIRST_FAILED_STATUS and not answer.has_body:
+        if answer.status < _FIRST_FAILED_STATUS and not answer.body_bytes:
             raise BrokenAnswerError('the connection was closed behind the head')
 
     def pass_over(self, answer: BackendAnswer) -> BackendAnswer:
