Comments without end between two events break a stream off

Cause: only what waits for an event was bounded, 1 MB; what is passed on had no bound. Now 64 KB of blocks without an event end the stream, which is taken up elsewhere where the route allows it.

direct_rules.feature, two new rows: before, 100 MB and 1.06 MB were taken.

--- a/features/direct_rules.feature
+++ b/features/direct_rules.feature
@@ -216,3 +216,5 @@
       | trailers    | 1     |
       | tiny chunks | 1     |
       | chunk extensions | 1 |
+      | comments between events | 1 |
+      | comments before an event | 1 |
--- a/features/steps/kept_connections_steps.py
+++ b/features/steps/kept_connections_steps.py
@@ -36,6 +36,11 @@
     'tiny chunks': (CHUNKED, b'1\r\nx\r\n' * 100),
     'chunk extensions': (CHUNKED + b'1', b';extension=more' * 100),
 }
+ENDLESS_EVENTS = {
+    'an event': (b'', b'x' * 65_536),
+    'comments between events': (b'id: 0\ndata: a\n\n', b': more\n\n' * 2000),
+    'comments before an event': (b'', b': more\n\n' * 2000),
+}
 MEGABYTE = 1_000_000
 
 
@@ -149,8 +154,8 @@
 @when('a back end sends {what} without end')
 def step_endless(context: Context, what: str) -> None:
     """Feed bytes until they are refused, or far too many were taken."""
-    if what == 'an event':
-        context.taken = feed_event()
+    if what in ENDLESS_EVENTS:
+        context.taken = feed_events(*ENDLESS_EVENTS[what])
         return
     begin, more = ENDLESS[what]
     answer = BackendAnswer('POST')
@@ -164,13 +169,14 @@
         return
 
 
-def feed_event() -> int:
-    """Return how many bytes of an event are taken."""
+def feed_events(begin: bytes, more: bytes) -> int:
+    """Return how many bytes of a stream are taken."""
     events = EventSplitter()
+    events.feed(begin)
     taken = 0
     while not events.fault and taken < 100 * MEGABYTE:
-        taken += 65_536
-        events.feed(b'x' * 65_536)
+        taken += len(more)
+        events.feed(more)
     return taken
 
 
--- a/packages/trestle-entry/src/trestle_entry/direct/event_stream.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/event_stream.py
@@ -18,6 +18,9 @@
 from trestle_core.event_blocks import MAX_BLOCK_BYTES, BlockCutter
 
 _MS_PER_SECOND: Final = 1000
+# Comments and the like between two events; a sound back end sends a few bytes of
+# them now and then to keep its connection open.
+_MAX_SILENT_BYTES: Final = 65_536
 _NUMBER: Final = re.compile('[0-9]{1,100}')
 # An empty line, a comment, a field, or a field without a value.
 _LINE: Final = re.compile(rb'$|[a-z0-9_-]*:|(?:data|event|retry)$')
@@ -41,6 +44,8 @@
         self.last_id = ''
         # Complete events so far.
         self.count = 0
+        # Bytes of complete blocks since the last event.
+        self.silent_bytes = 0
         # Why the bytes after the last event were not passed, empty if they were.
         self.fault = ''
         # Whether the next block is the first one of its back end.
@@ -62,6 +67,8 @@
                 passed += self._release_held()
         if len(self.cutter.incomplete) + len(self.held) > MAX_BLOCK_BYTES:
             self.fault = 'an event that does not end'
+        if self.silent_bytes > _MAX_SILENT_BYTES:
+            self.fault = 'comments that do not end'
         return bytes(passed)
 
     def finish(self) -> bytes:
@@ -78,6 +85,7 @@
         """Expect the event after the last one, from another back end."""
         self.cutter = BlockCutter()
         self.held.clear()
+        self.silent_bytes = 0
         self.fault = ''
         self.is_at_start = True
         self.is_announced = False
@@ -89,6 +97,7 @@
             content = block.removeprefix(_BYTE_ORDER_MARK)
         # A mark is no part of a stream that another back end began.
         self.held += content if self.count else block
+        self.silent_bytes += len(block)
         self.fault = self._note(content.splitlines())
 
     def _release_held(self) -> bytes:
@@ -108,6 +117,7 @@
             return f'event {event_id} after {self.last_id}'
         self.last_id = event_id
         self.count += 1
+        self.silent_bytes = 0
         self.is_announced = False
         return ''
 
