A path is denied only by routes that are confirmed to be the newest

The users' run is not reproduced; this is the step at which whatever makes an entry late becomes a false answer.

Cause: a path that the routes did not know was answered 404 by routes of any age; a key already waited for a confirmation. Class: a denial that rests on knowledge whose age nobody asked for. Now both wait in the same way (newest_routes), 1 s at most, and are refused with 503 and a time to come back without a confirmation.

newest_routes.feature: before, all three scenarios failed (404 at once).

--- a/features/steps/customers_steps.py
+++ b/features/steps/customers_steps.py
@@ -19,7 +19,7 @@
 from testbed.direct_runs import make_match
 from testbed.platform_fleet import PlatformFleet, document
 from testbed.processes import poll_until
-from trestle_entry.direct import customer_check, request_log
+from trestle_entry.direct import newest_routes, request_log
 from trestle_entry.direct.request_log import RequestTrace
 from trestle_entry.direct.request_run import RequestRun
 from trestle_platform.caller_http import read_request
@@ -148,7 +148,7 @@
 def step_crowd(context: Context, count: int) -> None:
     """Call all at once."""
     # Not the time is tested, but how many wait for it.
-    patched = patch.object(customer_check, '_CONFIRM_SECONDS', LIMIT_SECONDS)
+    patched = patch.object(newest_routes, '_CONFIRM_SECONDS', LIMIT_SECONDS)
     patched.start()
     context.add_cleanup(patched.stop)
     group = Group()
--- a/packages/trestle-entry/src/trestle_entry/direct/dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/dispatch.py
@@ -17,13 +17,16 @@
 from trestle_core.verdict import Verdict
 from trestle_entry.caller_watch import CallerGoneError, cancel_when_gone
 from trestle_entry.direct.customer_check import (
-    UnconfirmedKeyError,
     find_customer,
-    wait_for_newest_routes,
     with_customer,
 )
 from trestle_entry.direct.direct_context import DirectContext, RouteMatch
 from trestle_entry.direct.model_relay import serve_model
+from trestle_entry.direct.newest_routes import (
+    UnconfirmedError,
+    check_confirmed,
+    wait_for_newest_routes,
+)
 from trestle_entry.direct.plain_dispatch import serve_plain
 from trestle_entry.direct.replies import (
     DirectReply,
@@ -125,8 +128,8 @@
     """Return the request with its customer, and where it goes."""
     try:
         return _match_now(context, request, trace)
-    except UnconfirmedKeyError:
-        wait_for_newest_routes(context, request)
+    except UnconfirmedError as error:
+        wait_for_newest_routes(context, request, error.what)
     return _match_now(context, request, trace)
 
 
@@ -136,7 +139,7 @@
     table = _table(context, request)
     age_ms = context.list_age_seconds() * _MS_PER_SECOND
     trace.fields['routes_age_ms'] = round(min(age_ms, _MAX_LOGGED_AGE_MS))
-    route = _find_route(table, request, trace)
+    route = _find_route(context, table, request, trace)
     if table.customers is not None:
         customer = find_customer(context, table.customers, route, request)
         if customer:
@@ -160,12 +163,21 @@
 
 
 def _find_route(
-    table: RouteTable, request: CallerRequest, trace: RequestTrace
+    context: DirectContext,
+    table: RouteTable,
+    request: CallerRequest,
+    trace: RequestTrace,
 ) -> Route:
+    """Return the route of a request.
+
+    Raises `TrestleError` with `unknown-route` if its path has none, and
+    `UnconfirmedError` if newer routes may have one.
+    """
     path = request.target.partition('?')[0]
     route = table.find(request.host, path)
     trace.fields['version'] = table.version
     if route is None:
+        check_confirmed(context, request, 'path')
         raise TrestleError(UNKNOWN_ROUTE, f'no route at {path}')
     trace.fields['route'] = route.name
     trace.fields['target_ms'] = route.target_ms
