A node that loses its control host asks several at once which of them is current

Cause: an entry left a host without fresh stamps after 0.9 s or more, waited 0.2 s and took the next address whatever was known of it. Two hosts behind, or two silent addresses, used up the bound of 2 s after a confirmation. Class: retries one after the other, each with the whole time-out, whose sum nobody compared with the bound. Now up to eight hosts are asked at once for a stamp, on links of their own, and the first by rank of those that are current is followed (host_search). Without a current one the node goes on as before.

host_search.feature: before, three of the four rows were not current again 2 s after their view had aged (ages of 2.0 s and growing); the row with only the followed host behind passed.

--- a/packages/trestle-control/src/trestle_control/watch_server.py
+++ b/packages/trestle-control/src/trestle_control/watch_server.py
@@ -100,7 +100,11 @@
 
     def handlers(self) -> Handlers:
         """Return the link handlers."""
-        return {Watch: self.serve, FetchSet: self.fetch_set}
+        return {
+            Watch: self.serve,
+            FetchSet: self.fetch_set,
+            StampAsk: self.tell_age,
+        }
 
     def push_deltas(
         self, log_index: int, command: Any, _reply: Message
@@ -136,6 +140,10 @@
             stream.outbox.put(None)
             self.metrics.set_gauge('watch_streams', len(self.streams))
 
+    def tell_age(self, request: StampAsk, _channel: Channel) -> Stamp:
+        """Return a stamp to a node that looks for a current host."""
+        return self._stamp(request)
+
     def fetch_set(self, request: FetchSet, _channel: Channel) -> SetDelta:
         """Return the set in force; version 0 if it is not newer."""
         published = set_delta(self.state_machine.state)
--- a/packages/trestle-links/src/trestle_links/control_client.py
+++ b/packages/trestle-links/src/trestle_links/control_client.py
@@ -1,8 +1,9 @@
 """A node's side of the state stream, shared by entry and endpoint processes.
 
 One greenlet keeps a `Watch` stream to one control host. It asks for a
-freshness stamp at a fixed pace and moves to the next host when the stamps
-stop or grow old.
+freshness stamp at a fixed pace. When the stamps stop or grow old, it moves to a
+host that is known to be current (see `host_search`), or to the next one while
+none is.
 
 A stamp (see `freshness`) counts only when the node holds the set that it
 names.
@@ -31,6 +32,7 @@
 )
 from trestle_links.fleet_messages import Order
 from trestle_links.freshness import Freshness
+from trestle_links.host_search import HostSearch
 from trestle_links.link import Identity, Link
 from trestle_links.node_view import NodeView
 from trestle_links.watch_messages import (
@@ -51,6 +53,8 @@
 # Time between two asks of a node that starts and has had no fresh stamp yet.
 _FIRST_ASK_SECONDS: Final = 0.05
 _FETCH_SECONDS: Final = 3.0
+# Hosts that are asked at once for a current state.
+_MAX_ASKED: Final = 8
 _MS_PER_SECOND: Final = 1000
 
 Reply = TypeVar('Reply')
@@ -182,8 +186,8 @@
         _run_hooks(self.on_set)
 
     def _run(self) -> None:
-        for turn in count():
-            address = self.addresses[turn % len(self.addresses)]
+        address = self.addresses[0]
+        while True:
             link = Link.to_address(address, self.me)
             try:
                 self._follow(link)
@@ -195,8 +199,11 @@
                 _log.exception('State stream of {} failed.', address)
             finally:
                 link.close()
-            if self.stopped.wait(_RETRY_SECONDS):
+            following = _addresses_after(address, self.addresses)
+            found = _find_current(self, following)
+            if found is None and self.stopped.wait(_RETRY_SECONDS):
                 return
+            address = found or following[0]
 
     def _log_loss(self, address: str, error: TrestleError) -> None:
         # While no host answers, one line is enough.
@@ -279,6 +286,21 @@
         return is_old and monotonic() - opened_at > limit_seconds
 
 
+def _addresses_after(lost: str, addresses: list[str]) -> list[str]:
+    """Return all addresses in order, from the one after a lost one."""
+    following = addresses.index(lost) + 1
+    return addresses[following:] + addresses[:following]
+
+
+def _find_current(client: ControlClient, addresses: list[str]) -> str | None:
+    """Return the first of some hosts that is current, None without one."""
+    max_age_seconds = client.watcher.stale_seconds * _MOVE_SHARE
+    search = HostSearch(client.me, max_age_seconds)
+    found = search.find(addresses[:_MAX_ASKED])
+    client.me.metrics.count('host_searches', 'found' if found else 'none')
+    return found
+
+
 def _ask_pause(client: ControlClient) -> float:
     # A node without a fresh stamp asks faster, so that it soon serves.
     stamp_seconds = client.watcher.stamp_seconds
