--- a/features/resend_limits.feature
+++ b/features/resend_limits.feature
@@ -46,3 +46,9 @@
     Given 4 entries that share 0.2 resends a request and 52 more
     When each has run for a window, knows no number of entries and tries 500 resends
     Then together they resent at most 0 times
+
+  # Guards against requests whose bodies stay in memory until a collection.
+  Scenario: A request that has ended is not kept in memory
+    Given a model request on 3 engines that read and 3 that write, with 9 resends left
+    When its reads are declined, done and its sends are declined, done
+    Then without a collection nothing of it is kept
--- a/features/steps/direct_connects_steps.py
+++ b/features/steps/direct_connects_steps.py
@@ -19,7 +19,7 @@
 from trestle_entry.direct.backend_exchange import NotSentError
 from trestle_entry.direct.fleet_view import FleetView
 from trestle_entry.direct.model_dispatch import open_stream
-from trestle_entry.direct.request_sends import send_once
+from trestle_entry.direct.request_sends import begin_arrival, send_once
 from trestle_entry.direct.wire_types import AnswerHead
 from trestle_links.direct_messages import PREFILL, Backend
 from trestle_links.load_messages import FailureNotice
@@ -124,7 +124,7 @@
 )
 def step_broken(context: Context, resends: int) -> None:
     context.run = make_run(resends, attempts=2)
-    context.run.arrivals.begin()
+    begin_arrival(context.run)
     context.run.sends = 1
     context.run.runs = 1
 
--- a/features/steps/resend_limits_steps.py
+++ b/features/steps/resend_limits_steps.py
@@ -1,7 +1,9 @@
 """Steps on the limits of resends: what counts, restarts, and who shares them."""
 
+import gc
 from typing import Any
 from unittest.mock import Mock, patch
+from weakref import ref
 
 from behave import given, then, when
 from behave.runner import Context
@@ -235,3 +237,16 @@
     """Check that entries that are gone are forgotten."""
     context.clock.now += WINDOW_SECONDS
     assert part_of(context, count) == 1
+
+
+@then('without a collection nothing of it is kept')
+def step_freed(context: Context) -> None:
+    """Let go of the request, and look whether it refers to itself."""
+    kept = ref(context.run)
+    gc.collect()
+    gc.disable()
+    try:
+        del context.run
+        assert kept() is None, gc.get_referrers(kept())
+    finally:
+        gc.enable()
--- a/packages/trestle-entry/src/trestle_entry/direct/arrivals.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/arrivals.py
@@ -11,31 +11,31 @@
 
 
 class Arrivals:
-    """Counts arrivals; `take` and `give_back` draw on the retry limits."""
-
-    def __init__(
-        self, take: Callable[[], None], give_back: Callable[[], None]
-    ) -> None:
-        """Start without an arrival; `take` raises if none is allowed."""
-        self.take = take
-        self.give_back = give_back
+    """Counts arrivals.
+
+    The callers pass what draws on the retry limits, as a request that refers
+    to itself would keep its body in memory after its end.
+    """
+
+    def __init__(self) -> None:
+        """Start without an arrival."""
         self.counted = 0
         self.has_prefilled = False
 
-    def begin(self) -> None:
+    def begin(self, take: Callable[[], None]) -> None:
         """Count a call that is about to be sent; raises what `take` raises."""
         if self.counted:
-            self.take()
+            take()
         self.counted += 1
 
-    def cancel(self) -> None:
+    def cancel(self, give_back: Callable[[], None]) -> None:
         """Take back a call that reached no back end."""
         self.counted -= 1
         if self.counted:
-            self.give_back()
+            give_back()
 
-    def note_prefilled(self) -> None:
+    def note_prefilled(self, give_back: Callable[[], None]) -> None:
         """Take back the first prefill call that an engine has accepted."""
         if not self.has_prefilled:
             self.has_prefilled = True
-            self.cancel()
+            self.cancel(give_back)
--- a/packages/trestle-entry/src/trestle_entry/direct/prompt_prefill.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/prompt_prefill.py
@@ -25,6 +25,11 @@
 from trestle_entry.direct.direct_context import DirectContext
 from trestle_entry.direct.model_run import ModelRun
 from trestle_entry.direct.placement import Plan
+from trestle_entry.direct.request_sends import (
+    begin_arrival,
+    cancel_arrival,
+    note_prefilled,
+)
 from trestle_entry.direct.wire_types import (
     MISDIRECTED,
     OK,
@@ -63,7 +68,7 @@
     engine = plan.prefill_engine
     if engine is None:
         return None
-    run.arrivals.begin()
+    begin_arrival(run)
     run.trace.add(
         'read',
         f'{engine.instance}: {engine.software or "no version"}, '
@@ -84,7 +89,7 @@
         _avoid_engine(run, engine, 'no answer in time')
     except NotSentError as error:
         run.prefills -= 1
-        run.arrivals.cancel()
+        cancel_arrival(run)
         run.context.loads.rate_limits.give_back(engine.instance)
         run.note_not_sent(engine.instance, error)
     except BrokenAnswerError as error:
@@ -114,7 +119,7 @@
     if answer.head.status != OK:
         _note_prefill_failed(run, engine, answer.head)
         return None
-    run.arrivals.note_prefilled()
+    note_prefilled(run)
     took_ms = (monotonic() - started_at) * _MS_PER_SECOND
     loads.speeds.note_prefill(call, took_ms - plan.work.copy_ms)
     loads.note_cached(engine.instance, run.demand, kv_cache_tokens(run))
--- a/packages/trestle-entry/src/trestle_entry/direct/request_run.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/request_run.py
@@ -11,7 +11,6 @@
 from trestle_core.errorcodes import (
     ANSWER_INCOMPLETE,
     NO_ENDPOINT,
-    RETRY_BUDGET,
     ErrorCode,
 )
 from trestle_core.errors import TrestleError
@@ -54,7 +53,7 @@
         self.service = route_match.service
         self.trace = trace
         self.sends = 0
-        self.arrivals = Arrivals(self.take_resend, self.return_resend)
+        self.arrivals = Arrivals()
         self.failed_connects = 0
         self.runs = 0
         self.avoided: set[str] = set()
@@ -135,25 +134,6 @@
             self.context.metrics.count('plans_beside_refusing')
         return fleet.usable(self.service.name, excluded, software)
 
-    def take_resend(self) -> None:
-        """Count a resend; raises `TrestleError` if none is allowed."""
-        if self.sends >= MAX_SENDS:
-            raise make_failure(
-                self, RETRY_BUDGET, 'the limit of sends is reached'
-            )
-        context = self.context
-        service = self.service.name
-        if not context.take_resend(service):
-            limits = context.describe_limits(service)
-            self.trace.fields['resend_limits'] = limits
-            raise make_failure(
-                self, RETRY_BUDGET, 'the retry limits are reached'
-            )
-
-    def return_resend(self) -> None:
-        """Take back a resend that did not count after all."""
-        self.context.return_resend(self.service.name)
-
     def hold_place(self, instance: str) -> None:
         """Count the request at a back end with a rate limit in advance.
 
--- a/packages/trestle-entry/src/trestle_entry/direct/request_sends.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/request_sends.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from functools import partial
 from time import monotonic
 from typing import Final, TypeVar
 
@@ -18,6 +19,7 @@
     DRAINING,
     NO_ENDPOINT,
     OVERLOADED,
+    RETRY_BUDGET,
 )
 from trestle_core.errors import TrestleError
 from trestle_core.verdict import Verdict
@@ -26,7 +28,11 @@
     NotSentError,
 )
 from trestle_entry.direct.replies import DEFAULT_RETRY_AFTER_SECONDS
-from trestle_entry.direct.request_run import RequestRun, make_failure
+from trestle_entry.direct.request_run import (
+    MAX_SENDS,
+    RequestRun,
+    make_failure,
+)
 
 _MIN_TIMEOUT_SECONDS: Final = 0.001
 # Longest time over which refused callers are spread.
@@ -78,6 +84,38 @@
     )
 
 
+def begin_arrival(run: RequestRun) -> None:
+    """Count a call to a back end before it is sent.
+
+    Raises `TrestleError` if the retry limits do not allow it.
+    """
+    run.arrivals.begin(partial(_take_resend, run))
+
+
+def cancel_arrival(run: RequestRun) -> None:
+    """Take back a call that reached no back end."""
+    run.arrivals.cancel(partial(_return_resend, run))
+
+
+def note_prefilled(run: RequestRun) -> None:
+    """Take back the first prefill call that an engine has accepted."""
+    run.arrivals.note_prefilled(partial(_return_resend, run))
+
+
+def _take_resend(run: RequestRun) -> None:
+    if run.sends >= MAX_SENDS:
+        raise make_failure(run, RETRY_BUDGET, 'the limit of sends is reached')
+    context = run.context
+    service = run.service.name
+    if not context.take_resend(service):
+        run.trace.fields['resend_limits'] = context.describe_limits(service)
+        raise make_failure(run, RETRY_BUDGET, 'the retry limits are reached')
+
+
+def _return_resend(run: RequestRun) -> None:
+    run.context.return_resend(run.service.name)
+
+
 def send_once(
     run: RequestRun, instance: str, send: Callable[[], Sent]
 ) -> Sent | None:
@@ -87,7 +125,7 @@
     run and must not run again, and the `Timeout` of the deadline.
     """
     check_not_blocked(run)
-    run.arrivals.begin()
+    begin_arrival(run)
     run.sends += 1
     run.hold_place(instance)
     # From here on the request counts as sent.
@@ -97,7 +135,7 @@
     except NotSentError as error:
         run.sends -= 1
         run.context.loads.rate_limits.give_back(instance)
-        run.arrivals.cancel()
+        cancel_arrival(run)
         run.note_not_sent(instance, error)
     except BrokenAnswerError as error:
         run.runs += 1
