Bodies of callers' requests take a bounded part of an entry's memory

Cause: each body was held whole, and twice while its answer was awaited, and nothing counted these bytes. Class: a limit for each request and none for all. A body is not copied behind its head any more.

--- a/packages/trestle-core/src/trestle_core/settings.py
+++ b/packages/trestle-core/src/trestle_core/settings.py
@@ -146,6 +146,10 @@
     retry_window_ms: Annotated[
         Milliseconds, Meta(description='time that the retry limits span, ms')
     ] = 10_000
+    body_memory_bytes: Annotated[
+        int,
+        Meta(ge=0, description='memory for bodies of requests; 0: no limit'),
+    ] = 0
     first_start: Annotated[
         bool,
         Meta(description='the system starts for the first time, in this run'),
--- a/packages/trestle-entry/src/trestle_entry/direct/backend_calls.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/backend_calls.py
@@ -14,7 +14,7 @@
     BackendConnection,
     BrokenAnswerError,
     WithheldError,
-    encode_request,
+    encode_head,
 )
 from trestle_entry.direct.direct_context import DirectContext
 from trestle_entry.direct.replies import DirectReply
@@ -28,6 +28,8 @@
 from trestle_links.direct_messages import Backend
 
 _MS_PER_SECOND: Final = 1000
+# A request up to this size goes out in one write.
+_MAX_JOINED_BYTES: Final = 65_536
 
 _log = part_logger('fleet')
 
@@ -124,17 +126,17 @@
     connection: BackendConnection,
 ) -> OpenAnswer:
     wire = context.backend_wire
-    request_bytes = encode_request(
+    head_bytes = encode_head(
         request.method,
         request.target,
         request.host,
         wire.send_headers(request, options),
-        request.body,
+        len(request.body),
     )
     # Connecting takes time, in which the news may have come.
     _check_wanted(context, backend)
     sent_at = monotonic()
-    connection.send(request_bytes)
+    _send(connection, head_bytes, request.body)
     answer, head = _read_own_head(context, request, connection, backend)
     connection.answered_ids.append(request.request_id)
     context.loads.rate_limits.note_named(
@@ -144,6 +146,17 @@
     return OpenAnswer(connection, answer, head, backend)
 
 
+def _send(
+    connection: BackendConnection, head_bytes: bytes, body: bytes
+) -> None:
+    """Send a request; a large body is not copied to stand behind its head."""
+    if len(body) <= _MAX_JOINED_BYTES:
+        connection.send(head_bytes + body)
+        return
+    connection.send(head_bytes)
+    connection.send(body)
+
+
 def _read_own_head(
     context: DirectContext,
     request: CallerRequest,
--- a/packages/trestle-entry/src/trestle_entry/direct/backend_exchange.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/backend_exchange.py
@@ -291,7 +291,14 @@
 def encode_request(
     method: str, target: str, host: str, headers: Headers, body: bytes
 ) -> bytes:
-    """Return the bytes of a request, with `Content-Length` for a body.
+    """Return the bytes of a whole request, as `encode_head` describes it."""
+    return encode_head(method, target, host, headers, len(body)) + body
+
+
+def encode_head(
+    method: str, target: str, host: str, headers: Headers, body_bytes: int
+) -> bytes:
+    """Return the bytes of a head, with `Content-Length` for a body.
 
     Raises `NotSentError` for a head that a back end could read otherwise than
     it is meant, such as one with a line end in a header. Callers' heads have
@@ -301,7 +308,7 @@
         raise NotSentError('the head of the request cannot be encoded')
     lines = [f'{method} {target} HTTP/1.1', f'Host: {host}']
     lines.extend(f'{name}: {text}' for name, text in headers)
-    if body or method not in _BODILESS:
-        lines.append(f'Content-Length: {len(body)}')
+    if body_bytes or method not in _BODILESS:
+        lines.append(f'Content-Length: {body_bytes}')
     head = '\r\n'.join(lines)
-    return f'{head}\r\n\r\n'.encode('latin-1') + body
+    return f'{head}\r\n\r\n'.encode('latin-1')
--- a/packages/trestle-entry/src/trestle_entry/direct/caller_server.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/caller_server.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 from typing import Any, Final
 
-from gevent import Timeout, get_hub, getcurrent
+from gevent import Timeout, get_hub, getcurrent, sleep
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIServer
 from gevent.socket import socket
@@ -25,6 +25,7 @@
 from trestle_core.route_table import DEFAULT_LIMITS, CallerLimits
 from trestle_entry.caller_watch import CallerGoneError, has_arrived
 from trestle_entry.direct.arrival_limit import ArrivalLimit
+from trestle_entry.direct.body_memory import BodyMemory, BodyRoom
 from trestle_entry.direct.direct_context import DirectContext
 from trestle_entry.direct.dispatch import IncomingRequest, serve
 from trestle_entry.direct.planned_stop import draining
@@ -37,7 +38,11 @@
 _MS_PER_SECOND: Final = 1000
 _TARGET_KEY: Final = 'kingcuptrestle.target'
 _HEADERS_KEY: Final = 'kingcuptrestle.headers'
+_ROOM_KEY: Final = 'kingcuptrestle.room'
 _BODY_SECONDS: Final = 10.0
+# A body in chunks is read in such pieces, with a turn for others after each.
+_PIECE_BYTES: Final = 8192
+_TURN_SECONDS: Final = 0.0001
 # Wait at a planned stop for a request that is already in transit.
 _DRAIN_PEEK_SECONDS: Final = 0.02
 _REQUEST_TIMEOUT_ANSWER: Final = (
@@ -56,6 +61,8 @@
 
     server: Any
     head_limit: ArrivalLimit
+    # Of the request that is handled.
+    room: BodyRoom
     # The greenlet of the handler, set when it waits for a request.
     waiting_greenlet: Any
 
@@ -96,10 +103,19 @@
         environ = super().get_environ()
         environ[_TARGET_KEY] = self.path
         environ[_HEADERS_KEY] = list(self.headers.items())
+        self.room = BodyRoom(self.server.body_memory)
+        environ[_ROOM_KEY] = self.room
         if self.server.is_closing:
             self.close_connection = True
         return environ
 
+    def handle_one_response(self) -> None:
+        """Answer; the body of the request is not needed any more."""
+        try:
+            super().handle_one_response()
+        finally:
+            self.room.release()
+
     def unread_ms(self) -> int:
         """Return the idle time of the current table."""
         return int(self.server.limits().idle_ms)
@@ -164,6 +180,7 @@
         )
         self.context = context
         self.metrics = context.metrics
+        self.body_memory = BodyMemory(context.settings.body_memory_bytes)
         # Whether each answer closes its connection.
         self.is_closing = False
         # Whether idle connections are closed instead of waiting.
@@ -222,22 +239,16 @@
         limit = self.limits().body_bytes
         length = int(environ.get('CONTENT_LENGTH') or 0)
         if length > limit:
-            raise TrestleError(
-                BODY_TOO_LARGE, f'the body limit is {limit} bytes'
-            )
+            raise _too_large(limit)
         try:
             with planned_stop.bounded(_BODY_SECONDS):
-                body: bytes = environ['wsgi.input'].read(limit + 1)
+                body = _read_pieces(environ, length, limit)
         except (OSError, ValueError, Timeout) as error:
             if planned_stop.is_over:
                 raise draining('this entry stops before the body') from error
             raise TrestleError(
                 BAD_REQUEST, 'the request body is incomplete'
             ) from error
-        if len(body) > limit:
-            raise TrestleError(
-                BODY_TOO_LARGE, f'the body limit is {limit} bytes'
-            )
         if length and len(body) != length:
             raise TrestleError(BAD_REQUEST, 'the request body is incomplete')
         return body
@@ -252,6 +263,31 @@
             )
 
 
+def _read_pieces(environ: dict[str, Any], length: int, limit: int) -> bytes:
+    """Read a body, with room taken before; `length` is 0 if it is not told.
+
+    Raises `TrestleError` if there is no room or the body is above the limit.
+    """
+    room = environ[_ROOM_KEY]
+    reader = environ['wsgi.input']
+    room.grow_to(length)
+    if length:
+        whole: bytes = reader.read(length)
+        return whole
+    body = bytearray()
+    while piece := reader.read(_PIECE_BYTES):
+        body += piece
+        if len(body) > limit:
+            raise _too_large(limit)
+        room.grow_to(len(body))
+        sleep(_TURN_SECONDS)
+    return bytes(body)
+
+
+def _too_large(limit: int) -> TrestleError:
+    return TrestleError(BODY_TOO_LARGE, f'the body limit is {limit} bytes')
+
+
 def _end_idle(handler: CallerHandler) -> None:
     """Stop a handler's wait unless a request has arrived meanwhile."""
     is_idle = handler in handler.server.idle
