Two of three seeds that lose their disks at the first start are borne

Cause: only the seeds were asked, and the one that is left can't tell whether the two others had formed a group. Now, where all wanted voters are all the hosts that are known and all reply, a majority of folders that were never lost and hold no entry proves that nothing was acknowledged, and the first such seed forms the group, 1,000 terms above what an earlier leader can have used in its orders.

--- a/features/steps/first_start_steps.py
+++ b/features/steps/first_start_steps.py
@@ -24,9 +24,16 @@
 OTHER = Announce(MemberIdentity('other', 'o'), '127.0.0.1:9')
 
 
-def open_seed(folder: Path, number: int, *, bootstrap: bool) -> ReplicaState:
+def address_of(number: int) -> str:
+    """Return the address of a host; the first three are the seeds."""
+    return f'127.0.0.1:{number}'
+
+
+def open_seed(
+    folder: Path, number: int, *, bootstrap: bool, wanted: int = 0
+) -> ReplicaState:
     """Open the state of one seed; its log is not started."""
-    address = SEEDS[number - 1]
+    address = address_of(number)
     config = ControlSettings(
         host=f'core-{number}',
         zone='z',
@@ -36,6 +43,7 @@
         data_folder=str(folder),
         seeds=list(SEEDS),
         bootstrap=bootstrap,
+        wanted_voters=wanted,
     )
     me = Identity(config.host, b'key', Metrics.empty())
     return recover_state(config, Dictionary(), me)
@@ -56,21 +64,40 @@
 )
 def step_seeds(context: Context, first: str, second: str, third: str) -> None:
     """Keep what each of them is."""
-    context.kinds = (first, second, third)
+    context.kinds = [first, second, third]
+    context.wanted = 0
+
+
+@given('{wanted:d} voters are wanted, and the other hosts are {others}')
+def step_others(context: Context, wanted: int, others: str) -> None:
+    """Add hosts that are no seeds."""
+    context.kinds += others.split(', ')
+    context.wanted = wanted
 
 
 @when('seed {number:d} hears them in {rounds:d} rounds')
 def step_hears(context: Context, number: int, rounds: int) -> None:
     """Let one of them hear the others."""
     is_original = context.kinds[number - 1] == 'original'
-    state = open_seed(Path(context.folder), number, bootstrap=is_original)
+    state = open_seed(
+        Path(context.folder),
+        number,
+        bootstrap=is_original,
+        wanted=context.wanted,
+    )
+    context.state = state
+    for index in range(len(SEEDS) + 1, len(context.kinds) + 1):
+        joining = MemberIdentity(f'core-{index}', f'i{index}')
+        announce_handler(
+            state, Announce(joining, address_of(index)), NO_CHANNEL
+        )
     state.log.start()
     context.add_cleanup(state.log.stop)
     context.formed = 0
     before: list[MemberIdentity] = []
     for round_number in range(rounds):
         replies = {
-            SEEDS[index - 1]: reply_of(kind, index, round_number)
+            address_of(index): reply_of(kind, index, round_number)
             for index, kind in enumerate(context.kinds, start=1)
             if kind != 'silent'
         }
@@ -85,6 +112,12 @@
     assert context.formed == times, context.formed
 
 
+@then('a group that it has formed begins above all terms of a lost one')
+def step_term(context: Context) -> None:
+    """Check the term in which the first election will be."""
+    assert not context.formed or context.state.term >= 1000, context.state.term
+
+
 @given('a data folder that was made at the first start')
 def step_folder(context: Context) -> None:
     """Make it, and end its process."""
--- a/packages/trestle-control/src/trestle_control/replica_bootstrap.py
+++ b/packages/trestle-control/src/trestle_control/replica_bootstrap.py
@@ -14,7 +14,16 @@
 earlier process may have begun has the same seeds as its voters, so without an
 entry on a majority of them it has committed nothing. Its folder that was lost
 holds its only entry and can't come back, so it never will. One lost folder is
-borne; after the loss of a majority nobody can tell whether there was a group.
+borne.
+
+After the loss of a majority of the seeds, these can't tell whether there was a
+group. All wanted voters together can: nothing is acknowledged before the group
+has so many, and then a majority of them holds entries. So if they are all the
+hosts there are, all reply, and a majority has folders that were never lost and
+hold no entry, nothing was acknowledged. What an earlier leader may have done
+without an acknowledgement, such as orders, bears terms far below those of the
+new group.
+
 Any other process with the shared key joins the group later.
 """
 
@@ -43,6 +52,8 @@
 from trestle_links.link import Link, LinkPool
 
 _DETACHED_ELECTION_TIMEOUTS: Final = 4
+# Far more terms than a group can have had before it had its wanted voters.
+_TERMS_OF_LOST_GROUP: Final = 1000
 
 _log = part_logger('replica')
 
@@ -70,9 +81,7 @@
     before: list[MemberIdentity] = []
     while state.running:
         if _is_detached(state):
-            addresses = state.seeds | {
-                member.address for member in state.members.members
-            }
+            addresses = state.seeds | _joined_addresses(state)
             links = {
                 address: pool.link_to(address)
                 for address in addresses
@@ -86,6 +95,13 @@
     pool.close()
 
 
+def _joined_addresses(state: ReplicaState) -> set[str]:
+    """Return the addresses of the members, and of hosts that want to join."""
+    members = {member.address for member in state.members.members}
+    joining = {host.address for host in state.joining_members.values()}
+    return members | (joining - {''})
+
+
 def local_address(state: ReplicaState) -> str:
     """Return the peer address that this process announces."""
     return state.settings.advertise or state.settings.listen
@@ -155,24 +171,45 @@
     seeds = sorted(state.settings.seeds)
     if any(reply.group for reply in replies_by_address.values()):
         return []
-    replies = [
-        replies_by_address[seed] for seed in seeds if seed in replies_by_address
-    ]
-    if len(replies) < len(seeds):
+    if not all(seed in replies_by_address for seed in seeds):
         return []
-    identities = [reply.identity for reply in replies]
+    replies = [replies_by_address[seed] for seed in seeds]
+    identities = [
+        replies_by_address[address].identity
+        for address in sorted(replies_by_address)
+    ]
     originals = [
         seed for seed, reply in zip(seeds, replies, strict=True) if reply.forms
     ]
-    if len(originals) < len(seeds) // 2 + 1:
+    if not originals or originals[0] != local_address(state):
         return identities
     # What a lost process has sent may still be on its way to the others.
     is_settled = len(originals) == len(seeds) or identities == before
-    if originals[0] == local_address(state) and is_settled:
-        _form_group(state, seeds, identities)
+    if not is_settled:
+        return identities
+    seed_identities = [reply.identity for reply in replies]
+    if len(originals) > len(seeds) // 2:
+        _form_group(state, seeds, seed_identities)
+    elif _has_none_acknowledged(state, replies_by_address):
+        state.adopt_term(state.term + _TERMS_OF_LOST_GROUP)
+        _form_group(state, seeds, seed_identities)
     return identities
 
 
+def _has_none_acknowledged(
+    state: ReplicaState, replies_by_address: dict[str, AnnounceReply]
+) -> bool:
+    """Return whether the replies prove that no group acknowledged anything."""
+    wanted = state.settings.wanted_voters
+    known = state.seeds | _joined_addresses(state) | {local_address(state)}
+    replies = replies_by_address.values()
+    hosts = {reply.identity.host for reply in replies}
+    if not wanted or len(known) != wanted or len(hosts) != wanted:
+        return False
+    originals = [reply for reply in replies if reply.forms]
+    return len(originals) > wanted // 2
+
+
 def _form_group(
     state: ReplicaState, seeds: list[str], identities: list[MemberIdentity]
 ) -> None:
