Entries tell each other which back ends decline calls

Calls that are accepted are told only of engines that have declined some. Messages carry the counts as a last field with a default.

--- a/features/resend_limits.feature
+++ b/features/resend_limits.feature
@@ -52,3 +52,21 @@
     Given a model request on 3 engines that read and 3 that write, with 9 resends left
     When its reads are declined, done and its sends are declined, done
     Then without a collection nothing of it is kept
+
+  # Guards against each entry finding out by declined calls of its own, all of which count.
+  Scenario: An engine that declines calls of some entries is left alone by all
+    Given 8 entries that use the same 3 engines that read
+    When one engine declines a read of 3 of the entries
+    Then half a second later none of the entries would ask it to read
+    And 5 seconds later all of them would ask it again
+
+  Scenario: An engine that declines now and then is used
+    Given 8 entries that use the same 3 engines that read
+    When one engine declines a read of 3 of the entries
+    And it accepts a read of 3 of the entries
+    Then half a second later all of the entries would ask it to read
+
+  Scenario: Engines that all decline are used
+    Given 8 entries that use the same 3 engines that read
+    When every engine declines a read of 5 of the entries
+    Then half a second later all of the entries would ask it to read
--- a/packages/trestle-control/src/trestle_control/load_table.py
+++ b/packages/trestle-control/src/trestle_control/load_table.py
@@ -19,6 +19,11 @@
 from trestle_control.backend_notices import BackendNotices
 from trestle_control.control_errors import NotLeaderError
 from trestle_control.limit_table import LimitTable
+from trestle_control.load_checks import (
+    check_calls,
+    check_loads,
+    checked_streams,
+)
 from trestle_control.load_totals import LoadTotals
 from trestle_control.placement_log import PlacementLog
 from trestle_control.replica_api import ReplicaApi
@@ -35,7 +40,6 @@
 from trestle_links.linear_fit import CallSums, LinearFit, prefill_fit
 from trestle_links.link_server import Handlers
 from trestle_links.load_messages import (
-    BackendLoad,
     FailureNotice,
     FitSums,
     FittedSpeed,
@@ -43,9 +47,9 @@
     LoadChange,
     LoadDelta,
     LoadPush,
+    ToldCalls,
 )
 from trestle_links.stream_messages import (
-    BegunStreams,
     FindStream,
     FoundStream,
 )
@@ -64,8 +68,6 @@
 # new role a second later.
 _ROLE_CHANGE_SECONDS: Final = 4.5
 _MAX_FAILURES: Final = 200
-# Longest time for which an entry may say that a stream can be taken up.
-_MAX_STREAM_SECONDS: Final = 3600
 # Change of a fitted line that is worth telling.
 _SPEED_CHANGE: Final = 0.03
 
@@ -108,6 +110,7 @@
         self.limits = LimitTable()
         self.streams = StreamOrigins()
         self.new_failures: list[FailureNotice] = []
+        self.new_calls: list[ToldCalls] = []
         self.fits: dict[str, LinearFit] = {}
         self.told_speeds: dict[str, FittedSpeed] = {}
         # Time of the last role order by engine.
@@ -139,7 +142,7 @@
         """
         if not self.replica.is_leader:
             raise NotLeaderError(self.replica.leader_address)
-        _check_loads(opening.loads)
+        check_loads(opening.loads)
         self._drop(opening.host)
         follower = Follower(opening, channel)
         self.followers[opening.host] = follower
@@ -183,7 +186,7 @@
 
     def record(self, follower: Follower, change: LoadChange) -> None:
         """Add a change of an entry; raises `TrestleError` if impossible."""
-        _check_loads(change.loads)
+        check_loads(change.loads)
         host = follower.host
         follower.applied = change.number
         self.totals.apply(host, change.loads)
@@ -193,10 +196,10 @@
             self.changed_slowness.add(instance)
         self._record_crashes(change)
         self.limits.record(change.limits, change.sends)
-        self.new_failures.extend(change.failures)
+        self._record_failures(host, change)
         self.notices.note_leaving(change.leaving, f'{host} tells')
         for begun in change.streams:
-            self.streams.note_begun(_checked(begun), monotonic())
+            self.streams.note_begun(checked_streams(begun), monotonic())
         self.usage.note(follower.process, change.usage)
         if change.unix_ms:
             self.clock.note(host, change.unix_ms)
@@ -207,6 +210,12 @@
         """Return the running requests by back end, over all entries."""
         return self.totals.running()
 
+    def _record_failures(self, host: str, change: LoadChange) -> None:
+        self.new_failures.extend(change.failures)
+        if change.calls:
+            check_calls(change.calls)
+            self.new_calls.append(ToldCalls(host, change.calls))
+
     def _record_crashes(self, change: LoadChange) -> None:
         now = monotonic()
         self.new_crashes.extend(self.crashes.record(change.crashes, now))
@@ -248,6 +257,8 @@
         self.new_served = []
         failures = self.new_failures[:_MAX_FAILURES]
         self.new_failures = []
+        calls = self.new_calls[:_MAX_FAILURES]
+        self.new_calls = []
         changed_slowness = {
             instance: round(self.transfer_slowness.slowness_of(instance), 2)
             for instance in self.changed_slowness
@@ -270,6 +281,7 @@
             unix_ms=self.clock.unix_ms(),
             usage_recorded=self.usage.recorded,
             shares=self.usage.take_shares(monotonic()),
+            calls=calls,
         )
 
     def _complete_delta(self) -> LoadDelta:
@@ -313,17 +325,6 @@
         return list(self.changing_since)
 
 
-def _checked(begun: BegunStreams) -> BegunStreams:
-    if not 0 <= begun.seconds <= _MAX_STREAM_SECONDS:
-        raise TrestleError(BAD_FRAME, 'a stream ends at no possible time')
-    return begun
-
-
-def _check_loads(loads: list[BackendLoad]) -> None:
-    if not all(load.is_valid for load in loads):
-        raise TrestleError(BAD_FRAME, 'a load is not a possible figure')
-
-
 def _differs(told: FittedSpeed, fit: LinearFit) -> bool:
     """Return whether a line has moved since it was told."""
     base, slope = fit.line
--- a/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/direct_context.py
@@ -27,7 +27,11 @@
 )
 from trestle_links.connection import LinkDownError
 from trestle_links.direct_messages import Backend, Boot
-from trestle_links.load_messages import FailureNotice, LeaveNotice
+from trestle_links.load_messages import (
+    FailureNotice,
+    LeaveNotice,
+    ToldCalls,
+)
 from trestle_links.stream_messages import StreamOrigin
 
 # More than twice the age that the list has at most at an entry in step: 0.3 s
@@ -78,6 +82,7 @@
         self.pool = ConnectionPool(metrics)
         self.loads = EngineLoads(settings.host)
         self.loads.usage.window_ms = settings.usage_window_ms
+        self.fleet.report_call = self.loads.reports.note_call
         self.crash_guard = CrashGuard(settings.host, self.loads.reports)
         # Back ends that are being asked whether they have crashed.
         self.probed: set[str] = set()
@@ -170,6 +175,13 @@
             if notice.is_refused:
                 self.crash_guard.note_down(notice.instance)
 
+    def note_told_calls(self, told: list[ToldCalls]) -> None:
+        """Count the calls of other entries that back ends declined or not."""
+        for host, calls in told:
+            if host != self.settings.host:
+                for counts in calls:
+                    self.fleet.declines.note(*counts)
+
     def note_said(self, backend: Backend, head: AnswerHead) -> None:
         """Record what a back end says of itself in the head of an answer.
 
--- a/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/engine_loads.py
@@ -182,6 +182,7 @@
             self.reports.take_leaving(),
             self.usage.take_unreported(),
             wall_clock_ms(),
+            self.reports.take_calls(),
         )
         self.shared.note_sent(number, change.loads)
         return change
--- a/packages/trestle-entry/src/trestle_entry/direct/entry_reports.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/entry_reports.py
@@ -1,5 +1,6 @@
 """What this entry has to tell the others besides its loads."""
 
+from collections import Counter
 from time import monotonic
 from typing import Final, NamedTuple
 
@@ -7,7 +8,11 @@
 
 from trestle_links.crash_messages import CrashNotice, ServedTrait, age_ms
 from trestle_links.direct_messages import Placement
-from trestle_links.load_messages import FailureNotice, LeaveNotice
+from trestle_links.load_messages import (
+    CallCounts,
+    FailureNotice,
+    LeaveNotice,
+)
 
 _MAX_PLACEMENTS: Final = 300
 _MAX_FAILURES: Final = 50
@@ -43,6 +48,8 @@
         self.served: list[NotedService] = []
         self.failures: list[FailureNotice] = []
         self.leaving: dict[str, LeaveNotice] = {}
+        self.declined: Counter[str] = Counter()
+        self.accepted: Counter[str] = Counter()
 
     def note_placement(self, placement: Placement) -> None:
         """Record a prompt part that an engine has cached or prefills."""
@@ -69,6 +76,24 @@
         self.leaving[notice.instance] = notice
         self.changed.set()
 
+    def note_call(self, instance: str, is_declined: bool) -> None:
+        """Count a call of a back end that declines some."""
+        counter = self.declined if is_declined else self.accepted
+        counter[instance] += 1
+        self.changed.set()
+
+    def take_calls(self) -> list[CallCounts]:
+        """Return the calls since the last call of this method."""
+        taken = [
+            CallCounts(
+                instance, self.declined[instance], self.accepted[instance]
+            )
+            for instance in self.declined.keys() | self.accepted.keys()
+        ]
+        self.declined.clear()
+        self.accepted.clear()
+        return taken
+
     def take_leaving(self) -> list[LeaveNotice]:
         """Return the back ends that leave since the last call."""
         taken = list(self.leaving.values())
--- a/packages/trestle-entry/src/trestle_entry/direct/fleet_view.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/fleet_view.py
@@ -4,15 +4,17 @@
 lags, and it does not show a back end that crashed, became unreachable or fails
 some of its requests. Health is therefore derived from the outcomes of calls: a
 back end that this entry or others could not reach is excluded with exponential
-back-off, and one that fails this entry's calls often is used only if no other
-is left. One that has said that it leaves, or wants no requests for a time, is
+back-off, and one that fails this entry's calls often, or declines those of all entries, is used
+only if no other is left. One that has said that it leaves, or wants no requests for a time, is
 never used.
 """
 
+from collections.abc import Callable
 from time import monotonic
 from typing import Final
 
 from trestle_core.logs import part_logger
+from trestle_entry.direct.decline_rates import DeclineRates
 from trestle_links.direct_messages import Backend
 from trestle_links.leaving_backends import LeavingBackends
 from trestle_links.load_messages import FailureNotice
@@ -74,6 +76,9 @@
         self.reports: dict[str, dict[str, tuple[str, float]]] = {}
         # Engines whose role is being changed, as reported by the leader.
         self.changing_role: set[str] = set()
+        self.declines = DeclineRates()
+        # Tells the other entries of a call and whether it was declined.
+        self.report_call: Callable[[str, bool], None] = _report_nothing
         self.leaving = LeavingBackends()
         self.resting = RestingBackends()
 
@@ -88,6 +93,7 @@
                 self.by_service.setdefault(backend.service, []).append(backend)
         for instance in set(self.health_by_instance) - set(self.backends):
             self.health_by_instance.pop(instance)
+        self.declines.keep_only(set(self.backends))
         for instance in set(self.reports) - set(self.backends):
             self.reports.pop(instance)
 
@@ -139,7 +145,10 @@
             backend for backend in listed if not self._is_excluded(backend, now)
         ]
         healthy = [
-            backend for backend in available if not self._is_degraded(backend)
+            backend
+            for backend in available
+            if not self._is_degraded(backend)
+            and not self.declines.is_high(backend.instance)
         ]
         return healthy or available or listed
 
@@ -147,6 +156,8 @@
         """Record a complete answer."""
         health = self._health_of(instance)
         health.note(has_failed=False)
+        if self.declines.is_notable(instance):
+            self._note_call(instance, is_declined=False)
         if health.backoff_seconds:
             health.backoff_seconds = 0.0
             health.excluded_until = 0.0
@@ -214,12 +225,18 @@
 
         It is full, or else its instance or its role has changed.
         """
+        if is_full:
+            self._note_call(instance, is_declined=True)
         health = self._health_of(instance)
         seconds = _FULL_SECONDS if is_full else _DECLINED_SECONDS
         health.excluded_until = max(
             health.excluded_until, monotonic() + seconds
         )
 
+    def _note_call(self, instance: str, *, is_declined: bool) -> None:
+        self.declines.note(instance, int(is_declined), int(not is_declined))
+        self.report_call(instance, is_declined)
+
     def _health_of(self, instance: str) -> BackendHealth:
         return self.health_by_instance.setdefault(instance, BackendHealth())
 
@@ -237,6 +254,10 @@
         )
 
 
+def _report_nothing(_instance: str, _is_declined: bool) -> None:
+    """Keep what a call told to this entry."""
+
+
 def _runs(backend: Backend, software: str) -> bool:
     """Return whether a back end is known to run a software version."""
     return bool(software) and backend.software == software
--- a/packages/trestle-entry/src/trestle_entry/direct/load_stream.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/load_stream.py
@@ -115,6 +115,7 @@
     context.has_loads.set()
     context.crash_guard.take(delta.crashes, delta.served)
     context.note_reported(delta.failures)
+    context.note_told_calls(delta.calls)
     context.note_told_leaving(delta.leaving)
     context.fleet.changing_role = set(delta.changing)
 
--- a/packages/trestle-links/src/trestle_links/load_messages.py
+++ b/packages/trestle-links/src/trestle_links/load_messages.py
@@ -65,6 +65,21 @@
     boot: Boot
 
 
+class CallCounts(NamedTuple):
+    """Calls of a back end that declines some: the declined and the others."""
+
+    instance: str
+    declined: int
+    accepted: int
+
+
+class ToldCalls(NamedTuple):
+    """What the entry on `host` told of its calls."""
+
+    host: str
+    calls: list[CallCounts]
+
+
 class SendCount(NamedTuple):
     """Requests to a limited back end; negative if they were not sent."""
 
@@ -127,6 +142,7 @@
     leaving: list[LeaveNotice] = []
     usage: list[CustomerUsage] = []
     unix_ms: int = 0
+    calls: list[CallCounts] = []
 
 
 @message(151)
@@ -158,6 +174,7 @@
     unix_ms: int = 0
     usage_recorded: int = 0
     shares: list[CustomerShare] | None = None
+    calls: list[ToldCalls] = []
 
 
 @message(150)
--- a/testbed/entry_group.py
+++ b/testbed/entry_group.py
@@ -11,6 +11,7 @@
 from trestle_control import load_table
 from trestle_entry.direct import (
     crash_guard,
+    decline_rates,
     entry_reports,
     fleet_view,
     load_stream,
@@ -23,6 +24,7 @@
 _START_SECONDS: Final = 1000.0
 _TIMED_MODULES: Final[tuple[ModuleType, ...]] = (
     crash_guard,
+    decline_rates,
     entry_reports,
     fleet_view,
     leaving_backends,
