--- a/features/body_memory.feature
+++ b/features/body_memory.feature
@@ -13,6 +13,12 @@
       | with a length  |
       | in chunks      |
 
+  # Guards against callers that are told to come back with what never fits.
+  Scenario: A body that never has room is refused for its size
+    Given an entry with room for 3 bodies of 1 MB
+    When a caller announces a body of 4 MB
+    Then it is answered 413 as too large
+
   # Guards against a body in tiny chunks that keeps all others waiting.
   Scenario: Others are served while a body in tiny chunks arrives
     Given an entry with room for 3 bodies of 1 MB
--- a/features/steps/body_memory_steps.py
+++ b/features/steps/body_memory_steps.py
@@ -126,6 +126,22 @@
     assert not context.memory.held_bytes
 
 
+@when('a caller announces a body of {megabytes:d} MB')
+def step_announce(context: Context, megabytes: int) -> None:
+    """Send a head and no body."""
+    sock: Any = create_connection(('127.0.0.1', context.port), timeout=5)
+    framing = f'Content-Length: {megabytes * MEGABYTE}'
+    sock.sendall(HEAD.format(name='large', framing=framing).encode())
+    context.received = sock.recv(CHUNK_BYTES)
+    sock.close()
+
+
+@then('it is answered 413 as too large')
+def step_too_large(context: Context) -> None:
+    """Check the status."""
+    assert context.received.startswith(b'HTTP/1.1 413 '), context.received
+
+
 @when('a caller sends {kilobytes:d} KB in chunks of a byte')
 def step_tiny(context: Context, kilobytes: int) -> None:
     """Send all at once, beside a greenlet that wakes again and again."""
--- a/packages/trestle-entry/src/trestle_entry/direct/body_memory.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/body_memory.py
@@ -9,7 +9,8 @@
 
 from typing import Final
 
-from trestle_core.errorcodes import OVERLOADED
+from trestle_core.errorcodes import BODY_TOO_LARGE, OVERLOADED
+from trestle_core.errors import TrestleError
 from trestle_entry.direct.replies import RefusedError
 
 # A large body takes seconds to arrive and to be served.
@@ -34,8 +35,15 @@
         self.taken_bytes = 0
 
     def grow_to(self, size: int) -> None:
-        """Take room for so many bytes in all; raises `RefusedError`."""
+        """Take room for so many bytes in all.
+
+        Raises `RefusedError`, and `TrestleError` if there is never so much.
+        """
         memory = self.memory
+        if memory.limit_bytes and size > memory.limit_bytes:
+            raise TrestleError(
+                BODY_TOO_LARGE, f'this entry holds {memory.limit_bytes} bytes'
+            )
         more = max(0, size - self.taken_bytes)
         if memory.limit_bytes and memory.held_bytes + more > memory.limit_bytes:
             raise RefusedError(
