--- a/packages/trestle-entry/src/trestle_entry/direct/body_memory.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/body_memory.py
@@ -15,6 +15,8 @@
 
 # A large body takes seconds to arrive and to be served.
 _RETRY_SECONDS: Final = 0.5
+# Share of the room up to which a body may begin.
+_BEGIN_SHARE: Final = 0.8
 
 
 class BodyMemory:
@@ -25,6 +27,18 @@
         self.limit_bytes = limit_bytes
         self.held_bytes = 0
 
+    def has_room(self, more: int, *, begins: bool) -> bool:
+        """Return whether so many bytes more may be held.
+
+        The last part is kept for bodies in chunks that have begun: refusing
+        those in favour of new ones would serve nobody.
+        """
+        if not self.limit_bytes:
+            return True
+        if begins and self.held_bytes > self.limit_bytes * _BEGIN_SHARE:
+            return False
+        return self.held_bytes + more <= self.limit_bytes
+
 
 class BodyRoom:
     """The room of one body."""
@@ -45,7 +59,7 @@
                 BODY_TOO_LARGE, f'this entry holds {memory.limit_bytes} bytes'
             )
         more = max(0, size - self.taken_bytes)
-        if memory.limit_bytes and memory.held_bytes + more > memory.limit_bytes:
+        if not memory.has_room(more, begins=not self.taken_bytes):
             raise RefusedError(
                 OVERLOADED,
                 f'bodies take {memory.held_bytes} bytes of this entry',
