--- a/features/host_search.feature
+++ b/features/host_search.feature
@@ -24,3 +24,10 @@
     When the first of these ends
     Then all nodes are current again within 2 seconds
     And no host is followed by more than half of them
+
+  # Guards against a node that opens streams in a loop which all end at once.
+  Scenario: A host that is current ends each stream at once
+    Given a node that follows the first of 2 control hosts
+    When both end all streams as they begin, for 2 seconds
+    Then they were asked for at most 20 streams
+    And the node is current again within 3 seconds
--- a/features/steps/host_search_steps.py
+++ b/features/steps/host_search_steps.py
@@ -35,6 +35,8 @@
         """Listen, and be current."""
         self.age_ms = 0
         self.followed = 0
+        self.opened = 0
+        self.ends_streams = False
         me = Identity('control', KEY, Metrics())
         handlers: Any = {Watch: self.watch, StampAsk: self.stamp}
         self.server = LinkServer('127.0.0.1:0', me, handlers)
@@ -47,10 +49,15 @@
 
     def watch(self, _body: Watch, channel: Channel) -> None:
         """Send a document, then a stamp for each ask."""
+        self.opened += 1
+        if self.ends_streams:
+            return
         self.followed += 1
         try:
             channel.send(DocumentDelta(1, b'', 1))
             while isinstance(ask := channel.receive(), StampAsk):
+                if self.ends_streams:
+                    return
                 channel.send(self.stamp(ask, channel))
         finally:
             self.followed -= 1
@@ -140,6 +147,24 @@
     age_of_last(context)
 
 
+@when('both end all streams as they begin, for {seconds:d} seconds')
+def step_end_streams(context: Context, seconds: int) -> None:
+    """Count the streams that are opened meanwhile."""
+    for host in context.hosts:
+        host.opened = 0
+        host.ends_streams = True
+    sleep(seconds)
+    for host in context.hosts:
+        host.ends_streams = False
+
+
+@then('they were asked for at most {most:d} streams')
+def step_opened(context: Context, most: int) -> None:
+    """Check that the node waits between two streams."""
+    opened = sum(host.opened for host in context.hosts)
+    assert 1 < opened <= most, opened
+
+
 @then('the node is current again within {seconds:d} seconds')
 @then('all nodes are current again within {seconds:d} seconds')
 def step_current(context: Context, seconds: int) -> None:
--- a/packages/trestle-links/src/trestle_links/control_client.py
+++ b/packages/trestle-links/src/trestle_links/control_client.py
@@ -50,6 +50,8 @@
 # Share of `stale_after` without a fresh stamp after which the node moves on.
 _MOVE_SHARE: Final = 0.3
 _RETRY_SECONDS: Final = 0.2
+# A stream that ends sooner has told nothing.
+_SHORT_SECONDS: Final = 0.5
 # Time between two asks of a node that starts and has had no fresh stamp yet.
 _FIRST_ASK_SECONDS: Final = 0.05
 _FETCH_SECONDS: Final = 3.0
@@ -187,29 +189,29 @@
 
     def _run(self) -> None:
         address = self.addresses[0]
-        while True:
-            link = Link.to_address(address, self.me)
-            try:
-                self._follow(link)
-            except TrestleError as error:
-                self.me.metrics.count('watch_losses', error.code.code)
-                self._log_loss(address, error)
-            except Exception:
-                # A failing hook must not end the stream for good.
-                _log.exception('State stream of {} failed.', address)
-            finally:
-                link.close()
+        while not self.stopped.is_set():
+            began_at = monotonic()
+            self._follow_until_lost(address)
             following = _addresses_after(address, self.addresses)
             found = _find_current(self, following)
-            if found is None and self.stopped.wait(_RETRY_SECONDS):
-                return
+            # Streams that end as soon as they begin are not opened in a loop.
+            is_short = monotonic() - began_at < _SHORT_SECONDS
+            if found is None or is_short:
+                self.stopped.wait(_RETRY_SECONDS)
             address = found or following[0]
 
-    def _log_loss(self, address: str, error: TrestleError) -> None:
-        # While no host answers, one line is enough.
-        level = 'DEBUG' if self.lost else 'WARNING'
-        self.lost = True
-        _log.log(level, 'State stream of {} lost: {}.', address, error)
+    def _follow_until_lost(self, address: str) -> None:
+        link = Link.to_address(address, self.me)
+        try:
+            self._follow(link)
+        except TrestleError as error:
+            self.me.metrics.count('watch_losses', error.code.code)
+            _log_loss(self, address, error)
+        except Exception:
+            # A failing hook must not end the stream for good.
+            _log.exception('State stream of {} failed.', address)
+        finally:
+            link.close()
 
     def _follow(self, link: Link) -> None:
         watcher = self.watcher
@@ -286,6 +288,13 @@
         return is_old and monotonic() - opened_at > limit_seconds
 
 
+def _log_loss(client: ControlClient, address: str, error: TrestleError) -> None:
+    # While no host answers, one line is enough.
+    level = 'DEBUG' if client.lost else 'WARNING'
+    client.lost = True
+    _log.log(level, 'State stream of {} lost: {}.', address, error)
+
+
 def _addresses_after(lost: str, addresses: list[str]) -> list[str]:
     """Return all addresses in order, from the one after a lost one."""
     following = addresses.index(lost) + 1
