--- a/packages/trestle-entry/src/trestle_entry/direct/customer_check.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/customer_check.py
@@ -9,7 +9,7 @@
 from trestle_core.errors import TrestleError
 from trestle_core.route_table import Route
 from trestle_entry.direct.direct_context import DirectContext
-from trestle_entry.direct.newest_routes import check_confirmed
+from trestle_entry.direct.newest_routes import KEY, check_confirmed
 from trestle_entry.direct.wire_types import CallerRequest
 
 
@@ -28,7 +28,7 @@
     if customer or route.is_public:
         return customer
     if request.key.digest:
-        check_confirmed(context, request, 'key')
+        check_confirmed(context, request, KEY)
     context.metrics.count('denied_keys', request.key.flaw)
     raise TrestleError(UNKNOWN_KEY, f'the key is {request.key.flaw}')
 
--- a/packages/trestle-entry/src/trestle_entry/direct/dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/dispatch.py
@@ -23,6 +23,7 @@
 from trestle_entry.direct.direct_context import DirectContext, RouteMatch
 from trestle_entry.direct.model_relay import serve_model
 from trestle_entry.direct.newest_routes import (
+    PATH,
     UnconfirmedError,
     check_confirmed,
     wait_for_newest_routes,
@@ -177,7 +178,7 @@
     route = table.find(request.host, path)
     trace.fields['version'] = table.version
     if route is None:
-        check_confirmed(context, request, 'path')
+        check_confirmed(context, request, PATH)
         raise TrestleError(UNKNOWN_ROUTE, f'no route at {path}')
     trace.fields['route'] = route.name
     trace.fields['target_ms'] = route.target_ms
--- a/packages/trestle-entry/src/trestle_entry/direct/newest_routes.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/newest_routes.py
@@ -14,6 +14,9 @@
 from trestle_entry.direct.replies import RefusedError
 from trestle_entry.direct.wire_types import CallerRequest
 
+# What routes may not know.
+PATH: Final = 'path'
+KEY: Final = 'key'
 # Twice the time between two confirmations of an entry in step.
 _CONFIRM_SECONDS: Final = 1.0
 _MAX_WAITING: Final = 256
@@ -64,7 +67,10 @@
 def _unconfirmed(
     context: DirectContext, what: str, reason: str
 ) -> RefusedError:
-    context.metrics.count(f'denied_{what}s', 'unconfirmed')
+    if what == PATH:
+        context.metrics.count('denied_paths', 'unconfirmed')
+    else:
+        context.metrics.count('denied_keys', 'unconfirmed')
     return RefusedError(
         STALE_NODE,
         f'the {what} may be newer than the routes of this entry: {reason}',
