--- a/review/11/case.py
+++ b/review/11/case.py
@@ -30,7 +30,7 @@
         self.born = int(time.time() * 1000)
         self.popen = await asyncio.create_subprocess_exec(
             sys.executable, str(HERE.parent / 'lib-3' / 'stream_server.py'), self.id,
-            stdout=asyncio.subprocess.PIPE,
+            stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE,
         )
         told = json.loads(await self.popen.stdout.readline())
         self.addr = f'127.0.0.1:{told["port"]}'
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -7,8 +7,8 @@
 sys.path.insert(0, str(HERE.parent / 'lib-3'))
 from rig import *  # noqa: E402,F403
 
-# In each round one replica of eighteen is down, runs with the newer software and is down again.
-ROUNDS = 4
+# In each round one replica of twelve is down, runs with the newer software and is down again.
+ROUNDS = 3
 DOWN_S = 3.5
 UP_S = 0.78
 AGAIN_S = 3.0
@@ -80,9 +80,9 @@
 
 async def case(d, rec):
     await d.start_platform()
-    for n in range(12):
+    for n in range(8):
         await d.add(Versioned(d, f'i-read{n}', 'z-a', 'prefill'))
-    writers = [await d.add(Versioned(d, f'i-write{n}', 'z-a', 'decode')) for n in range(6)]
+    writers = [await d.add(Versioned(d, f'i-write{n}', 'z-a', 'decode')) for n in range(4)]
     listing = LaggingList(d.servers)
     watch = asyncio.create_task(listing.watch())
     await asyncio.sleep(0.1)
--- a/review/lib-3/rig.py
+++ b/review/lib-3/rig.py
@@ -505,6 +505,8 @@
 
 def run_case(folder, case):
     """Run a case; exit with 1 if the rule was broken, 0 if it held, 2 if it could not run."""
+    # Ended from outside, a script still ends what it started.
+    signal.signal(signal.SIGTERM, lambda *_: (_ for _ in ()).throw(SystemExit(2)))
     record = Record(folder)
     deployment = Deployment(record)
     status = 2
--- a/review/lib-3/stream_server.py
+++ b/review/lib-3/stream_server.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+import os
 import sys
 
 from rig import P, SEAL, head, read_request
@@ -44,6 +45,9 @@
         finally:
             writer.close()
 
+    # The starter holds the other end of the standard input, so this ends with it.
+    loop = asyncio.get_running_loop()
+    loop.add_reader(sys.stdin.fileno(), lambda: sys.stdin.buffer.read1(1) or os._exit(0))
     server = await asyncio.start_server(serve, '127.0.0.1', 0)
     sys.stdout.write(json.dumps({'port': server.sockets[0].getsockname()[1]}) + '\n')
     sys.stdout.flush()
