--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,4 +1,4 @@
-"""A replica comes back under its id with other software, and its streams are joined with old ones."""
+"""A stream of a service without engines is cut in an event and passed on as complete."""
 
 import sys
 from pathlib import Path
@@ -7,153 +7,135 @@
 sys.path.insert(0, str(HERE.parent / 'lib-3'))
 from rig import *  # noqa: E402,F403
 
-# In each round one replica of twelve is down, runs with the newer software and is down again.
-ROUNDS = 3
-DOWN_S = 3.5
-UP_S = 0.78
-AGAIN_S = 3.0
-SETTLE_S = 6.0
-LAG_S = 0.8
-FRONTS = 4
-RATE = 12.4
-LENGTH_S = 3 + ROUNDS * (DOWN_S + UP_S + AGAIN_S + SETTLE_S)
-
-
-class Versioned(Engine):
-    """An engine that marks its events with its software version."""
-
-    events = 13
-    gap_s = 0.04
-
-    async def run(self, request, writer):
-        self.ran.append((time.monotonic(), request))
-        headers = {
-            P + 'Request-Id': request.get('Request-Id'), P + 'Server-Seal': SEAL,
-            'Content-Type': 'text/event-stream', 'Transfer-Encoding': 'chunked',
-        }
-        first = int(request.headers.get('last-event-id') or 0) + 1
-        writer.write(head(200, headers))
-        for number in range(first, self.events + 1):
-            await asyncio.sleep(self.gap_s)
-            event = f'id: {number}\ndata: {self.version} {self.name}\n\n'.encode()
-            writer.write(b'%x\r\n%b\r\n' % (len(event), event))
-            await writer.drain()
-        writer.write(b'0\r\n\r\n')
-        await writer.drain()
-        return True
-
-    def crash(self):
-        """End like a killed process: the kernel closes all of its sockets."""
-        self.server.close()
-        for writer in list(self.writers):
-            writer.transport.abort()
-
-    async def come_back(self, version):
-        """Start again under the same id and address."""
-        port = int(self.addr.rpartition(':')[2])
-        self.server = await asyncio.start_server(self._serve, '127.0.0.1', port, limit=2**20)
-        self.born = int(time.time() * 1000)
-        self.version, self.seq, self.handles = version, 0, {}
+EVENTS = 6
+SERVERS = 8
+# Crashes, one at a time; a server is back after BACK_S, so no more than two of eight are down.
+ROUNDS = 5
+BACK_S = 2.0
+PAUSE_S = 1.2
 
 
-class LaggingList:
-    """The platform's list: it shows what was true some time ago."""
+class Process:
+    """A server that runs as a process; what the list says of it."""
 
-    def __init__(self, servers):
-        self.servers = servers
-        self.seen = []
+    def __init__(self, name, zone):
+        self.name, self.zone = name, zone
+        self.boot = 0
+        self.ran = asyncio.Queue()
 
-    async def watch(self):
-        while True:
-            now = time.monotonic()
-            self.seen.append((now, [server.entry() for server in self.servers]))
-            while len(self.seen) > 1 and self.seen[1][0] <= now - LAG_S:
-                self.seen.pop(0)
-            await asyncio.sleep(0.02)
+    async def start(self):
+        # Each start is a new boot, with a new id.
+        self.boot += 1
+        self.id = f'{self.name}-{self.boot}'
+        self.born = int(time.time() * 1000)
+        self.popen = await asyncio.create_subprocess_exec(
+            sys.executable, str(HERE.parent / 'lib-3' / 'stream_server.py'), self.id,
+            stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE,
+        )
+        told = json.loads(await self.popen.stdout.readline())
+        self.addr = f'127.0.0.1:{told["port"]}'
+        self.lines = asyncio.create_task(self._read())
+
+    async def _read(self):
+        while line := await self.popen.stdout.readline():
+            self.ran.put_nowait(json.loads(line)['ran'])
+
+    def entry(self):
+        return {
+            'id': self.id, 'service': 'small', 'addr': self.addr, 'zone': self.zone,
+            'version': 'v1', 'state': 'ready', 'slots': 6, 'coldLeftMs': 0, 'born': self.born,
+        }
 
-    async def answer(self, request, writer):
-        page = {'instances': self.seen[0][1], 'next': None}
-        writer.write(whole(200, {'Content-Type': 'application/json'}, json.dumps(page).encode()))
-        await writer.drain()
-        return True
+    async def end(self):
+        if self.popen.returncode is None:
+            self.popen.kill()
+        await self.popen.wait()
 
 
 async def case(d, rec):
     await d.start_platform()
-    for n in range(8):
-        await d.add(Versioned(d, f'i-read{n}', 'z-a', 'prefill'))
-    writers = [await d.add(Versioned(d, f'i-write{n}', 'z-a', 'decode')) for n in range(4)]
-    listing = LaggingList(d.servers)
-    watch = asyncio.create_task(listing.watch())
-    await asyncio.sleep(0.1)
-    d.handle_platform = listing.answer
-    for n in range(1, 6):
-        d.start(f'core-{n}')
-    for n in range(1, FRONTS + 1):
-        d.start(f'front-{n}')
-    history = route('hist', 'stream', 'llm', 3000, 500, attempts=2, resumable=True)
-    await d.publish(manifest(7, [history], [LLM]))
-    for n in range(1, FRONTS + 1):
-        await d.wait_ready(f'front-{n}')
-    await asyncio.sleep(4)
-    joined, whole_streams, broken = set(), 0, 0
-
-    async def call(number):
-        nonlocal whole_streams, broken
-        request_id = f'7d{number:06x}'
-        channel = Channel(d.front(f'front-{number % FRONTS + 1}'))
-        try:
-            await channel.open()
-            answer = await channel.call(
-                'POST', '/hist/2f', request_id, 'shop.example', 3000, prompt(2000, 13), b'x' * 9000
-            )
-        except (OSError, asyncio.TimeoutError):
-            return
-        finally:
-            channel.close()
-        lines = answer.body.decode().split('\n')
-        said = [line.split(' ')[1:] for line in lines if line.startswith('data: ')]
-        versions = list(dict.fromkeys(version for version, _ in said))
-        servers = list(dict.fromkeys(name for _, name in said))
-        whole_streams += answer.whole and len(said) == Versioned.events
-        broken += answer.status == 200 and not answer.whole
-        if len(versions) > 1:
-            joined.add(request_id)
-        if len(servers) > 1 or answer.status != 200 or not answer.whole:
-            rec.note(
-                f'{request_id}: status {answer.status}, complete {answer.whole}, {len(said)} events, '
-                f'of {servers}, software {versions}'
-            )
-
-    async def trouble():
+    # The engines of the route's other service, as in the manifest of PROTOCOL.md.
+    for n in range(2):
+        await d.add(Engine(d, f'i-read{n}', 'z-a', 'prefill'))
+        await d.add(Engine(d, f'i-write{n}', 'z-a', 'decode'))
+    servers = []
+    try:
+        for n in range(SERVERS):
+            server = Process(f'i-small{n}', 'z-a')
+            servers.append(await d.add(server))
+        for n in range(1, 6):
+            d.start(f'core-{n}')
+        d.start('front-1')
+        small = {'name': 'small', 'healthPath': '/health', 'maxConns': 100, 'protocol': 'h1', 'tls': False}
+        split = {'trafficSplit': [{'service': 'llm', 'weight': 10}, {'service': 'small', 'weight': 90}]}
+        grade = route('grade', 'stream', 'llm', 5000, 800)
+        del grade['service']
+        await d.publish(manifest(7, [{**grade, **split}], [LLM, small]))
+        await d.wait_ready('front-1')
         await asyncio.sleep(3)
-        for server in writers[:ROUNDS]:
-            rec.note(f'{server.name} crashes')
-            server.crash()
-            await asyncio.sleep(DOWN_S)
-            await server.come_back('v2')
-            rec.note(f'{server.name} is back under its id, software v2')
-            await asyncio.sleep(UP_S)
-            rec.note(f'{server.name} crashes again')
-            server.crash()
-            await asyncio.sleep(AGAIN_S)
-            await server.come_back('v2')
-            rec.note(f'{server.name} is back under its id, software v2')
-            await asyncio.sleep(SETTLE_S)
-
-    tasks = [asyncio.create_task(trouble())] if TROUBLE else []
-    for number in range(int(LENGTH_S * RATE)):
-        tasks.append(asyncio.create_task(call(number)))
-        await asyncio.sleep(1 / RATE)
-    await asyncio.gather(*tasks)
-    watch.cancel()
-    rec.note(
-        f'{len(joined)} answers hold events of two software versions; '
-        f'{whole_streams} whole streams, {broken} broken off'
-    )
-    if whole_streams < 100:
+        return await calls(d, rec, servers)
+    finally:
+        for task in getattr(rec, 'back', []):
+            task.cancel()
+        for server in servers:
+            await server.end()
+
+
+async def calls(d, rec, servers):
+    broken = served = crashes = 0
+    rec.back = []
+    for number in range(60):
+        if crashes == ROUNDS or served == 20:
+            break
+        channel = Channel(d.front('front-1'))
+        await channel.open()
+        request_id = f'9c41d07be2a3{number:04x}'
+        call = asyncio.create_task(
+            channel.call('POST', '/grade/2f', request_id, 'shop.example', 5000, prompt(), b'x' * 300)
+        )
+        crashed = await asyncio.create_task(crash(rec, servers, request_id)) if TROUBLE else ''
+        answer = await call
+        channel.close()
+        events = answer.body.count(b'\n\n')
+        ended = answer.body.endswith(b'\n\n') and events in (EVENTS, Engine.events)
+        rec.note(
+            f'{request_id}: status {answer.status}, seal {answer.headers.get((P + "Server-Seal").lower())}, '
+            f'framing {answer.headers.get("transfer-encoding") or answer.headers.get("content-length")}, '
+            f'complete as framed {answer.whole}, {events} whole events, ends with {answer.body[-24:]!r}'
+        )
+        crashes += bool(crashed)
+        if answer.status == 200 and answer.whole:
+            if ended:
+                served += 1
+            else:
+                broken += 1
+        await asyncio.sleep(PAUSE_S if TROUBLE else 0.3)
+    rec.note(f'{crashes} crashes, {served} whole streams, {broken} cut streams that look complete')
+    if not served + broken or (TROUBLE and not crashes):
         return 2
-    return 1 if len(joined) > 2 else 0
+    return 1 if broken else 0
+
+
+async def restart(server):
+    await asyncio.sleep(BACK_S)
+    await server.start()
+
+
+async def crash(rec, servers, request_id):
+    """Kill the server that runs the request in the middle of its third event."""
+    until = time.monotonic() + 1.5
+    while time.monotonic() < until:
+        for server in servers:
+            if server.popen.returncode is None and not server.ran.empty():
+                server.ran.get_nowait()
+                # Two and a half events of 60 ms.
+                await asyncio.sleep(0.165)
+                rec.note(f'SIGKILL to {server.name}, which runs {request_id}')
+                await server.end()
+                rec.back.append(asyncio.create_task(restart(server)))
+                return server.name
+        await asyncio.sleep(0.005)
+    return ''
 
 
 run_case(HERE, case)
