--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,3 +1,4 @@
+# flake8: noqa
 """A dark voter goes in the place of one that is gone, and two lost disks then end the group."""
 
 import sys
@@ -37,7 +38,9 @@
     rec.note(f'{NEW} starts empty, at another address')
     await at(WIPE_AT - 0.4)
     acked = 7
-    answer = await d.operator('PUT', 'core-3', json.dumps(manifest(9, routes, [PLAIN])).encode())
+    answer = await d.operator(
+        'PUT', 'core-3', json.dumps(manifest(9, routes, [PLAIN])).encode()
+    )
     rec.note(f'PUT of manifest 9 at core-3: {answer.status}')
     if answer.status == 200:
         acked = 9
@@ -55,12 +58,20 @@
         versions = {}
         for name in ('core-1', 'core-2', 'core-3', DARK, NEW):
             answer = await d.operator('GET', name)
-            versions[name] = json.loads(answer.body)['version'] if answer.status == 200 else answer.status
+            versions[name] = (
+                json.loads(answer.body)['version']
+                if answer.status == 200
+                else answer.status
+            )
         seconds = time.monotonic() - back
         rec.note(f'{seconds:.0f} s after all are back, GET /config: {versions}')
-        if seconds > RECOVERY_S and all(version == acked for version in versions.values()):
+        if seconds > RECOVERY_S and all(
+            version == acked for version in versions.values()
+        ):
             return 0
-    answer = await d.operator('PUT', 'core-3', json.dumps(manifest(11, routes, [PLAIN])).encode())
+    answer = await d.operator(
+        'PUT', 'core-3', json.dumps(manifest(11, routes, [PLAIN])).encode()
+    )
     rec.note(f'PUT of manifest 11 at core-3: {answer.status}')
     for name in ('core-1', 'core-2', 'core-3', DARK, NEW):
         for line in d.log_of(name).splitlines():
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,3 +1,4 @@
+# flake8: noqa
 """A stream of a service without engines is cut in an event and passed on as complete."""
 
 import sys
@@ -29,8 +30,11 @@
         self.id = f'{self.name}-{self.boot}'
         self.born = int(time.time() * 1000)
         self.popen = await asyncio.create_subprocess_exec(
-            sys.executable, str(HERE.parent / 'lib-3' / 'stream_server.py'), self.id,
-            stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE,
+            sys.executable,
+            str(HERE.parent / 'lib-3' / 'stream_server.py'),
+            self.id,
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
         )
         told = json.loads(await self.popen.stdout.readline())
         self.addr = f'127.0.0.1:{told["port"]}'
@@ -42,8 +46,15 @@
 
     def entry(self):
         return {
-            'id': self.id, 'service': 'small', 'addr': self.addr, 'zone': self.zone,
-            'version': 'v1', 'state': 'ready', 'slots': 6, 'coldLeftMs': 0, 'born': self.born,
+            'id': self.id,
+            'service': 'small',
+            'addr': self.addr,
+            'zone': self.zone,
+            'version': 'v1',
+            'state': 'ready',
+            'slots': 6,
+            'coldLeftMs': 0,
+            'born': self.born,
         }
 
     async def end(self):
@@ -66,8 +77,19 @@
         for n in range(1, 6):
             d.start(f'core-{n}')
         d.start('front-1')
-        small = {'name': 'small', 'healthPath': '/health', 'maxConns': 100, 'protocol': 'h1', 'tls': False}
-        split = {'trafficSplit': [{'service': 'llm', 'weight': 10}, {'service': 'small', 'weight': 90}]}
+        small = {
+            'name': 'small',
+            'healthPath': '/health',
+            'maxConns': 100,
+            'protocol': 'h1',
+            'tls': False,
+        }
+        split = {
+            'trafficSplit': [
+                {'service': 'llm', 'weight': 10},
+                {'service': 'small', 'weight': 90},
+            ]
+        }
         grade = route('grade', 'stream', 'llm', 5000, 800)
         del grade['service']
         await d.publish(manifest(7, [{**grade, **split}], [LLM, small]))
@@ -91,13 +113,28 @@
         await channel.open()
         request_id = f'9c41d07be2a3{number:04x}'
         call = asyncio.create_task(
-            channel.call('POST', '/grade/2f', request_id, 'shop.example', 5000, prompt(), b'x' * 300)
+            channel.call(
+                'POST',
+                '/grade/2f',
+                request_id,
+                'shop.example',
+                5000,
+                prompt(),
+                b'x' * 300,
+            )
+        )
+        crashed = (
+            await asyncio.create_task(crash(rec, servers, request_id))
+            if TROUBLE
+            else ''
         )
-        crashed = await asyncio.create_task(crash(rec, servers, request_id)) if TROUBLE else ''
         answer = await call
         channel.close()
         events = answer.body.count(b'\n\n')
-        ended = answer.body.endswith(b'\n\n') and events in (EVENTS, Engine.events)
+        ended = answer.body.endswith(b'\n\n') and events in (
+            EVENTS,
+            Engine.events,
+        )
         rec.note(
             f'{request_id}: status {answer.status}, seal {answer.headers.get((P + "Server-Seal").lower())}, '
             f'framing {answer.headers.get("transfer-encoding") or answer.headers.get("content-length")}, '
@@ -110,7 +147,9 @@
             else:
                 broken += 1
         await asyncio.sleep(PAUSE_S if TROUBLE else 0.3)
-    rec.note(f'{crashes} crashes, {served} whole streams, {broken} cut streams that look complete')
+    rec.note(
+        f'{crashes} crashes, {served} whole streams, {broken} cut streams that look complete'
+    )
     if not served + broken or (TROUBLE and not crashes):
         return 2
     return 1 if broken else 0
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,3 +1,4 @@
+# flake8: noqa
 """A route that a later manifest adds leads to streams of a service without engines: none is served."""
 
 import sys
@@ -22,10 +23,17 @@
 
     async def run(self, request, writer):
         self.ran.append((time.monotonic(), request))
-        writer.write(head(200, {
-            P + 'Request-Id': request.get('Request-Id'), P + 'Server-Seal': SEAL,
-            'Content-Type': 'text/event-stream', 'Transfer-Encoding': 'chunked',
-        }))
+        writer.write(
+            head(
+                200,
+                {
+                    P + 'Request-Id': request.get('Request-Id'),
+                    P + 'Server-Seal': SEAL,
+                    'Content-Type': 'text/event-stream',
+                    'Transfer-Encoding': 'chunked',
+                },
+            )
+        )
         for number in range(1, EVENTS + 1):
             await asyncio.sleep(GAP_S)
             event = f'id: {number}\ndata: {self.name}\n\n'.encode()
@@ -45,14 +53,19 @@
     channel = Channel(d.front('front-1'))
     await channel.open()
     lines = [
-        f'POST {path} HTTP/1.1', 'Host: shop.example', f'{P}Request-Id: {request_id}',
-        f'{P}Deadline-Ms: {DEADLINE_MS}', 'Content-Length: 3',
+        f'POST {path} HTTP/1.1',
+        'Host: shop.example',
+        f'{P}Request-Id: {request_id}',
+        f'{P}Deadline-Ms: {DEADLINE_MS}',
+        'Content-Length: 3',
         *(f'{name}: {text}' for name, text in prompt().items()),
     ]
     channel.writer.write('\r\n'.join(lines).encode() + b'\r\n\r\nabc')
     got = b''
     try:
-        while not got.endswith(b'0\r\n\r\n') and b'\r\nContent-Length' not in got:
+        while (
+            not got.endswith(b'0\r\n\r\n') and b'\r\nContent-Length' not in got
+        ):
             more = await asyncio.wait_for(channel.reader.read(65536), ABANDON_S)
             if not more:
                 break
@@ -77,21 +90,40 @@
     for n in range(1, 6):
         d.start(f'core-{n}')
     d.start('front-1')
-    small = {'name': 'small', 'healthPath': '/health', 'maxConns': 100, 'protocol': 'h1', 'tls': False}
-    first = route('first', 'stream', 'llm', DEADLINE_MS, AIM_MS, targetGapMs=PAUSE_MS)
+    small = {
+        'name': 'small',
+        'healthPath': '/health',
+        'maxConns': 100,
+        'protocol': 'h1',
+        'tls': False,
+    }
+    first = route(
+        'first', 'stream', 'llm', DEADLINE_MS, AIM_MS, targetGapMs=PAUSE_MS
+    )
     await d.publish(manifest(7, [first], [LLM, small]))
     await d.wait_ready('front-1')
     await asyncio.sleep(4)
-    later = route('later', 'stream', 'small' if TROUBLE else 'llm', DEADLINE_MS, AIM_MS, targetGapMs=PAUSE_MS)
+    later = route(
+        'later',
+        'stream',
+        'small' if TROUBLE else 'llm',
+        DEADLINE_MS,
+        AIM_MS,
+        targetGapMs=PAUSE_MS,
+    )
     await d.publish(manifest(8, [first, later], [LLM, small]))
     # configApplyMs and stableWindowMs, and more.
     await asyncio.sleep(6)
     served = {'first': 0, 'later': 0}
 
     async def one(name, number):
-        status, events, is_whole = await ask(d, f'/{name}/2f', f'{name}{number}')
+        status, events, is_whole = await ask(
+            d, f'/{name}/2f', f'{name}{number}'
+        )
         served[name] += is_whole
-        rec.note(f'{name}{number}: status {status}, {events} events, served {is_whole}')
+        rec.note(
+            f'{name}{number}: status {status}, {events} events, served {is_whole}'
+        )
 
     tasks = []
     for number in range(REQUESTS):
@@ -99,8 +131,12 @@
             tasks.append(asyncio.create_task(one(name, number)))
         await asyncio.sleep(0.25)
     await asyncio.gather(*tasks)
-    ran = sum(len(server.ran) for server in d.servers if server.service == 'small')
-    rec.note(f'served of {REQUESTS} each: {served}; the servers of small ran {ran}')
+    ran = sum(
+        len(server.ran) for server in d.servers if server.service == 'small'
+    )
+    rec.note(
+        f'served of {REQUESTS} each: {served}; the servers of small ran {ran}'
+    )
     if served['first'] < REQUESTS / 2:
         return 2
     return 1 if served['later'] * 4 < served['first'] else 0
