--- a/packages/trestle-control/src/trestle_control/peer_calls.py
+++ b/packages/trestle-control/src/trestle_control/peer_calls.py
@@ -3,9 +3,10 @@
 from time import monotonic
 from typing import TypeVar
 
-from trestle_control.membership import MemberIdentity, quorum_size
+from trestle_control.membership import MemberIdentity
 from trestle_control.peers import Peer
 from trestle_control.replica_messages import PeerAnswer, PeerHeader
+from trestle_control.replica_quorum import quorum_value
 from trestle_control.replica_state import ReplicaState
 from trestle_core.addresses import Address, resolve_address
 from trestle_core.errorcodes import WRONG_MEMBER
@@ -109,25 +110,15 @@
 
     A quorum of the voters followed this member at some time after it.
     """
-    ack_times = [
-        peer.acked_at for peer in state.peers.values() if peer.member.voter
-    ]
-    if state.is_voter:
-        ack_times.append(now)
-    return _quorum_value(state, ack_times)
+    acked_at = {key: peer.acked_at for key, peer in state.peers.items()}
+    return quorum_value(state, {**acked_at, state.incarnation: now})
 
 
 def quorum_match_index(state: ReplicaState) -> int:
-    """Return the highest index that is durable on a quorum."""
-    match_indexes = [
-        peer.match_index for peer in state.peers.values() if peer.member.voter
-    ]
-    if state.is_voter:
-        match_indexes.append(state.log.synced_index)
-    return int(_quorum_value(state, match_indexes))
-
-
-def _quorum_value(
-    state: ReplicaState, values: list[int] | list[float]
-) -> float:
-    return sorted(values, reverse=True)[quorum_size(state.members) - 1]
+    """Return the highest index that is durable on a quorum, 0 without one."""
+    indexes = {
+        key: float(peer.match_index) for key, peer in state.peers.items()
+    }
+    synced_index = float(state.log.synced_index)
+    index = quorum_value(state, {**indexes, state.incarnation: synced_index})
+    return int(max(0.0, index))
--- a/packages/trestle-control/src/trestle_control/peer_replication.py
+++ b/packages/trestle-control/src/trestle_control/peer_replication.py
@@ -13,6 +13,7 @@
 from gevent import sleep
 
 from trestle_control.log_records import pack_entry
+from trestle_control.member_losses import note_if_lost
 from trestle_control.member_silence import silent_members
 from trestle_control.peer_calls import call_peer, header_for
 from trestle_control.peers import Peer
@@ -48,12 +49,9 @@
         try:
             _send_next(state, peer, term)
         except TrestleError as error:
-            _log.debug(
-                'Request to {} failed: {}.', peer.member.host, error.message
-            )
-            state.local_identity.metrics.count(
-                'replica_send_failures', error.code.code
-            )
+            _note_failure(state, peer, error)
+            if note_if_lost(state, peer, error):
+                _use_fewer_acks(state, term, on_progress)
             sleep(state.heartbeat_seconds)
             continue
         if peer.match_index > match_index and state.leads(term):
@@ -64,6 +62,22 @@
         peer.urgent.clear()
 
 
+def _note_failure(state: ReplicaState, peer: Peer, error: TrestleError) -> None:
+    _log.debug('Request to {} failed: {}.', peer.member.host, error.message)
+    state.local_identity.metrics.count('replica_send_failures', error.code.code)
+
+
+def _use_fewer_acks(
+    state: ReplicaState,
+    term: int,
+    on_progress: Callable[[ReplicaState], None],
+) -> None:
+    """Look again at what was acknowledged, now that a peer is lost."""
+    if state.leads(term):
+        on_progress(state)
+        state.ack_signal.notify()
+
+
 def _wait_for_work(state: ReplicaState, peer: Peer) -> None:
     # A new commit index alone is delayed briefly: its round would hold up the
     # entries of the next command, and these can carry it.
--- a/packages/trestle-control/src/trestle_control/replica_election.py
+++ b/packages/trestle-control/src/trestle_control/replica_election.py
@@ -12,7 +12,8 @@
 from gevent import iwait, sleep, spawn
 
 from trestle_control.control_errors import StorageFailedError
-from trestle_control.membership import quorum_size, voters_of
+from trestle_control.member_losses import note_if_lost
+from trestle_control.membership import voters_of
 from trestle_control.peer_calls import (
     answer_from,
     call_peer,
@@ -24,6 +25,7 @@
 from trestle_control.replica_leader import become_leader
 from trestle_control.replica_log import last_term
 from trestle_control.replica_messages import VoteAsk, VoteReply
+from trestle_control.replica_quorum import is_quorum_of
 from trestle_control.replica_state import ReplicaState, Role
 from trestle_core.errors import TrestleError
 from trestle_core.logs import part_logger
@@ -161,7 +163,7 @@
             granted.add(peer.member.incarnation)
 
     def has_quorum() -> bool:
-        return len(granted & voters) >= quorum_size(state.members)
+        return is_quorum_of(state, granted)
 
     tasks = [spawn(request_vote_from, peer) for peer in peers]
     # Members that are down must not delay an election that is already won.
@@ -178,6 +180,7 @@
         _log.debug(
             'Vote request to {} failed: {}.', peer.member.host, error.message
         )
+        note_if_lost(state, peer, error)
         return False
     peer.heard_at = monotonic()
     # The peer's term may be higher than the local one, also after a pre-vote.
--- a/packages/trestle-control/src/trestle_control/replica_leader.py
+++ b/packages/trestle-control/src/trestle_control/replica_leader.py
@@ -23,6 +23,7 @@
 )
 from trestle_control.peer_replication import replicate_to
 from trestle_control.replica_log import append_entries, term_at
+from trestle_control.replica_quorum import needs_confirmation
 from trestle_control.replica_state import ReplicaState, Role
 from trestle_control.replica_tasks import spawn_task
 from trestle_core.errors import TrestleError
@@ -140,6 +141,9 @@
         or not state.is_leader
     ):
         return
+    if needs_confirmation(state):
+        propose_members(state, state.members)
+        return
     changed = next_members(state)
     if changed:
         propose_members(state, changed)
--- a/packages/trestle-control/src/trestle_control/replica_state.py
+++ b/packages/trestle-control/src/trestle_control/replica_state.py
@@ -124,6 +124,8 @@
         # When the last leader was heard of, and voters that it did not hear of.
         self.silent_since: dict[str, float] = {}
         self.joining_members: dict[str, JoiningMember] = {}
+        # Incarnations whose disks are proven to be lost.
+        self.lost_members: set[str] = set()
         # Addresses to announce to while this process is not a member.
         self.seeds = set(settings.seeds)
         self.incoming_snapshot = IncomingSnapshot((0, 0), bytearray())
