--- a/features/member_policy.feature
+++ b/features/member_policy.feature
@@ -19,33 +19,41 @@
     When voter 1 has been silent for 60 s
     Then no member is changed
 
-  # Guards against: a voter that is dark for a short time and removed in place of
-  # the one that is gone.
-  Scenario Outline: Of two silent voters <which>
+  # Guards against: a voter that is dark, with its disk, and removed in place of
+  # the one that is gone, so that no quorum is left when two disks are lost.
+  Scenario Outline: Of two silent voters none is removed, <which>
     Given 6 voters of which 5 are wanted, led for 60 s
     When voter 1 has been silent for <first> s
     And voter 2 has been silent for <second> s
-    Then <outcome>
+    Then no member is changed
 
     Examples:
-      | which                            | first | second | outcome                        |
-      | none is removed at once          | 2     | 2.5    | no member is changed           |
-      | the one that is silent for longer | 6     | 7      | voter 2 is removed with its host |
-      | the first if both are as silent   | 6     | 6      | voter 1 is removed with its host |
+      | which                              | first | second |
+      | at once                            | 2     | 2.5    |
+      | though one is silent for longer    | 6     | 7      |
+      | if both are as silent              | 6     | 6      |
+      | however long they are              | 50    | 600    |
+      | though one was heard of 1 s before | 3.1   | 2.1    |
+
+  # Guards against: a surplus that stays once it is known who is gone.
+  Scenario: The one that is still silent is removed when the other is back
+    Given 6 voters of which 5 are wanted, led for 60 s
+    When voter 1 has been silent for 6 s
+    And voter 2 has been silent for 7 s
+    But voter 1 is back
+    Then voter 2 is removed with its host
 
-  # Guards against: a voter that is gone and gets its time anew with each leader,
-  # while another one is dark.
+  # Guards against: a voter that is gone and gets its time anew with each leader.
   Scenario: A leader that is new goes by what the one before it knew
-    Given 6 voters of which 5 are wanted, led for 1.2 s
+    Given 7 voters of which 5 are wanted, led for 1.2 s
     When the leader before it had not heard of voter 1 for 3.5 s
     And it fell silent itself 2 s ago as voter 2
     Then voter 1 is removed with its host
 
-  # Guards against: a voter that went dark before an election and is removed in
-  # place of the leader that is gone for good, so that no quorum is left when two
-  # disks are lost.
+  # Guards against: a voter that went dark before an election and goes before the
+  # leader that is gone for longer.
   Scenario: A voter that has just gone dark is not taken for the leader that is gone
-    Given 6 voters of which 5 are wanted, led for 2.4 s
+    Given 7 voters of which 5 are wanted, led for 2.4 s
     When it fell silent itself 3.1 s ago as voter 2
     And voter 1, which it had heard of, did not answer the election
     Then voter 2 is removed with its host
--- a/features/replaced_hosts.feature
+++ b/features/replaced_hosts.feature
@@ -18,6 +18,22 @@
       | is stopped | the others stay up |
       | is killed  | the others restart |
 
+  # Guards against: a voter that is dark, with its disk, and is removed in place
+  # of the one that is gone, so that two lost disks leave no quorum.
+  Scenario Outline: A voter is dark while <which> is replaced, and two disks are lost
+    Given five voters
+    When voter <dark> is killed
+    And a replaced voter is killed, and its successor votes
+    And a command is acknowledged
+    And voter <dark> is back once <lost> have lost their disks
+    Then the command is read at every host that is left
+    And these five are the voters again
+
+    Examples:
+      | which       | dark | lost    |
+      | another one | 4    | 1 and 2 |
+      | a later one | 1    | 2 and 4 |
+
   # Guards against: a group that a planned restart of each host stops, while
   # there is a voter more than wanted.
   Scenario: Every host restarts while a replaced voter is gone
--- a/features/steps/member_policy_steps.py
+++ b/features/steps/member_policy_steps.py
@@ -30,7 +30,7 @@
 
 ELECTION_SECONDS = 0.5
 HEARTBEAT_SECONDS = 0.1
-GONE_MS = 3000
+LONG_SECONDS = 3000.0
 LAST_INDEX = 40
 NO_LINK: Any = None
 
@@ -51,9 +51,7 @@
         members=MemberSet('g', voters, hosts),
         members_index=LAST_INDEX,
         commit_index=LAST_INDEX,
-        settings=SimpleNamespace(
-            seeds=['s'], wanted_voters=wanted, gone_ms=GONE_MS
-        ),
+        settings=SimpleNamespace(seeds=['s'], wanted_voters=wanted),
         election_seconds=ELECTION_SECONDS,
         heartbeat_seconds=HEARTBEAT_SECONDS,
         leading_since=monotonic() - seconds,
@@ -81,6 +79,12 @@
     context.state.peers[f'id-{number}'].acked_at = context.now - seconds
 
 
+@when('voter {number:d} is back')
+def step_is_back(context: Context, number: int) -> None:
+    """Let a voter answer again."""
+    context.state.peers[f'id-{number}'].acked_at = monotonic()
+
+
 @when('voter {number:d} lacks the last member set')
 def step_lacks(context: Context, number: int) -> None:
     """Let a voter be behind by one entry."""
@@ -152,7 +156,7 @@
     context.following = SimpleNamespace(
         leader_contact_at=monotonic(),
         heartbeat_seconds=HEARTBEAT_SECONDS,
-        silent_since={'id-3': monotonic() - GONE_MS},
+        silent_since={'id-3': monotonic() - LONG_SECONDS},
         peers={
             f'id-{number}': Peer(
                 Member(f'core-{number}', f'id-{number}', '', True), NO_LINK
--- a/packages/trestle-control/src/trestle_control/member_policy.py
+++ b/packages/trestle-control/src/trestle_control/member_policy.py
@@ -2,12 +2,11 @@
 
 Joining members become learners, and learners that have caught up become
 voters. A silent voter is removed once there are more voters than wanted, so
-only after another one has taken its place: while both are voters, a quorum
-has one voter more and one of them may never come back, so that fewer disks
-may be lost at once than wanted. As long as enough other voters are current,
-nothing is lost with a silent one that was not gone for good: it joins again.
-With fewer, the one that has been silent for longest goes, after a time in
-which others that are dark for a moment come back.
+only after another one has taken its place, and only while as many as wanted
+are current without it: then nothing is lost with one that was not gone for
+good, and it joins again. With fewer, several are silent, and none is removed:
+nothing tells the one that is gone from one that is dark, with its disk, for a
+moment. What was acknowledged meanwhile is on a majority of all of them.
 """
 
 from functools import partial
@@ -31,10 +30,8 @@
 
 _MAX_LEARNER_LAG_ENTRIES: Final = 16
 _JOINING_TIMEOUTS: Final = 3
-# Election timeouts of silence after which a surplus voter is removed while the
-# current voters are as many as wanted.
+# Election timeouts of silence after which a surplus voter is removed.
 _SILENT_TIMEOUTS: Final = 2
-_MS_PER_SECOND: Final = 1000
 
 
 def next_members(state: ReplicaState) -> MemberSet | None:
@@ -70,23 +67,18 @@
     if leading_seconds <= state.election_seconds * _SILENT_TIMEOUTS:
         # Others may not have answered this leader yet.
         return None
+    current = [voter for voter in voters if _is_current(state, voter)]
+    if len(current) < wanted:
+        return None
     others = [voter for voter in voters if voter.incarnation in state.peers]
     silent = min(others, key=partial(_last_heard_at, state))
     silent_seconds = monotonic() - _last_heard_at(state, silent)
-    if silent_seconds <= _needed_silence(state, voters):
+    if silent_seconds <= state.election_seconds * _SILENT_TIMEOUTS:
         return None
     remaining = _without_voter(state, silent)
     return remaining if keeps_quorum(state, remaining) else None
 
 
-def _needed_silence(state: ReplicaState, voters: list[Member]) -> float:
-    """Return the seconds of silence after which a voter may be removed."""
-    current = [voter for voter in voters if _is_current(state, voter)]
-    if len(current) >= state.settings.wanted_voters:
-        return state.election_seconds * _SILENT_TIMEOUTS
-    return state.settings.gone_ms / _MS_PER_SECOND
-
-
 def _last_heard_at(state: ReplicaState, voter: Member) -> float:
     return state.peers[voter.incarnation].last_heard_at
 
--- a/packages/trestle-core/src/trestle_core/settings.py
+++ b/packages/trestle-core/src/trestle_core/settings.py
@@ -188,12 +188,6 @@
         int,
         Meta(ge=0, description='voters to keep with seeds; 0 removes none'),
     ] = 0
-    gone_ms: Annotated[
-        Milliseconds,
-        Meta(
-            description='silence of a voter to remove, if others fail too, ms'
-        ),
-    ] = 5000
     bootstrap: Annotated[
         bool,
         Meta(description='an empty data folder may form the first quorum'),
