--- a/features/cut_answers.feature
+++ b/features/cut_answers.feature
@@ -20,6 +20,35 @@
       | a stream | chunks and trailers  |
       | a stream | an interim answer    |
 
+  # Guards against: a stream that its server cut in an event and that looks whole,
+  # as the service, not the route, told what an answer is; and a complete answer
+  # of an engine that was taken for a broken stream.
+  Scenario Outline: A route and a service of different kinds, cut within <framing> of <kind>
+    Given an entry and a back end that stops
+    When it stops at each byte of <kind> with <framing>
+    Then callers get the whole answer after its last byte, else a failure or a visible break
+
+    Examples:
+      | kind                       | framing              |
+      | a stream without an engine | a length             |
+      | a stream without an engine | a length that closes |
+      | a stream without an engine | chunks               |
+      | a stream without an engine | chunks and trailers  |
+      | a stream without an engine | an interim answer    |
+
+  # Guards against: a stream that its server cut in an event and that looks whole,
+  # as only the connection tells the end.
+  Scenario Outline: <kind> with neither a length nor chunks is cut in an event
+    Given an entry and a back end that stops
+    When it stops at each byte of <kind> with neither
+    Then a success that looks whole ends with an event
+    And no caller gets an empty success
+
+    Examples:
+      | kind                       |
+      | a stream                   |
+      | a stream without an engine |
+
   # Guards against: the same on a connection that had carried whole answers.
   Scenario Outline: A back end stops within <kind> on a kept connection
     Given an entry and a back end that stops
@@ -94,6 +123,8 @@
       | a stream                 | neither          |
       | a stream behind comments | chunks           |
       | a stream behind comments | an interim answer |
+      | a stream without an engine | chunks           |
+      | a stream without an engine | neither          |
 
   # Guards against: the same at the end of a planned stop.
   Scenario: A stream of comments is answered at the end of a planned stop
--- a/features/steps/cut_answers_steps.py
+++ b/features/steps/cut_answers_steps.py
@@ -7,9 +7,11 @@
 
 from testbed.cut_answers import (
     COMMENTED_STREAM,
+    ENGINE_LOOKUP,
     EVENTS,
     LONG_STREAM,
     LOOKUP,
+    PLAIN_STREAM,
     REQUEST_ID,
     STOPPING,
     STREAM,
@@ -32,6 +34,8 @@
     'a stream': STREAM,
     'a stream behind comments': COMMENTED_STREAM,
     'a read prompt': LONG_STREAM,
+    'a stream without an engine': PLAIN_STREAM,
+    'a lookup at an engine': ENGINE_LOOKUP,
 }
 
 
@@ -124,6 +128,14 @@
         assert answer.body or not is_success, (cut, answer)
 
 
+@then('a success that looks whole ends with an event')
+def step_whole_events(context: Context) -> None:
+    """Check that half an event never passes for the end of a stream."""
+    for cut, answer in context.answers.items():
+        is_success = answer.whole and answer.status == 200
+        assert not is_success or answer.body.endswith(b'\n\n'), (cut, answer)
+
+
 @then('after a reset no caller gets a success that looks whole')
 def step_no_reset(context: Context) -> None:
     """Check the cuts by a reset."""
--- a/features/steps/direct_connects_steps.py
+++ b/features/steps/direct_connects_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from testbed.direct_runs import make_run
+from testbed.direct_runs import make_run, open_at_engines
 from trestle_core.errors import TrestleError
 from trestle_core.verdict import Verdict
 from trestle_entry.direct import (
@@ -18,7 +18,6 @@
 from trestle_entry.direct.backend_calls import CompleteAnswer, OpenAnswer
 from trestle_entry.direct.backend_exchange import NotSentError
 from trestle_entry.direct.fleet_view import FleetView
-from trestle_entry.direct.model_dispatch import open_stream
 from trestle_entry.direct.request_sends import begin_arrival, send_once
 from trestle_entry.direct.wire_types import AnswerHead
 from trestle_links.direct_messages import PREFILL, Backend
@@ -75,7 +74,7 @@
         patch.object(model_dispatch, 'free_handle', lambda *_: None),
     ):
         try:
-            context.opened = open_stream(context.run)
+            context.opened = open_at_engines(context.run)
         except TrestleError as error:
             context.error = error
 
--- a/features/steps/direct_run_steps.py
+++ b/features/steps/direct_run_steps.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from testbed.direct_runs import make_run
+from testbed.direct_runs import make_run, open_at_engines
 from trestle_core.errorcodes import DEADLINE_UNREACHABLE
 from trestle_core.errors import TrestleError
 from trestle_core.verdict import Verdict
@@ -17,16 +17,17 @@
     model_dispatch,
     plain_dispatch,
     prompt_prefill,
+    stream_opens,
 )
 from trestle_entry.direct.backend_calls import CompleteAnswer, OpenAnswer
 from trestle_entry.direct.backend_exchange import NotSentError
 from trestle_entry.direct.direct_context import DirectContext, RouteMatch
-from trestle_entry.direct.model_relay import serve_model
 from trestle_entry.direct.placement import Plan
 from trestle_entry.direct.prefill_work import PrefillWork
 from trestle_entry.direct.prompt_prefill import KvHandle
 from trestle_entry.direct.replies import error_answer
 from trestle_entry.direct.request_run import make_failure
+from trestle_entry.direct.stream_relay import serve_stream
 from trestle_entry.direct.wire_types import (
     AnswerHead,
     SendOptions,
@@ -66,7 +67,7 @@
         return OpenAnswer(nothing, nothing, head, call[2])
 
     with patch.object(
-        model_dispatch,
+        stream_opens,
         'read_answer',
         lambda *_: CompleteAnswer(head, b''),
     ):
@@ -94,7 +95,7 @@
         patch.object(model_dispatch, 'free_handle', free),
     ):
         try:
-            model_dispatch.open_stream(context.run)
+            open_at_engines(context.run)
         except TrestleError as error:
             context.error = error
 
@@ -188,11 +189,12 @@
     handle = KvHandle(run.context.fleet.backends['read'], 'h1')
     is_model = context.kind == 'model'
     module: Any = model_dispatch if is_model else plain_dispatch
-    serve: Any = serve_model if is_model else plain_dispatch.serve_plain
+    serve: Any = serve_stream if is_model else plain_dispatch.serve_plain
+    reader: Any = stream_opens if is_model else plain_dispatch
     with (
         patch.object(model_dispatch, 'prefill_prompt', lambda *_: handle),
         patch.object(module, 'open_answer', open_failed),
-        patch.object(module, 'read_answer', read_failed),
+        patch.object(reader, 'read_answer', read_failed),
     ):
         try:
             context.reply = serve(run.context, run.request, matched, run.trace)
--- a/features/steps/leaving_backends_steps.py
+++ b/features/steps/leaving_backends_steps.py
@@ -148,7 +148,7 @@
         return context.handle
 
     with patch(
-        'features.steps.direct_run_steps.model_dispatch.read_answer',
+        'features.steps.direct_run_steps.stream_opens.read_answer',
         lambda *_: CompleteAnswer(head, b''),
     ):
         open_with_handle(context, serve_stream, read_slowly)
--- a/features/steps/resend_limits_steps.py
+++ b/features/steps/resend_limits_steps.py
@@ -8,7 +8,13 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from testbed.direct_runs import DEMAND, make_context, make_match, make_request
+from testbed.direct_runs import (
+    DEMAND,
+    make_context,
+    make_match,
+    make_request,
+    open_at_engines,
+)
 from trestle_core.errors import TrestleError
 from trestle_core.verdict import Verdict
 from trestle_entry.direct import (
@@ -16,6 +22,7 @@
     model_dispatch,
     prompt_prefill,
     retry_limits,
+    stream_opens,
 )
 from trestle_entry.direct.backend_calls import CompleteAnswer, OpenAnswer
 from trestle_entry.direct.model_run import ModelRun
@@ -92,14 +99,14 @@
         patch.object(prompt_prefill, '_call', read),
         patch.object(model_dispatch, 'open_answer', send),
         patch.object(
-            model_dispatch,
+            stream_opens,
             'read_answer',
             lambda _, opened: CompleteAnswer(opened.head, b''),
         ),
         patch.object(model_dispatch, 'free_handle', Mock()),
     ):
         try:
-            model_dispatch.open_stream(context.run)
+            open_at_engines(context.run)
         except TrestleError as error:
             context.error = error
     context.left = left
--- a/features/steps/version_pools_steps.py
+++ b/features/steps/version_pools_steps.py
@@ -9,12 +9,13 @@
 
 from features.steps.direct_roles_steps import make_roles
 from testbed.placement_cases import LONG, long_prompt, plan
-from testbed.stream_runs import EVENTS, StreamEngines, engine
+from testbed.stream_runs import EVENTS, StreamEngines, backend_named
 from trestle_entry.direct import model_dispatch
 from trestle_entry.direct.prompt_prefill import KvHandle
 from trestle_links.direct_messages import DECODE, PREFILL, Backend
 
 OTHER_SOFTWARE = 'v2'
+READER = backend_named('read-v1-0', is_engine=True)
 READERS = {
     'readers 0 to 2': {0, 1, 2},
     'decoders 0 to 1': set(),
@@ -107,7 +108,7 @@
 )
 def step_served(context: Context, software: str) -> None:
     """Check the handle and the stream."""
-    assert context.freed == [KvHandle(engine('read-v1-0'), 'h1')]
+    assert context.freed == [KvHandle(READER, 'h1')]
     sends = context.engines.sends
     assert [send.software for send in sends] == [software], sends
     assert context.relayed.whole
--- a/packages/trestle-entry/src/trestle_entry/direct/dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/dispatch.py
@@ -13,7 +13,7 @@
 )
 from trestle_core.errors import TrestleError
 from trestle_core.logs import part_logger
-from trestle_core.route_table import Route, RouteTable, pick_share
+from trestle_core.route_table import Repeat, Route, RouteTable, pick_share
 from trestle_core.verdict import Verdict
 from trestle_entry.caller_watch import CallerGoneError, cancel_when_gone
 from trestle_entry.direct.customer_check import (
@@ -21,7 +21,6 @@
     with_customer,
 )
 from trestle_entry.direct.direct_context import DirectContext, RouteMatch
-from trestle_entry.direct.model_relay import serve_model
 from trestle_entry.direct.newest_routes import (
     PATH,
     UnconfirmedError,
@@ -35,6 +34,7 @@
     error_answer,
 )
 from trestle_entry.direct.request_log import RequestTrace
+from trestle_entry.direct.stream_relay import serve_stream
 from trestle_entry.direct.take_ups import find_origin, is_take_up
 from trestle_entry.direct.wire_types import CallerRequest, Headers
 
@@ -109,7 +109,7 @@
     route_match: RouteMatch,
     trace: RequestTrace,
 ) -> DirectReply:
-    serve_by_kind = serve_model if route_match.service.engine else serve_plain
+    serve_by_kind = _serve_by_kind(route_match)
     try:
         return serve_by_kind(context, request, route_match, trace)
     except TrestleError as error:
@@ -118,6 +118,20 @@
         raise
 
 
+def _serve_by_kind(
+    route_match: RouteMatch,
+) -> Callable[
+    [DirectContext, CallerRequest, RouteMatch, RequestTrace], DirectReply
+]:
+    """Return what serves a request.
+
+    The route tells what an answer is, the service what its back ends are.
+    """
+    if route_match.route.repeat is Repeat.STREAM:
+        return serve_stream
+    return serve_stream if route_match.service.engine else serve_plain
+
+
 def _note_refused(context: DirectContext, customer: Customer) -> None:
     context.metrics.count('customer_refusals', customer.name)
     context.loads.usage.note_refused(customer.name)
--- a/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_dispatch.py
@@ -9,19 +9,12 @@
 from functools import partial
 from time import monotonic
 
-from trestle_core.errorcodes import (
-    ANSWER_INCOMPLETE,
-)
-from trestle_core.errors import TrestleError
-from trestle_core.verdict import Verdict
 from trestle_entry.direct.backend_calls import (
     CompleteAnswer,
     OpenAnswer,
     open_answer,
-    read_answer,
     remaining_ms,
 )
-from trestle_entry.direct.backend_exchange import BrokenAnswerError
 from trestle_entry.direct.engine_loads import DECODE_PREFILL_SLOWDOWN
 from trestle_entry.direct.model_run import KvTransfer, ModelRun
 from trestle_entry.direct.placement import Plan, choose_decode_engine
@@ -32,55 +25,30 @@
     prefill_prompt,
 )
 from trestle_entry.direct.request_sends import (
-    broken_answer_error,
     check_not_blocked,
-    note_broken,
     send_once,
-    within_deadline,
 )
 from trestle_entry.direct.run_planning import (
     MAX_PREFILLS,
     placement_request,
     plan_run,
-    usable_engines,
 )
-from trestle_entry.direct.wire_types import (
-    MISDIRECTED,
-    OK,
-    SERVER_ERROR,
-    SendOptions,
+from trestle_entry.direct.stream_opens import (
+    handle_failed_answer,
+    is_declined,
 )
+from trestle_entry.direct.wire_types import OK, SendOptions
 
 
-def open_stream(run: ModelRun) -> OpenAnswer | CompleteAnswer:
-    """Open the stream at an engine, or return the engine's error answer.
-
-    Raises `TrestleError`.
-    """
-    with within_deadline(run):
-        return _open(run, admit=True)
-
-
-def reopen_stream(run: ModelRun) -> OpenAnswer:
-    """Resume the stream at another engine after the last complete event.
+def open_at_engine(run: ModelRun) -> OpenAnswer | CompleteAnswer:
+    """Plan, prefill and send until an engine answers.
 
-    Raises `TrestleError`.
+    The first plan is admitted or refused. Raises `TrestleError`.
     """
-    opened = _open(run, admit=False)
-    if isinstance(opened, CompleteAnswer):
-        raise TrestleError(
-            ANSWER_INCOMPLETE,
-            'another engine failed to resume the stream',
-            Verdict.MAY_HAVE_RUN,
-        )
-    return opened
-
-
-def _open(run: ModelRun, *, admit: bool) -> OpenAnswer | CompleteAnswer:
     while True:
         check_not_blocked(run)
-        plan = plan_run(run, admit=admit)
-        admit = False
+        plan = plan_run(run, admit=not run.is_admitted)
+        run.is_admitted = True
         handle = prefill_prompt(run, plan)
         if _must_prefill_again(run, plan, handle):
             continue
@@ -134,7 +102,7 @@
     Without one that can use the KV cache, frees it and returns None.
     """
     decode_engine = choose_decode_engine(
-        usable_engines(run),
+        run.usable(),
         run.context.loads,
         placement_request(run),
         handle.engine,
@@ -182,7 +150,7 @@
     except BaseException:
         _release(run, handle)
         raise
-    if opened is None or _is_declined(run, opened):
+    if opened is None or is_declined(run, opened):
         must_free = is_last or bool(run.runs)
         _release(run, handle if must_free else None)
         return None
@@ -192,7 +160,7 @@
             instance, run.demand, kv_cache_tokens(run)
         )
         return opened
-    return _handle_failed_answer(run, opened)
+    return handle_failed_answer(run, opened)
 
 
 def _release(run: ModelRun, handle: KvHandle | None) -> None:
@@ -228,37 +196,3 @@
     return run.context.loads.own.track_prefill(
         plan.decode_engine.instance, int(tokens)
     )
-
-
-def _is_declined(run: ModelRun, opened: OpenAnswer) -> bool:
-    """Return whether an engine declined the request, and record it."""
-    if not opened.head.is_declined:
-        return False
-    instance = opened.backend.instance
-    read_answer(run.context, opened)
-    run.trace.add('declined', f'{instance}: {opened.head.status}')
-    run.avoided.add(instance)
-    run.context.fleet.note_declined(
-        instance, is_full=opened.head.status != MISDIRECTED
-    )
-    return True
-
-
-def _handle_failed_answer(
-    run: ModelRun, opened: OpenAnswer
-) -> CompleteAnswer | None:
-    instance = opened.backend.instance
-    try:
-        answer = read_answer(run.context, opened)
-    except BrokenAnswerError as error:
-        note_broken(run, instance, error)
-        raise broken_answer_error(error) from error
-    finally:
-        run.count_at('')
-    run.trace.add('failed', f'{instance}: {answer.head.status}')
-    if answer.head.status >= SERVER_ERROR:
-        run.context.fleet.note_failed(instance, str(answer.head.status))
-        run.avoided.add(instance)
-        if run.may_try_another:
-            return None
-    return answer
--- a/packages/trestle-entry/src/trestle_entry/direct/model_run.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/model_run.py
@@ -5,12 +5,10 @@
 
 from trestle_entry.direct.crash_guard import part_trait
 from trestle_entry.direct.direct_context import DirectContext, RouteMatch
-from trestle_entry.direct.event_stream import EventSplitter
 from trestle_entry.direct.request_log import RequestTrace
-from trestle_entry.direct.request_run import RequestRun
+from trestle_entry.direct.stream_run import StreamRun
 from trestle_entry.direct.wire_types import CallerRequest, ModelDemand
 from trestle_links.direct_messages import Backend
-from trestle_links.stream_messages import StreamOrigin
 
 _DEFAULT_DEMAND: Final = ModelDemand('', 1, 1, ())
 _MS_PER_SECOND: Final = 1000
@@ -29,8 +27,8 @@
     sent_at: float
 
 
-class ModelRun(RequestRun):
-    """The demand of a request, and the position in its stream."""
+class ModelRun(StreamRun):
+    """The demand of a request, and what was done with its prompt."""
 
     def __init__(
         self,
@@ -43,18 +41,8 @@
         super().__init__(context, request, route_match, trace)
         self.demand = request.demand or _DEFAULT_DEMAND
         trace.fields['parts'] = [list(part) for part in self.demand.parts]
-        if request.resume_from or request.resumed_request:
-            trace.fields['resumes'] = request.resumed_request
-            trace.fields['resume_from'] = request.resume_from
         self.prefills = 0
-        self.events = EventSplitter()
-        self.events.last_id = request.resume_from
-        # The instance in whose load this request is counted, empty for none.
-        self.counted_at = ''
         self.transfer: KvTransfer | None = None
-        # The software version that began the stream, empty if that is not
-        # certain, None before an event was received here or by the caller.
-        self.software = route_match.software
 
     @property
     def part_traits(self) -> list[str]:
@@ -69,24 +57,9 @@
         """The most tokens that the request takes in an engine's KV cache."""
         return self.demand.prompt_tokens + self.demand.max_tokens
 
-    def count_at(self, instance: str) -> None:
-        """Move the request to the load of a back end, or to none."""
-        own = self.context.loads.own
-        if self.counted_at:
-            own.add_running(self.counted_at, -1, -self.kv_tokens)
-        self.counted_at = instance
-        if instance:
-            own.add_running(instance, 1, self.kv_tokens)
-
-    def note_first_event(self, engine: Backend) -> None:
-        """Record which software version began the stream.
-
-        And how long the KV transfer of the prompt took.
-        """
-        self.note_begun(self.context.loads.usage.clock.unix_ms())
-        if self.software is None:
-            self.software = self._software_of(engine)
-            self._note_origin()
+    def note_first_event(self, backend: Backend) -> None:
+        """Record who began the stream, and how long the KV transfer took."""
+        super().note_first_event(backend)
         transfer = self.transfer
         if transfer is None:
             return
@@ -98,20 +71,3 @@
             transfer.link_ms,
             took_ms - transfer.wait_ms,
         )
-
-    def _software_of(self, engine: Backend) -> str:
-        """Return what an engine runs, nothing if that is not certain."""
-        fleet = self.context.fleet
-        listed = fleet.backends.get(engine.instance, engine)
-        is_same = listed.software == engine.software
-        return (
-            engine.software if is_same and self.context.knows_software else ''
-        )
-
-    def _note_origin(self) -> None:
-        if self.software and self.route.resumable:
-            self.context.loads.streams.note(
-                self.request.request_id,
-                StreamOrigin(self.service.name, self.software),
-                self.request.waits_until,
-            )
--- a/packages/trestle-entry/src/trestle_entry/direct/plain_dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/plain_dispatch.py
@@ -6,14 +6,9 @@
 """
 
 from time import monotonic
-from typing import Final
 
 from gevent import Timeout
 
-from trestle_core.errorcodes import (
-    DEADLINE_UNREACHABLE,
-    OVERLOADED,
-)
 from trestle_entry.direct.backend_calls import (
     CompleteAnswer,
     complete_reply,
@@ -21,17 +16,15 @@
     read_answer,
     remaining_ms,
 )
+from trestle_entry.direct.backend_choice import choose_backend
 from trestle_entry.direct.backend_exchange import BrokenAnswerError
 from trestle_entry.direct.direct_context import DirectContext, RouteMatch
 from trestle_entry.direct.hedged_sends import send_hedged
 from trestle_entry.direct.promises import check_promise
-from trestle_entry.direct.replies import DirectReply, RefusedError
+from trestle_entry.direct.replies import DirectReply
 from trestle_entry.direct.request_log import RequestTrace
-from trestle_entry.direct.request_run import RequestRun, make_failure
-from trestle_entry.direct.request_sends import (
-    make_no_backend_failure,
-    within_deadline,
-)
+from trestle_entry.direct.request_run import RequestRun
+from trestle_entry.direct.request_sends import within_deadline
 from trestle_entry.direct.wire_types import (
     MISDIRECTED,
     SERVER_ERROR,
@@ -40,13 +33,6 @@
 )
 from trestle_links.direct_messages import Backend
 
-# Cost of another zone, in running requests.
-_OTHER_ZONE_COST: Final = 0.6
-# Requests at a back end, in multiples of its slots, above which the wait in
-# its queue would exceed most callers' deadlines.
-_QUEUE_FACTOR: Final = 2.5
-_MIN_SLOTS: Final = 2
-
 
 def serve_plain(
     context: DirectContext,
@@ -64,7 +50,7 @@
 def _send_until_final(run: RequestRun) -> CompleteAnswer:
     while True:
         backend, answer, _ = send_hedged(
-            run, _choose_backend(run), _send, _choose_backend
+            run, choose_backend(run), _send, choose_backend
         )
         if answer is not None and _is_final(run, backend.instance, answer):
             return answer
@@ -113,38 +99,3 @@
     if not answer.head.is_declined:
         context.hedges.note_answer(run.service.name, monotonic() - sent_at)
     return answer
-
-
-def _choose_backend(run: RequestRun) -> Backend:
-    context = run.context
-    service = run.service.name
-    candidates = run.candidates(run.unusable())
-    if not candidates and run.avoided:
-        full = frozenset(context.loads.rate_limits.full())
-        candidates = run.candidates(full)
-    if not candidates:
-        raise make_no_backend_failure(run, f'no back end for {service}')
-    if run.remaining_ms <= 0:
-        raise make_failure(
-            run,
-            DEADLINE_UNREACHABLE,
-            'the deadline passed before the next send',
-        )
-    chosen = min(candidates, key=lambda backend: _cost(run, backend))
-    running = context.loads.running_at(chosen.instance)
-    slots = max(_MIN_SLOTS, chosen.slots)
-    room = slots * _QUEUE_FACTOR * run.room_part
-    if running >= room and not run.runs:
-        raise RefusedError(
-            OVERLOADED,
-            f'{running:.0f} requests at a back end with {slots} slots',
-        )
-    return chosen
-
-
-def _cost(run: RequestRun, backend: Backend) -> tuple[float, float]:
-    context = run.context
-    cost = float(context.loads.running_at(backend.instance))
-    if backend.zone != context.settings.zone:
-        cost += _OTHER_ZONE_COST
-    return cost, context.random.random()
--- a/packages/trestle-entry/src/trestle_entry/direct/request_run.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/request_run.py
@@ -134,6 +134,15 @@
             self.context.metrics.count('plans_beside_refusing')
         return fleet.usable(self.service.name, excluded, software)
 
+    def usable(self) -> list[Backend]:
+        """Return the back ends that this request has not tried in vain."""
+        return self.candidates(self.unusable())
+
+    def untried_again(self) -> list[Backend]:
+        """Return the back ends that may be tried once more."""
+        full = self.context.loads.rate_limits.full()
+        return self.candidates(frozenset(full))
+
     def hold_place(self, instance: str) -> None:
         """Count the request at a back end with a rate limit in advance.
 
--- a/packages/trestle-entry/src/trestle_entry/direct/run_planning.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/run_planning.py
@@ -13,7 +13,7 @@
 from trestle_entry.direct.replies import RefusedError
 from trestle_entry.direct.request_run import make_failure
 from trestle_entry.direct.request_sends import make_no_backend_failure
-from trestle_links.direct_messages import PREFILL, Backend
+from trestle_links.direct_messages import PREFILL
 
 # Prefill calls of one request that reach an engine.
 MAX_PREFILLS: Final = 2
@@ -28,7 +28,7 @@
     the request cannot be served in time.
     """
     context = run.context
-    engines = usable_engines(run)
+    engines = run.usable()
     if run.prefills >= MAX_PREFILLS:
         engines = [engine for engine in engines if engine.role != PREFILL]
     # The first prefill may have failed because of a copy from a bad engine.
@@ -54,17 +54,6 @@
     return plan
 
 
-def usable_engines(run: ModelRun) -> list[Backend]:
-    """Return the engines that this request has not tried in vain.
-
-    A stream that has begun goes on only at the software version that began it,
-    as far as the list is current enough to tell.
-    """
-    if run.software is not None and not run.context.knows_software:
-        return []
-    return run.candidates(run.unusable(), run.software)
-
-
 def placement_request(run: ModelRun) -> PlacementRequest:
     """Return what placement has to know of the request."""
     engine = run.service.engine
--- a/packages/trestle-entry/src/trestle_entry/direct/model_relay.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/stream_relay.py
@@ -1,13 +1,14 @@
-"""Relays the stream of an engine to its caller, in complete events.
+"""Relays the stream of a back end to its caller, in complete events.
 
 If the route allows it, a stream that breaks off is resumed within the same
-answer: another engine of the same software version continues after the last
+answer: another back end of the same software version continues after the last
 complete event, since what two versions write does not fit. Otherwise the
 caller's connection is closed without the end of the body, so that a truncated
 answer never looks complete.
 """
 
 from collections.abc import Generator, Iterator
+from functools import partial
 from time import monotonic
 from typing import Final
 
@@ -28,12 +29,20 @@
 from trestle_entry.direct.backend_exchange import BrokenAnswerError
 from trestle_entry.direct.direct_context import DirectContext, RouteMatch
 from trestle_entry.direct.event_stream import EventSplitter, StreamTiming
-from trestle_entry.direct.model_dispatch import open_stream, reopen_stream
+from trestle_entry.direct.model_dispatch import open_at_engine
 from trestle_entry.direct.model_run import ModelRun
+from trestle_entry.direct.plain_streams import open_at_service
 from trestle_entry.direct.promises import check_promise
 from trestle_entry.direct.replies import AbortedAnswerError, DirectReply
 from trestle_entry.direct.request_log import RequestTrace
 from trestle_entry.direct.request_sends import note_broken, within_deadline
+from trestle_entry.direct.stream_opens import (
+    OpenAt,
+    open_stream,
+    release_places,
+    reopen_stream,
+)
+from trestle_entry.direct.stream_run import StreamRun
 from trestle_entry.direct.wire_types import AnswerHead, CallerRequest
 
 # Outcome of a stream that reached its end.
@@ -41,26 +50,28 @@
 _MS_PER_SECOND: Final = 1000
 
 
-def serve_model(
+def serve_stream(
     context: DirectContext,
     request: CallerRequest,
     route_match: RouteMatch,
     trace: RequestTrace,
 ) -> DirectReply:
-    """Return the stream of an engine, or its error answer.
+    """Return the stream of a back end, or its error answer.
 
     Raises `TrestleError`.
     """
-    run = ModelRun(context, request, route_match, trace)
-    try:
-        opened = open_stream(run)
-    except BaseException:
-        run.count_at('')
-        run.hold_place('')
-        raise
+    if route_match.service.engine:
+        model_run = ModelRun(context, request, route_match, trace)
+        return _serve(model_run, partial(open_at_engine, model_run))
+    run = StreamRun(context, request, route_match, trace)
+    return _serve(run, partial(open_at_service, run))
+
+
+def _serve(run: StreamRun, open_at: OpenAt) -> DirectReply:
+    opened = open_stream(run, open_at)
     if isinstance(opened, CompleteAnswer):
         return complete_reply(check_promise(run.route, opened))
-    stream = RelayedStream(run, opened)
+    stream = RelayedStream(run, opened, open_at)
     head = stream.begin()
     return DirectReply(
         head.status, head.forwarded_headers, stream, logs_on_close=True
@@ -71,13 +82,16 @@
     """The body of a streamed answer.
 
     Nothing is sent to the caller before `begin` has returned, so that a failure
-    until then is answered with an error. `close` ends the request at its engine
+    until then is answered with an error. `close` ends the request at its back end
     and writes its log line.
     """
 
-    def __init__(self, run: ModelRun, opened: OpenAnswer) -> None:
-        """Take ownership of an open answer."""
+    def __init__(
+        self, run: StreamRun, opened: OpenAnswer, open_at: OpenAt
+    ) -> None:
+        """Take ownership of an open answer; `open_at` resumes the stream."""
         self.run = run
+        self.open_at = open_at
         self.opened: OpenAnswer | None = opened
         # A caller that disconnects ends the iteration without an error.
         self.outcome = CANCELLED.code
@@ -106,7 +120,7 @@
         return self.relayed
 
     def close(self) -> None:
-        """Close the engine's connection unless its answer was complete."""
+        """Close the back end's connection unless its answer was complete."""
         if self.relayed:
             # If the caller could not be written to, it has not ended yet.
             self.relayed.close()
@@ -150,8 +164,7 @@
             self._note_paced(self.opened)
             self.opened.connection.close()
             self.opened = None
-        self.run.count_at('')
-        self.run.hold_place('')
+        release_places(self.run)
 
     def _events(self) -> Iterator[bytes]:
         while self.opened:
@@ -213,7 +226,7 @@
             raise _aborted(str(error)) from error
         run.events.go_on()
         try:
-            self.opened = reopen_stream(run)
+            self.opened = reopen_stream(self.open_at)
             self.head = self.opened.head
         except CallerGoneError:
             raise
--- a/testbed/crash_entries.py
+++ b/testbed/crash_entries.py
@@ -4,7 +4,7 @@
 from typing import Any, Final
 from unittest.mock import patch
 
-from testbed.direct_runs import make_match, make_request
+from testbed.direct_runs import make_match, make_request, open_at_engines
 from testbed.entry_group import EntryGroup
 from trestle_core.errors import TrestleError
 from trestle_core.verdict import Verdict
@@ -90,7 +90,7 @@
         run = self.make_run(parts, entry, content)
         with self.clock(), patch.object(model_dispatch, 'plan_run', stop_there):
             try:
-                model_dispatch.open_stream(run)
+                open_at_engines(run)
             except TrestleError as error:
                 assert error.verdict is Verdict.NOT_RUN, error.verdict
                 assert error.code.code == 'crash-suspect', error.code
--- a/testbed/cut_answers.py
+++ b/testbed/cut_answers.py
@@ -36,6 +36,13 @@
 COMMENTED_STREAM: Final = '/check/comments'
 # The same, with a prompt that another engine reads first.
 LONG_STREAM: Final = '/check/long'
+# A stream of a service without engines, and a lookup at one with engines.
+PLAIN_STREAM: Final = '/rate/1'
+ENGINE_LOOKUP: Final = '/find/1'
+_OTHER_ROUTES: Final = (
+    {'pathPrefix': '/rate/', 'kind': 'stream', 'service': 'desk'},
+    {'pathPrefix': '/find/', 'kind': 'safe', 'service': 'llm'},
+)
 HANDLE: Final = b'{"kvHandle":"h1"}'
 # Back ends that stop within answers; the other ones are sound.
 STOPPING: Final = 'stopping'
@@ -54,12 +61,16 @@
     STREAM: ('llm', ('decode', 'decode')),
     COMMENTED_STREAM: ('llm', ('decode', 'decode')),
     LONG_STREAM: ('llm', ('prefill', 'decode')),
+    PLAIN_STREAM: ('desk', ('', '')),
+    ENGINE_LOOKUP: ('llm', ('decode', 'decode')),
 }
 PROMPTS: Final = {
     LOOKUP: '100,3',
     STREAM: '100,3',
     COMMENTED_STREAM: '100,3',
     LONG_STREAM: '17000,3',
+    PLAIN_STREAM: '100,3',
+    ENGINE_LOOKUP: '100,3',
 }
 
 
@@ -113,10 +124,15 @@
 
     def limit_calls(self, limit_ms: int) -> None:
         """Set the time limit of all routes, as a new document does."""
-        routes = [
-            {**route, 'timeoutMs': limit_ms} for route in document(1)['routes']
+        known = document(1)['routes']
+        others = [
+            {**known[0], **other, 'name': f'other-{number}'}
+            for number, other in enumerate(_OTHER_ROUTES)
         ]
-        self._publish(routes=routes)
+        self.routes = [
+            {**route, 'timeoutMs': limit_ms} for route in (*known, *others)
+        ]
+        self._publish()
 
     def limit_idle(self, limit_ms: int) -> None:
         """Set the idle time of connections, as a new document does."""
@@ -129,7 +145,8 @@
         self._publish(limits=limits)
 
     def _publish(self, **changes: Any) -> None:
-        self.context.table = read_table(encode(document(1, **changes)))
+        changed = document(1, routes=self.routes, **changes)
+        self.context.table = read_table(encode(changed))
 
     def list_backends(self, path: str, *names: str) -> None:
         """Start back ends for the route of a path, the first one preferred."""
@@ -237,7 +254,7 @@
     """Return the body of the whole answer at a path."""
     if path == COMMENTED_STREAM:
         return COMMENT * 2 + EVENTS
-    return RESULT if path == LOOKUP else EVENTS
+    return RESULT if path in {LOOKUP, ENGINE_LOOKUP} else EVENTS
 
 
 def frame(framing: str, body: bytes, request_id: str) -> bytes:
--- a/testbed/direct_runs.py
+++ b/testbed/direct_runs.py
@@ -1,5 +1,6 @@
 """Requests at a direct entry that has no network."""
 
+from functools import partial
 from math import inf
 from time import monotonic
 from typing import Any, Final
@@ -7,9 +8,12 @@
 from trestle_core.metrics import Metrics
 from trestle_core.route_table import EngineTraits, Repeat, Route, Service, Share
 from trestle_core.settings import DirectSettings
+from trestle_entry.direct.backend_calls import CompleteAnswer, OpenAnswer
 from trestle_entry.direct.direct_context import DirectContext, RouteMatch
+from trestle_entry.direct.model_dispatch import open_at_engine
 from trestle_entry.direct.model_run import ModelRun
 from trestle_entry.direct.request_log import RequestTrace
+from trestle_entry.direct.stream_opens import open_stream
 from trestle_entry.direct.wire_types import (
     CallerRequest,
     ModelDemand,
@@ -93,6 +97,11 @@
     return RouteMatch(route, SERVICE)
 
 
+def open_at_engines(run: ModelRun) -> OpenAnswer | CompleteAnswer:
+    """Open the stream of a model request, as its relay does."""
+    return open_stream(run, partial(open_at_engine, run))
+
+
 def make_run(resends: int = 0, attempts: int = 1) -> ModelRun:
     """Return a model request on three engines, with so many resends left."""
     request = make_request(DEMAND)
--- a/testbed/stream_runs.py
+++ b/testbed/stream_runs.py
@@ -13,18 +13,25 @@
 from testbed.direct_runs import make_context, make_match, make_request
 from trestle_core.errors import TrestleError
 from trestle_core.turns import Turn
-from trestle_entry.direct import model_dispatch, model_relay
+from trestle_entry.direct import (
+    model_dispatch,
+    plain_streams,
+    stream_opens,
+    stream_relay,
+)
 from trestle_entry.direct.backend_calls import CompleteAnswer, OpenAnswer
 from trestle_entry.direct.backend_exchange import (
     BrokenAnswerError,
     NotSentError,
 )
 from trestle_entry.direct.direct_context import DirectContext
-from trestle_entry.direct.model_relay import serve_model
 from trestle_entry.direct.prompt_prefill import KvHandle
+from trestle_entry.direct.replies import DirectReply
 from trestle_entry.direct.request_log import RequestTrace
+from trestle_entry.direct.stream_relay import serve_stream
 from trestle_entry.direct.wire_types import (
     AnswerHead,
+    CallerRequest,
     ModelDemand,
     PromptPart,
     SendOptions,
@@ -133,8 +140,14 @@
 class StreamEngines:
     """An entry with engines `ROLE-SOFTWARE-NUMBER`, and what they got."""
 
-    def __init__(self, counts: dict[str, int]) -> None:
-        """Set up `counts` engines of each role and software version."""
+    def __init__(
+        self, counts: dict[str, int], *, are_engines: bool = True
+    ) -> None:
+        """Set up `counts` back ends of each role and software version.
+
+        Those that are no engines belong to a plain service.
+        """
+        self.are_engines = are_engines
         self.context = make_context({}, resends=50)
         self.scripts: dict[str, Script] = {}
         self.sends: list[StreamSend] = []
@@ -144,7 +157,7 @@
         """Replace the list; keys are such as `write-v1`."""
         self.context.fleet.replace_list(
             [
-                engine(f'{kind}-{number}')
+                backend_named(f'{kind}-{number}', is_engine=self.are_engines)
                 for kind, count in counts.items()
                 for number in range(count)
             ]
@@ -195,12 +208,29 @@
         the prefill of its prompt.
         """
         request = make_request(DEMAND)._replace(**changes)
-        trace = RequestTrace(request.request_id, request.arrived_at)
         with self.scripted(self.open, read):
-            matched = make_match(attempts=4)._replace(software=software)
-            reply = serve_model(self.context, request, matched, trace)
+            reply = self.reply_to(request, software)
             return _relay(reply.status, reply.body)
 
+    def first_piece(self) -> bytes:
+        """Serve one request; return what its caller gets first."""
+        with self.scripted(self.open, _read_nothing):
+            body: Any = self.reply_to(make_request(DEMAND)).body
+            first: bytes = next(iter(body))
+            body.close()
+            return first
+
+    def reply_to(
+        self, request: CallerRequest, software: str | None = None
+    ) -> DirectReply:
+        """Begin to serve a request."""
+        matched = make_match(attempts=4)._replace(software=software)
+        if not self.are_engines:
+            service = matched.service._replace(engine=None)
+            matched = matched._replace(service=service)
+        trace = RequestTrace(request.request_id, request.arrived_at)
+        return serve_stream(self.context, request, matched, trace)
+
     @contextmanager
     def scripted(
         self,
@@ -211,20 +241,20 @@
         with (
             patch.object(model_dispatch, 'prefill_prompt', read),
             patch.object(model_dispatch, 'open_answer', opens),
-            patch.object(model_dispatch, 'read_answer', _read_failure),
-            patch.object(model_relay, 'cancel_when_gone', _never_gone),
+            patch.object(plain_streams, 'open_answer', opens),
+            patch.object(stream_opens, 'read_answer', _read_failure),
+            patch.object(stream_relay, 'cancel_when_gone', _never_gone),
             patch.object(DirectContext, 'take_resend', lambda *_: True),
             patch.object(DirectContext, 'allows_resend', lambda *_: True),
         ):
             yield
 
 
-def engine(name: str) -> Backend:
-    """Return the engine of a name such as `write-v1-0`."""
-    role, software, _ = name.split('-')
-    return Backend(
-        name, 'llm', '127.0.0.1:1', 'z', False, ROLES[role], 64, software
-    )
+def backend_named(name: str, *, is_engine: bool) -> Backend:
+    """Return the back end of a name such as `write-v1-0`."""
+    kind, software, _ = name.split('-')
+    role = ROLES[kind] if is_engine else ''
+    return Backend(name, 'llm', '127.0.0.1:1', 'z', False, role, 64, software)
 
 
 def _note_send(backend: Backend, options: SendOptions) -> StreamSend:
