--- a/features/cut_answers.feature
+++ b/features/cut_answers.feature
@@ -35,6 +35,8 @@
       | a stream without an engine | chunks               |
       | a stream without an engine | chunks and trailers  |
       | a stream without an engine | an interim answer    |
+      | a lookup at an engine      | a length             |
+      | a lookup at an engine      | chunks               |
 
   # Guards against: a stream that its server cut in an event and that looks whole,
   # as only the connection tells the end.
--- a/packages/trestle-entry/src/trestle_entry/direct/dispatch.py
+++ b/packages/trestle-entry/src/trestle_entry/direct/dispatch.py
@@ -21,6 +21,7 @@
     with_customer,
 )
 from trestle_entry.direct.direct_context import DirectContext, RouteMatch
+from trestle_entry.direct.engine_answers import serve_whole
 from trestle_entry.direct.newest_routes import (
     PATH,
     UnconfirmedError,
@@ -129,7 +130,7 @@
     """
     if route_match.route.repeat is Repeat.STREAM:
         return serve_stream
-    return serve_stream if route_match.service.engine else serve_plain
+    return serve_whole if route_match.service.engine else serve_plain
 
 
 def _note_refused(context: DirectContext, customer: Customer) -> None:
