--- a/packages/trestle-control/src/trestle_control/quorums.py
+++ b/packages/trestle-control/src/trestle_control/quorums.py
@@ -2,15 +2,13 @@
 
 A quorum is a majority of the voters. While a host is replaced there is one
 voter more than wanted, an even number, and the host that is gone may be one of
-them. With as many lost disks as the group is to bear, no majority is left. So
-with that many voters proven lost, half of all voters are a quorum, if none of
-them is lost:
-
-- two such halves share a member, as they come from the same voters that are
-  left, one more than two halves less the lost ones allow;
-- a majority, even one that holds votes of voters lost since, leaves too few
-  others for a half, so it shares a member with each, that of a leader as well
-  as that of a committed entry.
+them. With as many lost disks as the wanted voters bear, no majority is left.
+So once that many voters are proven lost, half of all voters are a quorum, if
+none of these is lost. Of six voters, two of them lost:
+
+- any three of the other four share a member with any other three of them;
+- any four of the six leave two, so they share a member with any three. This
+  holds for four that voted or acknowledged before two of them were lost, too.
 
 Both need that two members never know different losses, so no more voters may
 have been lost than the group is to bear; with more, only majorities count.
--- a/packages/trestle-control/src/trestle_control/replica_quorum.py
+++ b/packages/trestle-control/src/trestle_control/replica_quorum.py
@@ -1,6 +1,6 @@
 """The quorum rule, applied to the member sets and the losses that are known."""
 
-from collections.abc import Mapping, Set
+from collections.abc import Callable, Mapping, Set
 from math import inf
 
 from trestle_control.membership import MemberSet, voters_of
@@ -14,12 +14,7 @@
 
 def is_quorum_of(state: ReplicaState, members: Set[str]) -> bool:
     """Return whether members, by incarnation, form a quorum of this log."""
-    return is_quorum(
-        voters_in_force(state),
-        members,
-        state.lost_members,
-        state.settings.wanted_voters,
-    )
+    return _quorum_rule(state)(members)
 
 
 def quorum_value(state: ReplicaState, values: Mapping[str, float]) -> float:
@@ -27,13 +22,23 @@
 
     `values` are by incarnation. The result is negative infinity without one.
     """
+    is_quorum_now = _quorum_rule(state)
     for value in sorted(set(values.values()), reverse=True):
         reached = {key for key, own in values.items() if own >= value}
-        if is_quorum_of(state, reached):
+        if is_quorum_now(reached):
             return value
     return -inf
 
 
+def _quorum_rule(state: ReplicaState) -> Callable[[Set[str]], bool]:
+    """Return the rule as the log and the known losses have it now."""
+    in_force = voters_in_force(state)
+    wanted = state.settings.wanted_voters
+    return lambda members: is_quorum(
+        in_force, members, state.lost_members, wanted
+    )
+
+
 def voters_in_force(state: ReplicaState) -> VotersInForce:
     """Return the voters of the last set, and of the one before it."""
     voters = _incarnations(state.members)
