--- a/features/steps/quorums_steps.py
+++ b/features/steps/quorums_steps.py
@@ -5,7 +5,8 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from testbed.quorum_model import PROTOCOL, RULES, explore, walk
+from testbed.quorum_model import explore, walk
+from testbed.quorum_rules import PROTOCOL, RULES
 from trestle_control.quorums import VotersInForce, is_quorum
 
 
